fighollow: design, shared types, links, catalogue and settings

Cause: the repository was empty. Ruled out: random-probe gossip over UDP and per-process API watches (docs/design.md section 9). Measured: none yet. While testing, a test of a broken link hung because it closed the link before the call had been written; the test now waits until the server has the call. Conclusion: the base on which entry and sidecar are built.

--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,29 @@
+// Package event defines the numbered log events of the system. docs/events.md is their catalogue.
+//
+// Numbers are never reused: 1000 entry, 2000 sidecar, 3000 membership and spread, 4000 planner, 5000 ledger,
+// 6000 process and settings, 7000 links.
+package event
+
+import "github.com/rs/zerolog"
+
+// Event is one kind of log line.
+type Event struct {
+	Number  int
+	Name    string // camel case
+	Level   zerolog.Level
+	Meaning string // what happened, and what to look at where it needs attention
+}
+
+// Log begins a line for e; the caller adds fields and ends it with Send or Msg.
+func (e Event) Log(l *zerolog.Logger) *zerolog.Event {
+	return l.WithLevel(e.Level).Int("event", e.Number).Str("name", e.Name)
+}
+
+// All returns every event in the order of the numbers.
+func All() []Event {
+	var all []Event
+	for _, part := range [][]Event{entryEvents, sidecarEvents, spreadEvents, plannerEvents, ledgerEvents, processEvents, linkEvents} {
+		all = append(all, part...)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/event/process.go
@@ -0,0 +1,12 @@
+package event
+
+import "github.com/rs/zerolog"
+
+// Events of processes and settings.
+var (
+	ProcessStarted  = Event{6001, "processStarted", zerolog.InfoLevel, "the process listens on its addresses"}
+	ProcessStopping = Event{6002, "processStopping", zerolog.InfoLevel, "a graceful stop began; work in flight is finished first"}
+	ProcessStopped  = Event{6003, "processStopped", zerolog.InfoLevel, "the graceful stop is complete"}
+)
+
+var processEvents = []Event{ProcessStarted, ProcessStopping, ProcessStopped}
--- /dev/null
+++ b/internal/link/conn_test.go
@@ -0,0 +1,250 @@
+package link_test
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fighollow/fighollow/internal/link"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// echo serves calls by streaming the request id back one byte at a time.
+type echo struct {
+	serve func(ctx context.Context, call *link.Call, s *link.ServerStream)
+}
+
+func (e *echo) ServeCall(ctx context.Context, call *link.Call, s *link.ServerStream) {
+	e.serve(ctx, call, s)
+}
+
+func (e *echo) ServeAsk(_ context.Context, _ *link.Conn, topic string, _ []byte) (any, error) {
+	if topic == "fail" {
+		return nil, fmt.Errorf("no answer")
+	}
+	return topic, nil
+}
+func (e *echo) HandleTell(*link.Conn, string, []byte) {}
+func (e *echo) HandleOpen(*link.Conn)                 {}
+func (e *echo) HandleClose(*link.Conn, error)         {}
+
+func serveEcho(ctx context.Context, call *link.Call, s *link.ServerStream) {
+	if s.Accept(fighollow.Load{}) != nil {
+		return
+	}
+	for i := range call.Request {
+		if s.Chunk(uint64(i), 1, []byte(call.Request[i:i+1])) != nil {
+			return
+		}
+	}
+	_ = s.Finish(link.Finish{Outcome: fighollow.Completed})
+}
+
+func listen(t *testing.T, h link.Handler, opts link.Options) *link.Listener {
+	l, err := link.Listen("127.0.0.1:0", link.Hello{ID: "server"}, h, opts, nil)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(l.Close)
+	return l
+}
+
+func dial(t *testing.T, addr string, opts link.Options) *link.Conn {
+	c, err := link.Dial(context.Background(), addr, link.Hello{ID: "client"}, &echo{}, opts)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(c.Close)
+	return c
+}
+
+// receive returns the concatenated chunks and the outcome of a stream.
+func receive(t *testing.T, s *link.Stream) (string, fighollow.Outcome) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	var got string
+	for {
+		m, err := s.Recv(ctx)
+		qt.Assert(t, err, qt.IsNil)
+		switch m := m.(type) {
+		case *link.Chunk:
+			qt.Assert(t, m.Offset, qt.Equals, uint64(len(got)))
+			got += string(m.Data)
+		case *link.Finish:
+			return got, m.Outcome
+		}
+	}
+}
+
+// Guards against answers of concurrent streams on one link reaching the wrong request.
+func TestConcurrentStreamsDoNotMix(t *testing.T) {
+	l := listen(t, &echo{serve: serveEcho}, link.Options{Window: 8})
+	c := dial(t, l.Addr(), link.Options{Window: 8})
+	var streams []*link.Stream
+	for i := range 50 {
+		s, err := c.Open(link.Call{Request: fmt.Sprintf("request-%04d-%04d", i, i*7)})
+		qt.Assert(t, err, qt.IsNil)
+		streams = append(streams, s)
+	}
+	for i, s := range streams {
+		got, outcome := receive(t, s)
+		qt.Assert(t, got, qt.Equals, fmt.Sprintf("request-%04d-%04d", i, i*7))
+		qt.Assert(t, outcome, qt.Equals, fighollow.Completed)
+	}
+}
+
+// Guards against a sender that ignores flow control and fills the entry's memory when a caller reads slowly.
+func TestChunksStopWithoutCredit(t *testing.T) {
+	sent := make(chan int, 1000)
+	h := &echo{serve: func(_ context.Context, _ *link.Call, s *link.ServerStream) {
+		for i := range 100 {
+			if s.Chunk(uint64(i), 1, make([]byte, 10)) != nil {
+				break
+			}
+			sent <- i
+		}
+		_ = s.Finish(link.Finish{Outcome: fighollow.Completed})
+	}}
+	l := listen(t, h, link.Options{Window: 100})
+	c := dial(t, l.Addr(), link.Options{Window: 100})
+	s, err := c.Open(link.Call{})
+	qt.Assert(t, err, qt.IsNil)
+	time.Sleep(100 * time.Millisecond)
+	qt.Assert(t, len(sent), qt.Equals, 10)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for {
+		m, err := s.Recv(ctx)
+		qt.Assert(t, err, qt.IsNil)
+		if _, ok := m.(*link.Finish); ok {
+			break
+		}
+	}
+	qt.Assert(t, len(sent), qt.Equals, 100)
+}
+
+// Guards against an engine that goes on working after its caller has left.
+func TestCancelEndsTheServersContext(t *testing.T) {
+	cause := make(chan error, 1)
+	h := &echo{serve: func(ctx context.Context, _ *link.Call, _ *link.ServerStream) {
+		<-ctx.Done()
+		cause <- context.Cause(ctx)
+	}}
+	l := listen(t, h, link.Options{})
+	c := dial(t, l.Addr(), link.Options{})
+	s, err := c.Open(link.Call{})
+	qt.Assert(t, err, qt.IsNil)
+	s.Cancel("caller left")
+	qt.Assert(t, <-cause, qt.ErrorIs, link.ErrCancelled)
+}
+
+// Guards against a stream that waits for ever after its link broke.
+func TestBrokenLinkEndsStreamsOnBothSides(t *testing.T) {
+	started, cause := make(chan struct{}), make(chan error, 1)
+	h := &echo{serve: func(ctx context.Context, _ *link.Call, _ *link.ServerStream) {
+		close(started)
+		<-ctx.Done()
+		cause <- context.Cause(ctx)
+	}}
+	l := listen(t, h, link.Options{})
+	c := dial(t, l.Addr(), link.Options{})
+	s, err := c.Open(link.Call{})
+	qt.Assert(t, err, qt.IsNil)
+	<-started
+	c.Close()
+	_, err = s.Recv(context.Background())
+	qt.Assert(t, err, qt.ErrorIs, link.ErrClosed)
+	qt.Assert(t, <-cause, qt.ErrorIs, link.ErrClosed)
+}
+
+// Guards against a peer's error or an unknown topic being taken for an answer.
+func TestAskReturnsTheReplyOrTheError(t *testing.T) {
+	l := listen(t, &echo{}, link.Options{})
+	c := dial(t, l.Addr(), link.Options{})
+	var got string
+	qt.Assert(t, c.Ask(context.Background(), "topic", 1, &got), qt.IsNil)
+	qt.Assert(t, got, qt.Equals, "topic")
+	qt.Assert(t, c.Ask(context.Background(), "fail", 1, &got), qt.ErrorIs, link.ErrRemote)
+}
+
+// Guards against a link that is cut without a reset going unnoticed: the peer here accepts and then stays silent.
+func TestSilentPeerIsNoticed(t *testing.T) {
+	l := listen(t, &echo{}, link.Options{})
+	proxy, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer proxy.Close()
+	cut := make(chan struct{})
+	go func() {
+		in, err := proxy.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", l.Addr())
+		if err != nil {
+			return
+		}
+		go func() { _, _ = io.Copy(out, in) }()
+		buf := make([]byte, 4096)
+		for {
+			n, err := out.Read(buf)
+			if err != nil {
+				return
+			}
+			select {
+			case <-cut: // the direction towards the client is cut
+			default:
+				_, _ = in.Write(buf[:n])
+			}
+		}
+	}()
+	opts := link.Options{PingIdle: 20 * time.Millisecond, PingActive: 20 * time.Millisecond, PingTimeout: 100 * time.Millisecond}
+	c := dial(t, proxy.Addr().String(), opts)
+	close(cut)
+	select {
+	case <-c.Closed():
+	case <-time.After(5 * time.Second):
+		t.Fatal("the link was not closed")
+	}
+}
+
+// Guards against a malformed or oversized frame that harms more than its own link.
+func TestBadFramesCloseOnlyTheirLink(t *testing.T) {
+	l := listen(t, &echo{serve: serveEcho}, link.Options{MaxFrame: 1 << 16})
+	good := dial(t, l.Addr(), link.Options{})
+	for name, frame := range map[string][]byte{
+		"too large":       binary.BigEndian.AppendUint32(nil, 1<<17),
+		"not msgpack":     append(binary.BigEndian.AppendUint32(nil, 4), 0xc1, 0xc1, 0xc1, 0xc1),
+		"unknown type":    append(binary.BigEndian.AppendUint32(nil, 4), 0x92, 0xcc, 0xff, 0x80),
+		"trailing bytes":  append(binary.BigEndian.AppendUint32(nil, 5), 0x92, 0xcc, 13, 0x80, 0x00),
+		"first not hello": append(binary.BigEndian.AppendUint32(nil, 4), 0x92, 0xcc, 13, 0x80),
+	} {
+		t.Run(name, func(t *testing.T) {
+			nc, err := net.Dial("tcp", l.Addr())
+			qt.Assert(t, err, qt.IsNil)
+			defer nc.Close()
+			_, err = nc.Write(frame)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, nc.SetReadDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+			_, err = io.Copy(io.Discard, nc)
+			qt.Assert(t, err, qt.IsNil, qt.Commentf("the link was not closed"))
+		})
+	}
+	s, err := good.Open(link.Call{Request: "still works"})
+	qt.Assert(t, err, qt.IsNil)
+	got, _ := receive(t, s)
+	qt.Assert(t, got, qt.Equals, "still works")
+}
+
+// Guards against a message that exceeds the bound breaking the link it was to be sent on.
+func TestOversizedCallIsRefusedBeforeSending(t *testing.T) {
+	l := listen(t, &echo{serve: serveEcho}, link.Options{})
+	c := dial(t, l.Addr(), link.Options{MaxFrame: 1 << 10})
+	_, err := c.Open(link.Call{Request: string(make([]byte, 1<<11))})
+	qt.Assert(t, err, qt.ErrorIs, link.ErrTooLarge)
+	s, err := c.Open(link.Call{Request: "small"})
+	qt.Assert(t, err, qt.IsNil)
+	got, _ := receive(t, s)
+	qt.Assert(t, got, qt.Equals, "small")
+}
--- /dev/null
+++ b/internal/link/message.go
@@ -0,0 +1,228 @@
+package link
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// Protocol is the version of the message set. Processes with different versions refuse each other's Hello.
+const Protocol = 1
+
+// Type tells messages apart on the wire. Values are never reused.
+type Type uint8
+
+// Types of messages.
+const (
+	TypeHello Type = iota + 1
+	TypeCall
+	TypeAccept
+	TypeRefuse
+	TypeHead
+	TypeChunk
+	TypeFinish
+	TypeWindow
+	TypeCancel
+	TypeAsk
+	TypeReply
+	TypeTell
+	TypePing
+	TypePong
+)
+
+// Message is one typed message.
+type Message interface{ Type() Type }
+
+// Hello identifies a process; it is the first message in each direction.
+type Hello struct {
+	Protocol    int                    `msgpack:"protocol"`
+	ID          string                 `msgpack:"id"`          // process id from the settings
+	Incarnation int64                  `msgpack:"incarnation"` // start time, Unix milliseconds
+	Kind        fighollow.UpstreamKind `msgpack:"kind"`
+	DataCentre  string                 `msgpack:"dataCentre"`
+	Region      string                 `msgpack:"region"`
+	Link        string                 `msgpack:"link"` // address on which the process accepts links
+}
+
+// CallKind tells what a Call asks for.
+type CallKind string
+
+// Kinds of calls.
+const (
+	CallGenerate CallKind = "generate"
+	CallService  CallKind = "service"
+)
+
+// Call opens a stream for one attempt of a request.
+type Call struct {
+	Stream     uint32   `msgpack:"stream"` // set by Conn.Open
+	Kind       CallKind `msgpack:"kind"`
+	Request    string   `msgpack:"request"` // request id, the same for all attempts
+	Attempt    string   `msgpack:"attempt"` // attempt id, unique for ever
+	Workspace  string   `msgpack:"workspace"`
+	Deadline   int64    `msgpack:"deadline"` // Unix milliseconds
+	Worth      float64  `msgpack:"worth"`
+	Priority   int      `msgpack:"priority"`
+	Idempotent bool     `msgpack:"idempotent"`
+	// Resume asks for an attempt sent before whose link broke: the sidecar continues it from Offset, or, when it never
+	// accepted the attempt, bars it for ever and refuses with outcome NotRun. All other fields but Attempt are unused.
+	Resume bool   `msgpack:"resume"`
+	Offset uint64 `msgpack:"offset"` // tokens (generate) or bytes (service) that the entry already holds
+
+	Generate *fighollow.GenerateRequest `msgpack:"generate,omitempty"`
+	Service  *fighollow.ServiceRequest  `msgpack:"service,omitempty"`
+}
+
+// Accept says that the sidecar has admitted the attempt; from here on it may run.
+type Accept struct {
+	Stream uint32         `msgpack:"stream"`
+	Load   fighollow.Load `msgpack:"load"`
+}
+
+// Refuse ends a stream without an Accept. With outcome NotRun the attempt has not run and never will.
+type Refuse struct {
+	Stream  uint32            `msgpack:"stream"`
+	Refusal fighollow.Refusal `msgpack:"refusal"`
+	Load    fighollow.Load    `msgpack:"load"`
+}
+
+// Head is the status and header of a plain service's response.
+type Head struct {
+	Stream uint32              `msgpack:"stream"`
+	Status int                 `msgpack:"status"`
+	Header map[string][]string `msgpack:"header"`
+}
+
+// Chunk is a piece of an answer. Offsets of a stream are contiguous.
+type Chunk struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the msgpack library
+	Stream   uint32
+	Offset   uint64 // tokens (generate) or bytes (service) before this chunk
+	Units    uint32 // tokens or bytes in this chunk
+	Data     []byte
+}
+
+// Finish ends a stream after an Accept.
+type Finish struct {
+	Stream  uint32             `msgpack:"stream"`
+	Outcome fighollow.Outcome  `msgpack:"outcome"`
+	Refusal *fighollow.Refusal `msgpack:"refusal,omitempty"` // set unless the outcome is Completed
+	// Result is set for a completed CallGenerate.
+	Result *fighollow.GenerateResult `msgpack:"result,omitempty"`
+	Load   fighollow.Load            `msgpack:"load"`
+}
+
+// Window grants the sender of chunks more bytes.
+type Window struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the msgpack library
+	Stream   uint32
+	Bytes    uint32
+}
+
+// Cancel tells the sidecar that the answer of a stream is no longer wanted.
+type Cancel struct {
+	Stream uint32 `msgpack:"stream"`
+	Reason string `msgpack:"reason"`
+}
+
+// Ask is a question with one Reply.
+type Ask struct {
+	ID    uint32             `msgpack:"id"`
+	Topic string             `msgpack:"topic"`
+	Body  msgpack.RawMessage `msgpack:"body"`
+}
+
+// Reply answers the Ask with the same ID. Error is empty on success.
+type Reply struct {
+	ID    uint32             `msgpack:"id"`
+	Error string             `msgpack:"error,omitempty"`
+	Body  msgpack.RawMessage `msgpack:"body"`
+}
+
+// Tell is a message without a reply.
+type Tell struct {
+	Topic string             `msgpack:"topic"`
+	Body  msgpack.RawMessage `msgpack:"body"`
+}
+
+// Ping asks for a Pong, to notice a link that is cut in either direction.
+type Ping struct{}
+
+// Pong answers a Ping.
+type Pong struct{}
+
+// Type implements Message.
+func (*Hello) Type() Type { return TypeHello }
+
+// Type implements Message.
+func (*Call) Type() Type { return TypeCall }
+
+// Type implements Message.
+func (*Accept) Type() Type { return TypeAccept }
+
+// Type implements Message.
+func (*Refuse) Type() Type { return TypeRefuse }
+
+// Type implements Message.
+func (*Head) Type() Type { return TypeHead }
+
+// Type implements Message.
+func (*Chunk) Type() Type { return TypeChunk }
+
+// Type implements Message.
+func (*Finish) Type() Type { return TypeFinish }
+
+// Type implements Message.
+func (*Window) Type() Type { return TypeWindow }
+
+// Type implements Message.
+func (*Cancel) Type() Type { return TypeCancel }
+
+// Type implements Message.
+func (*Ask) Type() Type { return TypeAsk }
+
+// Type implements Message.
+func (*Reply) Type() Type { return TypeReply }
+
+// Type implements Message.
+func (*Tell) Type() Type { return TypeTell }
+
+// Type implements Message.
+func (*Ping) Type() Type { return TypePing }
+
+// Type implements Message.
+func (*Pong) Type() Type { return TypePong }
+
+func newMessage(t Type) Message {
+	switch t {
+	case TypeHello:
+		return new(Hello)
+	case TypeCall:
+		return new(Call)
+	case TypeAccept:
+		return new(Accept)
+	case TypeRefuse:
+		return new(Refuse)
+	case TypeHead:
+		return new(Head)
+	case TypeChunk:
+		return new(Chunk)
+	case TypeFinish:
+		return new(Finish)
+	case TypeWindow:
+		return new(Window)
+	case TypeCancel:
+		return new(Cancel)
+	case TypeAsk:
+		return new(Ask)
+	case TypeReply:
+		return new(Reply)
+	case TypeTell:
+		return new(Tell)
+	case TypePing:
+		return new(Ping)
+	case TypePong:
+		return new(Pong)
+	}
+	return nil
+}
