--- /dev/null
+++ b/internal/demand/report.go
@@ -0,0 +1,33 @@
+// Package demand estimates the work that each model is asked for.
+package demand
+
+import "github.com/fighollow/fighollow/pkg/fighollow"
+
+// ReportTopic is the topic of a Tell with a Report.
+const ReportTopic = "demand.report"
+
+// ReportEveryMs is the time between two reports of a sidecar, in milliseconds.
+const ReportEveryMs = 5000
+
+// Report is what a sidecar tells of its engine every ReportEveryMs. Counts are totals since the sidecar started, so
+// that a lost report loses nothing.
+type Report struct {
+	Engine      string                `msgpack:"engine"`
+	DataCentre  string                `msgpack:"dataCentre"`
+	Incarnation int64                 `msgpack:"incarnation"` // of the sidecar, Unix ms
+	State       fighollow.EngineState `msgpack:"state"`
+	Load        fighollow.Load        `msgpack:"load"`
+	Models      []ModelCount          `msgpack:"models"`
+}
+
+// ModelCount is the work of one model, in tokens and requests.
+type ModelCount struct {
+	Model           string  `msgpack:"model"`
+	PrefillTokens   int64   `msgpack:"prefillTokens"`   // prompt tokens computed, without those found in the cache
+	DecodeTokens    int64   `msgpack:"decodeTokens"`    // tokens generated
+	RefusedPrefill  int64   `msgpack:"refusedPrefill"`  // prompt tokens of refused requests
+	RefusedDecode   int64   `msgpack:"refusedDecode"`   // output tokens that refused requests asked for
+	Completed       int64   `msgpack:"completed"`       // requests
+	CompletedWorth  float64 `msgpack:"completedWorth"`  // sum of the worth of completed requests
+	RefusedRequests int64   `msgpack:"refusedRequests"` // requests
+}
--- /dev/null
+++ b/internal/membership/member.go
@@ -0,0 +1,33 @@
+// Package membership decides which processes of a data centre are alive and who watches whom.
+package membership
+
+import "github.com/fighollow/fighollow/pkg/fighollow"
+
+// State is what is known of a member.
+type State string
+
+// States of a member.
+const (
+	Alive   State = "alive"
+	Suspect State = "suspect"
+	Dead    State = "dead"
+	Leaving State = "leaving" // takes no new work and stops when its work in flight is done
+)
+
+// Member is one process of the data centre.
+type Member struct {
+	ID          string                 `msgpack:"id"`
+	Incarnation uint64                 `msgpack:"incarnation"` // start time in Unix ms, raised by a refutation
+	Kind        fighollow.UpstreamKind `msgpack:"kind"`
+	DataCentre  string                 `msgpack:"dataCentre"`
+	Link        string                 `msgpack:"link"`
+	State       State                  `msgpack:"state"`
+	// Service is the plain service's name; empty for other kinds.
+	Service string `msgpack:"service,omitempty"`
+	// Role and Model are what an engine serves now, as observed by its sidecar; empty while it serves nothing.
+	Role         fighollow.Role `msgpack:"role,omitempty"`
+	Model        string         `msgpack:"model,omitempty"`
+	ModelVersion string         `msgpack:"modelVersion,omitempty"`
+	// Meta grows with each change of the fields that the member itself announces.
+	Meta uint64 `msgpack:"meta,omitempty"`
+}
