--- /dev/null
+++ b/internal/entry/completion.go
@@ -0,0 +1,165 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+
+	"github.com/fighollow/fighollow/internal/link"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// Defaults of a model.
+const (
+	defaultBytesPerToken   = 4
+	defaultMaxOutputTokens = 4096
+)
+
+// completionBody is the part of a caller's request that the system reads; other fields are accepted and not used.
+type completionBody struct {
+	Model               string          `json:"model"`
+	Adapter             string          `json:"adapter"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Messages            []chatMessage   `json:"messages"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	N                   *int            `json:"n"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type contentPart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+func (e *Entry) serveChat(w http.ResponseWriter, r *http.Request, c *caller) *fighollow.Refusal {
+	return e.complete(w, r, c, true)
+}
+
+func (e *Entry) serveCompletion(w http.ResponseWriter, r *http.Request, c *caller) *fighollow.Refusal {
+	return e.complete(w, r, c, false)
+}
+
+func (e *Entry) complete(w http.ResponseWriter, r *http.Request, c *caller, chat bool) *fighollow.Refusal {
+	body, refusal := e.readBody(w, r)
+	if refusal != nil {
+		return refusal
+	}
+	var b completionBody
+	if err := json.Unmarshal(body, &b); err != nil {
+		return notRun(fighollow.CodeBadRequest, "the body is not a JSON completion request: "+err.Error())
+	}
+	model := c.view.models[b.Model]
+	if model == nil {
+		return notRun(fighollow.CodeModelNotFound, "no such model")
+	}
+	gen, err := b.generate(model, chat)
+	if err != nil {
+		return notRun(fighollow.CodeBadRequest, err.Error())
+	}
+	gen.Priority = c.workspace.Priority
+	until, refusal := deadline(r, c.arrived, c.workspace.DeadlineMs, defaultDeadlineMs)
+	if refusal != nil {
+		return refusal
+	}
+	q := &request{
+		caller: c, kind: link.CallGenerate, model: model.Name, deadline: until, key: r.Header.Get(headerKey), generate: gen,
+		idempotent: !model.NonIdempotent && r.Header.Get(headerKey) == "",
+	}
+	return e.answer(r.Context(), w, q, &completionFormat{
+		chat: chat, id: c.id, model: model.Name, created: c.arrived.Unix(), stream: b.Stream, usage: b.StreamOptions.IncludeUsage,
+	})
+}
+
+// generate checks the request and returns what an engine is asked for.
+func (b *completionBody) generate(model *fighollow.Model, chat bool) (fighollow.GenerateRequest, error) {
+	var g fighollow.GenerateRequest
+	if b.N != nil && *b.N != 1 {
+		return g, errors.New("n must be 1")
+	}
+	prompt, err := b.text(chat)
+	if err != nil {
+		return g, err
+	}
+	limit := model.MaxOutputTokens
+	if limit <= 0 {
+		limit = defaultMaxOutputTokens
+	}
+	want := b.MaxTokens
+	if b.MaxCompletionTokens != nil {
+		want = b.MaxCompletionTokens
+	}
+	tokens := limit
+	if want != nil {
+		if *want <= 0 {
+			return g, errors.New("max_tokens must be a positive integer")
+		}
+		tokens = min(*want, limit)
+	}
+	perToken := model.BytesPerToken
+	if perToken <= 0 {
+		perToken = defaultBytesPerToken
+	}
+	return fighollow.GenerateRequest{
+		Model: model.Name, Adapter: b.Adapter, Phase: fighollow.RequestWhole, Prompt: prompt,
+		PromptTokens: max(1, int(float64(len(prompt))/perToken)), MaxTokens: tokens,
+	}, nil
+}
+
+// text returns the prompt as one string. Chat messages become lines of role and content, closed by the role of the
+// answer, so that a conversation that grows keeps its beginning and with it the cached prefix.
+func (b *completionBody) text(chat bool) (string, error) {
+	if !chat {
+		var s string
+		if json.Unmarshal(b.Prompt, &s) != nil || s == "" {
+			return "", errors.New("prompt must be a string that is not empty")
+		}
+		return s, nil
+	}
+	if len(b.Messages) == 0 {
+		return "", errors.New("messages must not be empty")
+	}
+	var sb strings.Builder
+	for _, m := range b.Messages {
+		content, err := m.text()
+		if err != nil {
+			return "", err
+		}
+		sb.WriteString(m.Role)
+		sb.WriteString(": ")
+		sb.WriteString(content)
+		sb.WriteByte('\n')
+	}
+	sb.WriteString("assistant: ")
+	return sb.String(), nil
+}
+
+func (m *chatMessage) text() (string, error) {
+	if m.Role == "" {
+		return "", errors.New("each message needs a role")
+	}
+	var s string
+	if json.Unmarshal(m.Content, &s) == nil {
+		return s, nil
+	}
+	var parts []contentPart
+	if json.Unmarshal(m.Content, &parts) != nil {
+		return "", errors.New("content must be a string or a list of text parts")
+	}
+	for _, p := range parts {
+		if p.Type != "text" {
+			return "", errors.New("content parts must have type text")
+		}
+		s += p.Text
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/fighollow/fighollow/internal/event"
+	"github.com/fighollow/fighollow/internal/link"
+	"github.com/fighollow/fighollow/internal/spread"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// LeavingTopic is the topic of the Tell with which a sidecar says that it takes no new work. Its body is not used.
+const LeavingTopic = "sidecar.leaving"
+
+// peerHandler receives what peers send on links.
+type peerHandler struct{ e *Entry }
+
+// ServeCall refuses: an entry runs no attempts.
+func (h *peerHandler) ServeCall(_ context.Context, _ *link.Call, s *link.ServerStream) {
+	r := fighollow.Refusal{Code: fighollow.CodeNoUpstream, Message: "an entry takes no calls", Outcome: fighollow.NotRun}
+	// A failed refusal means that the link broke, which the peer sees itself.
+	_ = s.Refuse(r, fighollow.Load{})
+}
+
+// ServeAsk implements link.Handler.
+func (h *peerHandler) ServeAsk(ctx context.Context, c *link.Conn, topic string, body []byte) (any, error) {
+	if strings.HasPrefix(topic, spread.Topic) {
+		return h.e.node.ServeAsk(ctx, c, topic, body)
+	}
+	return nil, fmt.Errorf("entry: unknown topic %s", topic)
+}
+
+// HandleTell implements link.Handler.
+func (h *peerHandler) HandleTell(c *link.Conn, topic string, body []byte) {
+	if strings.HasPrefix(topic, spread.Topic) {
+		h.e.node.HandleTell(c, topic, body)
+	}
+}
+
+// HandleOpen implements link.Handler.
+func (h *peerHandler) HandleOpen(*link.Conn) {}
+
+// HandleClose implements link.Handler.
+func (h *peerHandler) HandleClose(c *link.Conn, err error) {
+	event.LinkClosed.Log(&h.e.log).Str("peer", c.Peer().ID).AnErr("reason", err).Send()
+}
+
+func (e *Entry) linkRefused(addr string, err error) {
+	event.LinkRefused.Log(&e.log).Str("addr", addr).Err(err).Send()
+}
--- /dev/null
+++ b/internal/entry/refusal.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// statusOf returns the HTTP status of a refusal's code.
+func statusOf(code fighollow.Code) int {
+	switch code {
+	case fighollow.CodeBadRequest, fighollow.CodeKeyNotUUIDv7:
+		return http.StatusBadRequest
+	case fighollow.CodeUnauthorised:
+		return http.StatusUnauthorized
+	case fighollow.CodeModelNotFound, fighollow.CodeServiceNotFound:
+		return http.StatusNotFound
+	case fighollow.CodeKeyInProgress, fighollow.CodeKeyAlreadyRun:
+		return http.StatusConflict
+	case fighollow.CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case fighollow.CodeWorkspaceLimit:
+		return http.StatusTooManyRequests
+	case fighollow.CodeUpstreamFailed, fighollow.CodeDeadline, fighollow.CodeKeyUnknown, fighollow.CodeOutcomeUnknown:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusServiceUnavailable
+}
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code    fighollow.Code `json:"code"`
+	Message string         `json:"message"`
+	NotRun  bool           `json:"notRun"`
+}
+
+func encodeRefusal(r *fighollow.Refusal) []byte {
+	b, err := json.Marshal(errorBody{errorDetail{Code: r.Code, Message: r.Message, NotRun: r.Outcome == fighollow.NotRun}})
+	if err != nil { // strings and a bool always encode
+		panic(err)
+	}
+	return b
+}
+
+// writeRefusal answers with the refusal as JSON.
+func writeRefusal(w http.ResponseWriter, r *fighollow.Refusal) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	if r.RetryAfterMs > 0 {
+		h.Set("Retry-After", strconv.FormatInt(max(1, (r.RetryAfterMs+999)/1000), 10))
+	}
+	w.WriteHeader(statusOf(r.Code))
+	w.Write(encodeRefusal(r))
+}
+
+// defaultRetryAfterMs is told where asking again can help and nobody named a time.
+const defaultRetryAfterMs = 1000
+
+func notRun(code fighollow.Code, message string) *fighollow.Refusal {
+	r := &fighollow.Refusal{Code: code, Message: message, Outcome: fighollow.NotRun}
+	if s := statusOf(code); s == http.StatusServiceUnavailable || s == http.StatusTooManyRequests {
+		r.RetryAfterMs = defaultRetryAfterMs
+	}
+	return r
+}
+
+func unknown(code fighollow.Code, message string) *fighollow.Refusal {
+	return &fighollow.Refusal{Code: code, Message: message, Outcome: fighollow.Unknown}
+}
