--- /dev/null
+++ b/internal/planner/policy.go
@@ -0,0 +1,66 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// Rates of a model whose definition is missing or has none.
+const (
+	defaultPrefillRate = 8000.0
+	defaultDecodeRate  = 2000.0
+	defaultLoad        = 5 * time.Second
+)
+
+// Policy adjusts a Planner; the zero value means the defaults.
+type Policy struct {
+	// ReportLag bounds the lag of engine reports; default 10 s.
+	ReportLag time.Duration
+	// DrainTime is the expected time until an engine's work in flight is finished; default 10 s.
+	DrainTime time.Duration
+	// StuckAfter is when a change that does not complete stops counting against the limits, so that one broken engine
+	// does not block a data centre; default 10 min.
+	StuckAfter time.Duration
+	// ForgetAfter is how long an engine that is no longer listed keeps its assignment; default 2 min. The list lags, and
+	// a restarted instance comes back under its id.
+	ForgetAfter time.Duration
+}
+
+func (o Policy) withDefaults() Policy {
+	setDefault(&o.ReportLag, 10*time.Second)
+	setDefault(&o.DrainTime, 10*time.Second)
+	setDefault(&o.StuckAfter, 10*time.Minute)
+	setDefault(&o.ForgetAfter, 2*time.Minute)
+	return o
+}
+
+func setDefault(d *time.Duration, def time.Duration) {
+	if *d <= 0 {
+		*d = def
+	}
+}
+
+// load is work in engines: how many engines it keeps busy.
+type load struct{ prefill, decode float64 }
+
+// work returns the demand to plan for.
+func (f *fleet) work(model string) load {
+	w := f.in.Demand[model].Level()
+	prefill, decode := rates(f.in.Models[model])
+	return load{prefill: w.Prefill / prefill, decode: w.Decode / decode}
+}
+
+func rates(m fighollow.Model) (prefill, decode float64) {
+	prefill, decode = m.PrefillTokensPerSecond, m.DecodeTokensPerSecond
+	if prefill <= 0 {
+		prefill = defaultPrefillRate
+	}
+	if decode <= 0 {
+		decode = defaultDecodeRate
+	}
+	return prefill, decode
+}
+
+// improve makes changes of role and model that are worth more than they cost.
+func (f *fleet) improve() {}
