demand: estimator that tells shifts from bursts

Cause: the planner needs the work that each model is asked for, from reports that lag and get lost. Change: rates from totals (done, refused and newly queued work), a fast and a slow average for each model, and excursions from the slow level: one counts as a shift once it outlasts a role change and the newest reports agree. Excursions that go back teach how long they usually last, so that a swing's rest is expected to be short. Without reports demand is unknown. Measured: tests only. Conclusion: the runner feeds the planner with estimates.

--- a/internal/planner/policy.go
+++ b/internal/planner/policy.go
@@ -41,6 +41,11 @@
 	}
 }
 
+// ChangeTime is the time that a role change of a model takes, from the order to the first request.
+func (p *Planner) ChangeTime(m fighollow.Model) time.Duration {
+	return p.opts.DrainTime + loadTime(m)
+}
+
 // load is work in engines: how many engines it keeps busy.
 type load struct{ prefill, decode float64 }
 
--- a/internal/planner/runner.go
+++ b/internal/planner/runner.go
@@ -31,6 +31,7 @@
 	// NewID makes write ids; default random UUIDs.
 	NewID  func() string
 	Policy Policy
+	Demand demand.Options
 }
 
 // reportLife is how long an engine's report of itself counts; sidecars send one every demand.ReportEveryMs.
@@ -49,6 +50,7 @@
 	blocked   string // models last logged as blocked
 
 	mu      sync.Mutex
+	demand  *demand.Estimator
 	reports map[string]received // by engine
 	holding bool
 }
@@ -73,6 +75,7 @@
 		planner: New(opts.Policy),
 		lease:   &lease{holder: opts.Holder, region: opts.Region, renewEvery: opts.RenewEvery, after: opts.LeaseAfter},
 		writer:  newWriter(store, cat, opts.NewID),
+		demand:  demand.NewEstimator(opts.Demand),
 		reports: make(map[string]received),
 
 		unsettled: make(map[string]Decision),
@@ -105,6 +108,7 @@
 func (r *Runner) HandleReport(now time.Time, rep demand.Report) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.demand.HandleReport(now, rep)
 	r.reports[rep.Engine] = received{state: rep.State, at: now}
 }
 
@@ -169,6 +173,7 @@
 			in.Models[o.Name] = m
 		}
 	}
+	in.Demand = r.estimates(now, in.Models)
 	versions := make(map[string]uint64)
 	in.Engines = r.engines(now)
 	for _, e := range in.Engines {
@@ -177,6 +182,12 @@
 	return in, versions, nil
 }
 
+func (r *Runner) estimates(now time.Time, models map[string]fighollow.Model) map[string]demand.Estimate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.demand.Estimates(now, func(model string) time.Duration { return r.planner.ChangeTime(models[model]) })
+}
+
 func (r *Runner) addPlan(in Input, versions map[string]uint64, dc string) {
 	if _, done := versions[dc]; done {
 		return
