ledger: epochs, key holders and their state-machine test

Cause: a non-idempotent request must run at most once, while holders restart without memory, pause, and see the ledger object late (docs/design.md section 8). Change: Epochs (assign, maintain, delegate, prune), Holder (claim, settle, stop, import) and UUIDv7 keys. Delegations cover the keys created before the end of the last epoch and are applied in the order of their recording. A holder vouches only after Register, which fences a delegation that its predecessor wrote late; the late write would otherwise let both the successor and the restarted process grant new keys. Ruled out: holder names with a start time (a crashed holder's share would stay unknown until a new epoch even after a restart); delegations that cover only keys created before the stop (the share of a replaced entry would be refused for up to 15 min); pruning without raising the first epoch's start (a claim with a late time argument could miss a pruned delegation). Not covered: two processes with one id at a time.

--- /dev/null
+++ b/internal/ledger/world_test.go
@@ -0,0 +1,202 @@
+package ledger_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/fighollow/fighollow/internal/ledger"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+const (
+	region    = "north"
+	workspace = "w"
+	horizonMs = 20_000
+	lifetime  = 30 * time.Second
+	// Skews differ by less than the tolerance of 2 s, which is what the ledger assumes.
+	maxSkewMs = 999
+)
+
+// process is one process id: its present holder, its copy of the ledger object and its clock.
+type process struct {
+	id     string
+	holder *ledger.Holder
+	view   int // index into world.history
+	skewMs int64
+	paused bool
+	export *ledger.Export // set while the process stops
+	to     string         // successor that has taken the export
+}
+
+// call is one claim of one request as its entry sees it.
+type call struct {
+	key, request string
+	waiting      bool // the entry still waits for the reply
+	running      bool
+}
+
+type message struct {
+	to     string
+	call   *call
+	settle *fighollow.Outcome // nil for a claim
+}
+
+// fataler is a *rapid.T or *testing.T.
+type fataler interface {
+	Fatalf(format string, args ...any)
+}
+
+type reply struct {
+	call    *call
+	granted bool
+}
+
+type write struct {
+	expected int
+	value    ledger.Epochs
+}
+
+// world is a region with its object API, its processes and everything that is under way between them. The oracle is
+// runs: how often the work of a key may have run.
+type world struct {
+	nowMs    int64
+	history  []ledger.Epochs // every version of the ledger object
+	writes   []write
+	procs    []*process
+	keys     []string
+	calls    []*call
+	messages []message
+	replies  []reply
+	runs     map[string]int
+	granted  int
+	requests int
+}
+
+func newWorld(n int) *world {
+	w := &world{nowMs: 1_700_000_000_000, history: []ledger.Epochs{{}}, runs: make(map[string]int)}
+	for i := range n {
+		p := &process{id: fmt.Sprintf("entry-%d", i)}
+		w.procs = append(w.procs, p)
+		w.start(p, 0, 0)
+	}
+	return w
+}
+
+func (w *world) clock(p *process) time.Time { return time.UnixMilli(w.nowMs + p.skewMs) }
+
+// start begins a new process with an id: no memory, a copy of any age, another clock.
+func (w *world) start(p *process, view int, skewMs int64) {
+	p.skewMs = skewMs
+	p.view, p.paused, p.export, p.to = view, false, nil, ""
+	p.holder = ledger.NewHolder(ledger.HolderOptions{KeyLifetime: lifetime}, p.id, w.clock(p))
+}
+
+func (w *world) latest() ledger.Epochs { return w.history[len(w.history)-1] }
+
+// commit is the object API's conditional update.
+func (w *world) commit(x write) bool {
+	if x.expected != len(w.history)-1 {
+		return false
+	}
+	w.history = append(w.history, x.value)
+	return true
+}
+
+// register follows the rule of Holder.Register; the answer of the write can be lost.
+func (w *world) register(p *process, answerLost bool) {
+	if p.export != nil || p.holder.Registered() {
+		return
+	}
+	if w.latest().Names(p.id) {
+		w.commit(write{len(w.history) - 1, w.latest()})
+		if answerLost {
+			return
+		}
+	}
+	p.view = len(w.history) - 1
+	p.holder.Register()
+}
+
+func (w *world) newKey(offsetMs int64) string {
+	id := uuid.UUID{6: 0x70, 8: 0x80}
+	binary.BigEndian.PutUint32(id[12:], uint32(len(w.keys)))
+	ms := w.nowMs + offsetMs
+	for i := range 6 {
+		id[i] = byte(ms >> (8 * (5 - i)))
+	}
+	w.keys = append(w.keys, id.String())
+	return id.String()
+}
+
+// ask sends a claim of a new request to the process that one process's copy names.
+func (w *world) ask(from *process, text string) *message {
+	key, err := ledger.ParseKey(text)
+	if err != nil {
+		panic(err)
+	}
+	place, ok := w.history[from.view].Holder(workspace, key)
+	if !ok {
+		return nil
+	}
+	w.requests++
+	c := &call{key: text, request: fmt.Sprint("request-", w.requests), waiting: true}
+	w.calls = append(w.calls, c)
+	return &message{to: place.Holder, call: c}
+}
+
+func (w *world) proc(id string) *process {
+	for _, p := range w.procs {
+		if p.id == id {
+			return p
+		}
+	}
+	return nil
+}
+
+// deliver lets a process serve a message; ok is false while it is paused.
+func (w *world) deliver(m message) (r reply, ok bool) {
+	p := w.proc(m.to)
+	if p == nil || p.paused {
+		return reply{}, false
+	}
+	if m.settle != nil {
+		p.holder.Settle(w.clock(p), ledger.SettleRequest{
+			Region: region, Workspace: workspace, Key: m.call.key, Request: m.call.request, Outcome: *m.settle,
+			Answer: &fighollow.StoredAnswer{Status: 200, Body: []byte("answer")},
+		})
+		return reply{call: m.call}, true
+	}
+	got := p.holder.Claim(w.clock(p), w.history[p.view], ledger.ClaimRequest{
+		Region: region, Workspace: workspace, Key: m.call.key, Request: m.call.request,
+	})
+	return reply{call: m.call, granted: got.Granted}, true
+}
+
+// receive is the entry's side of a reply: a grant that it still waits for is dispatched at once.
+func (w *world) receive(t fataler, r reply) {
+	if !r.call.waiting {
+		return
+	}
+	r.call.waiting = false
+	if !r.granted {
+		return
+	}
+	r.call.running = true
+	w.granted++
+	w.runs[r.call.key]++
+	if n := w.runs[r.call.key]; n > 1 {
+		t.Fatalf("key %s was dispatched %d times, last by %s", r.call.key, n, r.call.request)
+	}
+}
+
+// end finishes a dispatched request and returns its settle.
+func (w *world) end(c *call, outcome fighollow.Outcome, holder string) message {
+	c.running = false
+	if outcome == fighollow.NotRun {
+		w.runs[c.key]--
+	}
+	return message{to: holder, call: c, settle: &outcome}
+}
