--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,250 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/fighollow/fighollow/internal/catalog"
+	"github.com/fighollow/fighollow/internal/event"
+	"github.com/fighollow/fighollow/internal/link"
+	"github.com/fighollow/fighollow/internal/membership"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// Options adjust a Ledger; the zero value means the defaults.
+type Options struct {
+	Holder     HolderOptions
+	Link       link.Options
+	AskTimeout time.Duration // of one question to a holder; default 1 s
+}
+
+const (
+	defaultAskTimeout = time.Second
+	// settleTries bounds the repeats of a settle that its holder did not take; their pauses grow to 4 s.
+	settleTries      = 6
+	firstSettlePause = 250 * time.Millisecond
+	maxSettlePause   = 4 * time.Second
+)
+
+// Ledger claims and settles keys at their holders, and serves the keys that this process holds. It implements
+// fighollow.KeyLedger; its methods are safe for concurrent use.
+type Ledger struct {
+	opts    Options
+	self    link.Hello
+	cat     *catalog.Catalog
+	members func() []membership.Member
+	log     zerolog.Logger
+	holder  *Holder
+	object  object
+	peers   peers
+	settles sync.WaitGroup // settles that are repeated in the background
+}
+
+var _ fighollow.KeyLedger = (*Ledger)(nil)
+
+// New returns the ledger of the process self, whose Incarnation is its start time. members returns the members of its
+// data centre. Run makes it vouch for keys.
+func New(opts Options, self link.Hello, store fighollow.ObjectStore, cat *catalog.Catalog,
+	members func() []membership.Member, log zerolog.Logger) *Ledger {
+	if opts.AskTimeout == 0 {
+		opts.AskTimeout = defaultAskTimeout
+	}
+	opts.Holder = opts.Holder.withDefaults()
+	return &Ledger{
+		opts: opts, self: self, cat: cat, members: members, log: log,
+		holder: NewHolder(opts.Holder, self.ID, time.UnixMilli(self.Incarnation)),
+		object: object{store: store, cat: cat, region: self.Region},
+		peers:  peers{self: self, opts: opts.Link, conns: make(map[string]*link.Conn)},
+	}
+}
+
+// Claim implements fighollow.KeyLedger. request must be new for each claim that can lead to a dispatch. It takes at most
+// about 2 s for a key from the future and AskTimeout for each question to the holder.
+func (l *Ledger) Claim(ctx context.Context, now time.Time, workspace fighollow.Workspace, key, request string,
+) (*fighollow.StoredAnswer, error) {
+	c := ClaimRequest{Region: l.region(workspace), Workspace: workspace.Name, Key: key, Request: request}
+	reply := l.claim(ctx, now, c)
+	if reply.Refusal != nil {
+		event.KeyRefused.Log(&l.log).Str("workspace", c.Workspace).Str("key", key).Str("request", request).
+			Str("code", string(reply.Refusal.Code)).Str("reason", reply.Refusal.Message).Send()
+		return nil, reply.Refusal
+	}
+	return reply.Answer, nil
+}
+
+func (l *Ledger) region(w fighollow.Workspace) string {
+	if w.Region != "" {
+		return w.Region
+	}
+	return l.self.Region
+}
+
+func (l *Ledger) claim(ctx context.Context, now time.Time, c ClaimRequest) ClaimReply {
+	key, err := ParseKey(c.Key)
+	if err != nil {
+		return ClaimReply{Refusal: err.(*fighollow.Refusal)} //nolint:errorlint // ParseKey returns no other error
+	}
+	start := time.Now()
+	waited := time.Duration(0)
+	for {
+		reply := l.claimOnce(ctx, now.Add(time.Since(start)), c, key)
+		if reply.WaitMs == 0 {
+			return reply
+		}
+		wait := time.Duration(reply.WaitMs) * time.Millisecond
+		waited += wait
+		if waited > l.opts.Holder.ClockTolerance {
+			return refuse("the key was created in the future", 0)
+		}
+		select {
+		case <-ctx.Done():
+			return refuse("the request ended while its key lay in the future", 0)
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (l *Ledger) claimOnce(ctx context.Context, now time.Time, c ClaimRequest, key Key) ClaimReply {
+	e := l.epochs(c.Region)
+	place, ok := e.Holder(c.Workspace, key)
+	if !ok {
+		return refuse("no known epoch contains the key", retryMs)
+	}
+	if place.Holder == l.self.ID {
+		return l.claimHere(now, c)
+	}
+	addr, ok := l.address(place.Holder)
+	if !ok {
+		return refuse("the address of the key's holder is not known", retryMs)
+	}
+	ask, cancel := context.WithTimeout(ctx, l.opts.AskTimeout)
+	defer cancel()
+	var reply ClaimReply
+	err := l.peers.ask(ask, addr, TopicClaim, c, &reply)
+	if err == nil && (reply.Granted || reply.Answer != nil || reply.Refusal != nil || reply.WaitMs > 0) {
+		return reply
+	}
+	if !errors.Is(err, errNotSent) {
+		// The key may have been granted. This request will never use the grant, so it is given back.
+		l.settleLater(SettleRequest{
+			Region: c.Region, Workspace: c.Workspace, Key: c.Key, Request: c.Request, Outcome: fighollow.NotRun,
+		})
+	}
+	return refuse("the key's holder did not answer", retryMs)
+}
+
+// claimHere decides as the holder.
+func (l *Ledger) claimHere(now time.Time, c ClaimRequest) ClaimReply {
+	if c.Region != l.self.Region {
+		return refuse("the key belongs to another region", 0)
+	}
+	return l.holder.Claim(now, l.epochs(c.Region), c)
+}
+
+// Settle implements fighollow.KeyLedger. It asks the holder once, and again in the background when that fails. A settle
+// that never arrives leaves the key in progress, so that it is not granted again.
+func (l *Ledger) Settle(ctx context.Context, now time.Time, workspace fighollow.Workspace, key, request string,
+	outcome fighollow.Outcome, answer *fighollow.StoredAnswer) {
+	s := SettleRequest{
+		Region: l.region(workspace), Workspace: workspace.Name, Key: key, Request: request, Outcome: outcome, Answer: answer,
+	}
+	if answer != nil && len(answer.Body) > l.opts.Holder.MaxAnswerBytes {
+		s.Answer = nil
+	}
+	if !l.settleOnce(context.WithoutCancel(ctx), now, s) {
+		l.settleLater(s)
+	}
+}
+
+func (l *Ledger) settleOnce(ctx context.Context, now time.Time, s SettleRequest) bool {
+	key, err := ParseKey(s.Key)
+	if err != nil {
+		return true
+	}
+	place, ok := l.epochs(s.Region).Holder(s.Workspace, key)
+	if !ok {
+		return false
+	}
+	if place.Holder == l.self.ID && s.Region == l.self.Region {
+		return l.holder.Settle(now, s)
+	}
+	addr, ok := l.address(place.Holder)
+	if !ok {
+		return false
+	}
+	ask, cancel := context.WithTimeout(ctx, l.opts.AskTimeout)
+	defer cancel()
+	var reply SettleReply
+	return l.peers.ask(ask, addr, TopicSettle, s, &reply) == nil && reply.Taken
+}
+
+func (l *Ledger) settleLater(s SettleRequest) {
+	l.settles.Add(1)
+	go func() {
+		defer l.settles.Done()
+		pause := firstSettlePause
+		for range settleTries {
+			time.Sleep(pause)
+			if l.settleOnce(context.Background(), time.Now(), s) {
+				return
+			}
+			pause = min(2*pause, maxSettlePause)
+		}
+		event.SettleLost.Log(&l.log).Str("workspace", s.Workspace).Str("key", s.Key).Str("request", s.Request).
+			Str("outcome", string(s.Outcome)).Send()
+	}()
+}
+
+// ServeAsk answers questions with a topic under Topic.
+func (l *Ledger) ServeAsk(_ context.Context, _ *link.Conn, topic string, body []byte) (any, error) {
+	switch topic {
+	case TopicClaim:
+		var c ClaimRequest
+		if err := msgpack.Unmarshal(body, &c); err != nil {
+			return nil, fmt.Errorf("ledger: decode claim: %w", err)
+		}
+		return l.claimHere(time.Now(), c), nil
+	case TopicSettle:
+		var s SettleRequest
+		if err := msgpack.Unmarshal(body, &s); err != nil {
+			return nil, fmt.Errorf("ledger: decode settle: %w", err)
+		}
+		return SettleReply{Taken: s.Region == l.self.Region && l.holder.Settle(time.Now(), s)}, nil
+	case TopicTransfer:
+		var t TransferRequest
+		if err := msgpack.Unmarshal(body, &t); err != nil {
+			return nil, fmt.Errorf("ledger: decode transfer: %w", err)
+		}
+		return TransferReply{Taken: t.Region == l.self.Region && l.holder.Import(t)}, nil
+	}
+	return nil, fmt.Errorf("ledger: unknown topic %s", topic)
+}
+
+// epochs returns the newest epochs of a region that this process knows.
+func (l *Ledger) epochs(region string) Epochs {
+	var e Epochs
+	if _, err := l.cat.Decode(fighollow.KindLedger, region, &e); err != nil {
+		return Epochs{}
+	}
+	return e
+}
+
+// address returns where the process with an id accepts links.
+func (l *Ledger) address(id string) (string, bool) {
+	for _, m := range l.members() {
+		if m.ID == id && m.Link != "" {
+			return m.Link, true
+		}
+	}
+	var i fighollow.Instance
+	if _, err := l.cat.Decode(fighollow.KindInstance, id, &i); err != nil || i.Link == "" {
+		return "", false
+	}
+	return i.Link, true
+}
--- /dev/null
+++ b/internal/ledger/peers.go
@@ -0,0 +1,103 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+
+	"github.com/fighollow/fighollow/internal/link"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// peers keeps links to the holders that were asked before.
+type peers struct {
+	self link.Hello
+	opts link.Options
+
+	mu     sync.Mutex
+	conns  map[string]*link.Conn // by address
+	closed bool
+}
+
+func (p *peers) conn(ctx context.Context, addr string) (*link.Conn, error) {
+	p.mu.Lock()
+	c := p.conns[addr]
+	p.mu.Unlock()
+	if c != nil {
+		select {
+		case <-c.Closed():
+		default:
+			return c, nil
+		}
+	}
+	c, err := link.Dial(ctx, addr, p.self, answerNothing{}, p.opts)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		c.Close()
+		return nil, link.ErrClosed
+	}
+	if old := p.conns[addr]; old != nil {
+		select {
+		case <-old.Closed():
+		default: // another goroutine connected at the same time
+			c.Close()
+			return old, nil
+		}
+	}
+	p.conns[addr] = c
+	return c, nil
+}
+
+func (p *peers) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.conns {
+		c.Close()
+	}
+}
+
+// errNotSent says that a question did not leave this process.
+var errNotSent = errors.New("ledger: not sent")
+
+// ask sends a question, once more on a new link when the first one broke. Questions of the ledger allow it: a repeat has
+// no further effect.
+func (p *peers) ask(ctx context.Context, addr, topic string, in, out any) error {
+	var err error
+	for try := range 2 {
+		c, derr := p.conn(ctx, addr)
+		if derr != nil && try == 0 {
+			return fmt.Errorf("%w: %w", errNotSent, derr)
+		}
+		if derr != nil {
+			return derr
+		}
+		err = c.Ask(ctx, topic, in, out)
+		if !errors.Is(err, link.ErrClosed) {
+			return err
+		}
+	}
+	return err
+}
+
+// answerNothing serves the direction of a link in which a holder asks nothing.
+type answerNothing struct{}
+
+func (answerNothing) ServeCall(_ context.Context, _ *link.Call, s *link.ServerStream) {
+	_ = s.Refuse(fighollow.Refusal{
+		Code: fighollow.CodeNotReady, Message: "no calls are served here", Outcome: fighollow.NotRun,
+	}, fighollow.Load{})
+}
+
+func (answerNothing) ServeAsk(_ context.Context, _ *link.Conn, topic string, _ []byte) (any, error) {
+	return nil, fmt.Errorf("ledger: unexpected question %s", topic)
+}
+
+func (answerNothing) HandleTell(*link.Conn, string, []byte) {}
+func (answerNothing) HandleOpen(*link.Conn)                 {}
+func (answerNothing) HandleClose(*link.Conn, error)         {}
--- /dev/null
+++ b/internal/ledger/store.go
@@ -0,0 +1,107 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/google/uuid"
+
+	"github.com/fighollow/fighollow/internal/catalog"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// object reads and changes the object of one region's ledger.
+type object struct {
+	store  fighollow.ObjectStore
+	cat    *catalog.Catalog
+	region string
+}
+
+// read returns the present epochs and version from the object API; version 0 and no epochs when there is no object.
+func (o object) read(ctx context.Context) (Epochs, uint64, error) {
+	var e Epochs
+	got, err := o.store.Get(ctx, fighollow.KindLedger, o.region)
+	if errors.Is(err, fighollow.ErrNotFound) {
+		return e, 0, nil
+	}
+	if err != nil {
+		return e, 0, fmt.Errorf("ledger: read: %w", err)
+	}
+	o.cat.Apply(got)
+	if err := json.Unmarshal(got.Value, &e); err != nil {
+		return e, 0, fmt.Errorf("ledger: decode: %w", err)
+	}
+	return e, got.Version, nil
+}
+
+// update writes what change makes of the present epochs, and again after a lost race, until change reports nothing to
+// do or ctx ends. change must be idempotent: a write whose answer was lost can be followed by other writers' before it
+// is read back.
+func (o object) update(ctx context.Context, change func(Epochs) (Epochs, bool)) (written bool, err error) {
+	for ctx.Err() == nil {
+		present, version, err := o.read(ctx)
+		if err != nil {
+			return false, err
+		}
+		next, changed := change(present)
+		if !changed {
+			return false, nil
+		}
+		next.WriteID = uuid.NewString()
+		err = o.put(ctx, next, version)
+		if err == nil {
+			return true, nil
+		}
+		if !errors.Is(err, fighollow.ErrConflict) {
+			return false, err
+		}
+	}
+	return false, ctx.Err()
+}
+
+// put makes one conditional write. After a lost answer it reads back: the old version means that the write can still
+// arrive, so the same write is repeated.
+func (o object) put(ctx context.Context, e Epochs, expected uint64) error {
+	value, err := json.Marshal(e)
+	if err != nil {
+		return fmt.Errorf("ledger: encode: %w", err)
+	}
+	obj := fighollow.Object{Kind: fighollow.KindLedger, Name: o.region, Value: value}
+	for ctx.Err() == nil {
+		obj.Version, err = o.store.Put(ctx, obj, expected)
+		if err == nil {
+			o.cat.Apply(obj)
+			return nil
+		}
+		if errors.Is(err, fighollow.ErrConflict) {
+			return o.wrote(ctx, e.WriteID)
+		}
+		if !errors.Is(err, fighollow.ErrUnknownOutcome) {
+			return fmt.Errorf("ledger: write: %w", err)
+		}
+		present, version, rerr := o.read(ctx)
+		switch {
+		case rerr != nil:
+			return rerr
+		case present.WriteID == e.WriteID:
+			return nil
+		case version != expected:
+			return fighollow.ErrConflict
+		}
+	}
+	return ctx.Err()
+}
+
+// wrote tells a conflict with one's own earlier write, whose answer was lost, from one with another writer's.
+func (o object) wrote(ctx context.Context, writeID string) error {
+	present, _, err := o.read(ctx)
+	if err != nil {
+		return err
+	}
+	if present.WriteID == writeID {
+		return nil
+	}
+	return fighollow.ErrConflict
+}
