membership: state machine of the members of one data centre

Cause: entries and sidecars must know within seconds who is alive, without an object API call for each process. Change: heartbeats to ring neighbours at offsets 1, 2, 4, ..., suspicion, refutation with a higher incarnation, death, probes of dead members, forgetting after 10 min, rendezvous watchers; pure, with bounded sizes. Ruled out: a fixed silence for members that keep refuting: a one-way cut then makes a member flap every 5 s, so each refuted suspicion doubles that neighbour's silence, up to 40 s. Judging others after a pause of the own process: the timers restart instead. Conclusion: ready to be driven over links.

--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -31,3 +31,28 @@
 	// Meta grows with each change of the fields that the member itself announces.
 	Meta uint64 `msgpack:"meta,omitempty"`
 }
+
+// rank orders states of one incarnation: each state overrides those before it, and only the member itself can go back,
+// with a higher incarnation.
+func rank(s State) int {
+	switch s {
+	case Leaving:
+		return 1
+	case Suspect:
+		return 2
+	case Dead:
+		return 3
+	}
+	return 0
+}
+
+// Newer reports whether a is later word about a member than b.
+func Newer(a, b Member) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	if a.State != b.State {
+		return rank(a.State) > rank(b.State)
+	}
+	return a.Meta > b.Meta
+}
--- /dev/null
+++ b/internal/membership/ring.go
@@ -0,0 +1,87 @@
+package membership
+
+import (
+	"encoding/binary"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// arrange recomputes ring, neighbours and sum after a change. A new neighbour's silence counts from now.
+func (m *Machine) arrange(now time.Time) {
+	m.ring = append(m.ring[:0], m.self.ID)
+	m.sum = memberSum(m.self)
+	for id, r := range m.members {
+		if r.State != Dead {
+			m.ring = append(m.ring, id)
+			m.sum ^= memberSum(r.Member)
+		}
+	}
+	sort.Slice(m.ring, func(i, j int) bool {
+		a, b := xxhash.Sum64String(m.ring[i]), xxhash.Sum64String(m.ring[j])
+		return a < b || a == b && m.ring[i] < m.ring[j]
+	})
+	m.meet(now)
+}
+
+func (m *Machine) meet(now time.Time) {
+	n := len(m.ring)
+	at := 0
+	for i, id := range m.ring {
+		if id == m.self.ID {
+			at = i
+		}
+	}
+	near := make(map[string]bool)
+	m.dial = m.dial[:0]
+	for step := 1; step < n; step *= 2 {
+		next, back := m.ring[(at+step)%n], m.ring[(at-step+n)%n]
+		m.dial = append(m.dial, next)
+		near[next], near[back] = true, true
+	}
+	for id := range near {
+		if !m.near[id] {
+			m.members[id].heard = now
+		}
+	}
+	m.near = near
+}
+
+func memberSum(m Member) uint64 {
+	b := make([]byte, 0, len(m.ID)+17)
+	b = append(b, m.ID...)
+	b = append(b, byte(rank(m.State)))
+	b = binary.BigEndian.AppendUint64(b, m.Incarnation)
+	b = binary.BigEndian.AppendUint64(b, m.Meta)
+	return xxhash.Sum64(b)
+}
+
+// Neighbours returns the members that this process connects to: those at ring offsets 1, 2, 4, 8, ...
+func (m *Machine) Neighbours() []string { return append([]string(nil), m.dial...) }
+
+// Near reports whether a member is a neighbour in either direction.
+func (m *Machine) Near(id string) bool { return m.near[id] }
+
+// Watchers returns the ids of the n members that watch the object API for the data centre: those first in rendezvous
+// order among the members that are neither dead nor leaving.
+func (m *Machine) Watchers(n int) []string {
+	type candidate struct {
+		id     string
+		weight uint64
+	}
+	var all []candidate
+	for _, id := range m.ring {
+		if member, _ := m.Get(id); member.State != Leaving {
+			all = append(all, candidate{id, xxhash.Sum64String("watcher/" + id)})
+		}
+	}
+	sort.Slice(all, func(i, j int) bool {
+		return all[i].weight > all[j].weight || all[i].weight == all[j].weight && all[i].id < all[j].id
+	})
+	var out []string
+	for _, c := range all[:min(n, len(all))] {
+		out = append(out, c.id)
+	}
+	return out
+}
