engine, service: HTTP clients of the platform's engines and plain services

Cause: the sidecar needs the platform's protocols behind fighollow.Engine and fighollow.ServiceClient. Ruled out: kept connections for calls with an effect. An idle connection that the upstream closes makes the outcome unknown without need, and net/http itself repeats a request that carries an Idempotency-Key when one breaks. Change: JSON requests, token answers as server-sent events that only a result event completes; a failed dial and an explicit fault are "not run", everything else is unknown.

--- /dev/null
+++ b/internal/engine/client.go
@@ -0,0 +1,210 @@
+// Package engine is the HTTP client of a platform engine. It implements fighollow.Engine.
+//
+// Requests and replies are JSON. An answer is a stream of server-sent events: token events, then one result event that
+// closes a whole answer, or an error event. A reply with a status other than 2xx carries a Fault.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// Codes of a Fault.
+const (
+	FaultNotRun     = "notRun"     // the engine did not start the attempt
+	FaultStaleFence = "staleFence" // the order has a lower fencing number than one seen
+	FaultBusy       = "busy"       // the order came with work in flight or another order in progress
+	FaultNotFound   = "notFound"   // no such attempt
+	FaultRepeated   = "repeated"   // the attempt id was used before
+	FaultInternal   = "internal"   // the attempt broke off
+)
+
+// Fault is the body of an error reply and the data of an error event.
+type Fault struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+// Position is the body of a resume or cancel request.
+type Position struct {
+	ID     string `json:"id"`
+	Offset int    `json:"offset"`
+}
+
+// Client calls one engine. It is safe for concurrent use.
+type Client struct {
+	base   string
+	read   *http.Client // requests that may be repeated, over kept connections
+	effect *http.Client // requests with an effect, each over a connection of its own
+}
+
+const (
+	dialTimeout  = time.Second
+	readTimeout  = 2 * time.Second
+	orderTimeout = 5 * time.Second
+	maxReply     = 1 << 20
+)
+
+// New returns a client of the engine at addr (IP:port).
+func New(addr string) *Client {
+	d := &net.Dialer{Timeout: dialTimeout}
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{
+		base: "http://" + addr,
+		read: &http.Client{
+			Transport:     &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second},
+			Timeout:       readTimeout,
+			CheckRedirect: noRedirect,
+		},
+		// A kept connection that the engine closes at the same moment would make the outcome unknown without need.
+		effect: &http.Client{
+			Transport:     &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true},
+			CheckRedirect: noRedirect,
+		},
+	}
+}
+
+// State implements fighollow.Engine.
+func (c *Client) State(ctx context.Context) (fighollow.EngineState, error) {
+	var s fighollow.EngineState
+	return s, c.get(ctx, "/state", &s)
+}
+
+// CacheEvents implements fighollow.Engine.
+func (c *Client) CacheEvents(ctx context.Context, after uint64) ([]fighollow.CacheEvent, error) {
+	var events []fighollow.CacheEvent
+	return events, c.get(ctx, "/events?after="+strconv.FormatUint(after, 10), &events)
+}
+
+// Order implements fighollow.Engine. It waits at most 5 s for the reply.
+func (c *Client) Order(ctx context.Context, a fighollow.Assignment) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	res, err := c.post(ctx, "/order", a)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode == http.StatusAccepted {
+		return nil
+	}
+	f := readFault(res)
+	switch f.Code {
+	case FaultStaleFence:
+		return fmt.Errorf("engine: order: %s: %w", f.Message, fighollow.ErrStaleFence)
+	case FaultBusy:
+		return fmt.Errorf("engine: order: %s: %w", f.Message, fighollow.ErrBusy)
+	}
+	return fmt.Errorf("engine: order: status %d: %s: %w", res.StatusCode, f.Message, fighollow.ErrUnknownOutcome)
+}
+
+// Generate implements fighollow.Engine. The stream ends when ctx ends.
+func (c *Client) Generate(ctx context.Context, req fighollow.GenerateRequest) (fighollow.TokenStream, error) {
+	res, err := c.post(ctx, "/generate", req)
+	if errors.Is(err, fighollow.ErrUnavailable) {
+		return nil, fmt.Errorf("%w: %w", fighollow.ErrNotRun, err)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode == http.StatusOK {
+		return newStream(res.Body), nil
+	}
+	defer res.Body.Close()
+	f := readFault(res)
+	if f.Code == FaultNotRun {
+		return nil, fmt.Errorf("engine: generate: %s: %w", f.Message, fighollow.ErrNotRun)
+	}
+	return nil, fmt.Errorf("engine: generate: status %d: %s: %w", res.StatusCode, f.Message, fighollow.ErrUnknownOutcome)
+}
+
+// Resume implements fighollow.Engine.
+func (c *Client) Resume(ctx context.Context, id string, offset int) (fighollow.TokenStream, error) {
+	res, err := c.post(ctx, "/resume", Position{ID: id, Offset: offset})
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode == http.StatusOK {
+		return newStream(res.Body), nil
+	}
+	defer res.Body.Close()
+	f := readFault(res)
+	if f.Code == FaultNotFound {
+		return nil, fmt.Errorf("engine: resume %s: %w", id, fighollow.ErrNotFound)
+	}
+	return nil, fmt.Errorf("engine: resume: status %d: %s", res.StatusCode, f.Message)
+}
+
+// Cancel implements fighollow.Engine.
+func (c *Client) Cancel(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	res, err := c.post(ctx, "/cancel", Position{ID: id})
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("engine: cancel: status %d: %s", res.StatusCode, readFault(res).Message)
+	}
+	return nil
+}
+
+func (c *Client) get(ctx context.Context, path string, v any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		return fmt.Errorf("engine: %w", err)
+	}
+	res, err := c.read.Do(req)
+	if err != nil {
+		return fmt.Errorf("engine: %w: %w", fighollow.ErrUnavailable, err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("engine: %s: status %d: %w", path, res.StatusCode, fighollow.ErrUnavailable)
+	}
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxReply)).Decode(v); err != nil {
+		return fmt.Errorf("engine: decode %s: %w", path, err)
+	}
+	return nil
+}
+
+// post returns ErrUnavailable when no connection could be made, and ErrUnknownOutcome when the request may have arrived.
+func (c *Client) post(ctx context.Context, path string, body any) (*http.Response, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, fmt.Errorf("engine: encode %s: %w", path, err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, fmt.Errorf("engine: %w", err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := c.effect.Do(req)
+	if err == nil {
+		return res, nil
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return nil, fmt.Errorf("engine: %w: %w", fighollow.ErrUnavailable, err)
+	}
+	return nil, fmt.Errorf("engine: %w: %w", fighollow.ErrUnknownOutcome, err)
+}
+
+func readFault(res *http.Response) Fault {
+	var f Fault
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxReply)).Decode(&f); err != nil {
+		f.Message = "unreadable error reply"
+	}
+	return f
+}
--- /dev/null
+++ b/internal/engine/stream.go
@@ -0,0 +1,104 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// Names of server-sent events.
+const (
+	EventToken  = "token"
+	EventResult = "result"
+	EventError  = "error"
+)
+
+const maxLine = 1 << 20
+
+// stream reads the server-sent events of one answer.
+type stream struct {
+	body   io.ReadCloser
+	lines  *bufio.Scanner
+	result fighollow.GenerateResult
+	err    error // returned by every Next after the end
+}
+
+func newStream(body io.ReadCloser) *stream {
+	s := &stream{body: body, lines: bufio.NewScanner(body)}
+	s.lines.Buffer(make([]byte, 0, 4096), maxLine)
+	return s
+}
+
+// Next implements fighollow.TokenStream.
+func (s *stream) Next() (fighollow.Token, error) {
+	if s.err != nil {
+		return fighollow.Token{}, s.err
+	}
+	t, err := s.next()
+	s.err = err
+	return t, err
+}
+
+func (s *stream) next() (fighollow.Token, error) {
+	var t fighollow.Token
+	name, data, err := s.event()
+	if err != nil {
+		return t, err
+	}
+	switch name {
+	case EventToken:
+		if err := json.Unmarshal(data, &t); err != nil {
+			return t, fmt.Errorf("engine: token event: %w", err)
+		}
+		return t, nil
+	case EventResult:
+		if err := json.Unmarshal(data, &s.result); err != nil {
+			return t, fmt.Errorf("engine: result event: %w", err)
+		}
+		return t, io.EOF
+	case EventError:
+		return t, faultError(data)
+	}
+	return t, fmt.Errorf("engine: unexpected event %q: %w", name, fighollow.ErrUnknownOutcome)
+}
+
+func faultError(data []byte) error {
+	var f Fault
+	if err := json.Unmarshal(data, &f); err != nil {
+		return fmt.Errorf("engine: error event: %w", err)
+	}
+	if f.Code == FaultNotRun {
+		return fmt.Errorf("engine: %s: %w", f.Message, fighollow.ErrNotRun)
+	}
+	return fmt.Errorf("engine: %s: %w", f.Message, fighollow.ErrUnknownOutcome)
+}
+
+// event returns the next event. An answer without a result event broke off, so that io.EOF never comes from here.
+func (s *stream) event() (name string, data []byte, err error) {
+	for s.lines.Scan() {
+		line := s.lines.Bytes()
+		switch {
+		case len(line) == 0 && name != "":
+			return name, data, nil
+		case bytes.HasPrefix(line, []byte("event: ")):
+			name = string(line[len("event: "):])
+		case bytes.HasPrefix(line, []byte("data: ")):
+			data = append(data, line[len("data: "):]...)
+		}
+	}
+	err = s.lines.Err()
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return "", nil, fmt.Errorf("engine: answer broke off: %w: %w", fighollow.ErrUnknownOutcome, err)
+}
+
+// Result implements fighollow.TokenStream.
+func (s *stream) Result() fighollow.GenerateResult { return s.result }
+
+// Close implements fighollow.TokenStream.
+func (s *stream) Close() error { return s.body.Close() }
--- /dev/null
+++ b/internal/service/client.go
@@ -0,0 +1,67 @@
+// Package service is the HTTP client of a plain service. It implements fighollow.ServiceClient.
+package service
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+const dialTimeout = time.Second
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+// Client calls one upstream of a plain service. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the upstream at addr (IP:port).
+func New(addr string) *Client {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &Client{
+		base: "http://" + addr,
+		http: &http.Client{
+			// Each call has a connection of its own: net/http repeats a request with an Idempotency-Key header when a
+			// kept connection breaks, and such a call must run at most once.
+			Transport:     &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// Do implements fighollow.ServiceClient. The response's body ends when ctx ends.
+func (c *Client) Do(ctx context.Context, req fighollow.ServiceRequest) (*fighollow.ServiceResponse, error) {
+	r, err := http.NewRequestWithContext(ctx, req.Method, c.base+req.Path, bytes.NewReader(req.Body))
+	if err != nil {
+		return nil, fmt.Errorf("service: %w: %w", fighollow.ErrNotRun, err)
+	}
+	for k, v := range req.Header {
+		r.Header[http.CanonicalHeaderKey(k)] = v
+	}
+	removeHop(r.Header)
+	res, err := c.http.Do(r) //nolint:bodyclose // the receiver of the response closes it
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return nil, fmt.Errorf("service: %w: %w", fighollow.ErrNotRun, err)
+		}
+		return nil, fmt.Errorf("service: %w: %w", fighollow.ErrUnknownOutcome, err)
+	}
+	removeHop(res.Header)
+	return &fighollow.ServiceResponse{Status: res.StatusCode, Header: res.Header, Body: res.Body}, nil
+}
+
+func removeHop(h http.Header) {
+	for _, k := range hopHeaders {
+		h.Del(k)
+	}
+}
