--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -17,7 +17,7 @@
 	cmd := &cli.Command{
 		Name:     "standin",
 		Usage:    "take the place of the platform",
-		Commands: []*cli.Command{objectsCommand()},
+		Commands: []*cli.Command{objectsCommand(), engineCommand(), serviceCommand()},
 	}
 	if err := cmd.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
