sidecar: admission, attempts that survive their link, orders and a graceful stop

Cause: a call over a link must run end to end at an engine or plain service. Ruled out: answering "not run" to every resume of an attempt that this process does not know. A process started after a kill cannot know what the one before it ran, so Call names the incarnation that the attempt was sent to. Change: the attempt's work does not depend on its link; its answer is kept until a resume can no longer come.

--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -65,9 +65,12 @@
 	Priority   int      `msgpack:"priority"`
 	Idempotent bool     `msgpack:"idempotent"`
 	// Resume asks for an attempt sent before whose link broke: the sidecar continues it from Offset, or, when it never
-	// accepted the attempt, bars it for ever and refuses with outcome NotRun. All other fields but Attempt are unused.
-	Resume bool   `msgpack:"resume"`
-	Offset uint64 `msgpack:"offset"` // tokens (generate) or bytes (service) that the entry already holds
+	// accepted the attempt, bars it for ever and refuses with outcome NotRun.
+	Resume bool `msgpack:"resume"`
+	// Incarnation, with Resume, is that of the process (its Hello) to which the attempt was sent before. Another process
+	// cannot know whether the attempt ran. All other fields but Attempt and Offset are unused with Resume.
+	Incarnation int64  `msgpack:"incarnation,omitempty"`
+	Offset      uint64 `msgpack:"offset"` // tokens (generate) or bytes (service) that the entry already holds
 
 	Generate *fighollow.GenerateRequest `msgpack:"generate,omitempty"`
 	Service  *fighollow.ServiceRequest  `msgpack:"service,omitempty"`
--- /dev/null
+++ b/internal/sidecar/proxy.go
@@ -0,0 +1,59 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"github.com/fighollow/fighollow/internal/event"
+	"github.com/fighollow/fighollow/internal/link"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+const readBytes = 16 << 10
+
+// proxy runs an attempt at the plain service and keeps its answer.
+func (s *Sidecar) proxy(a *attempt) {
+	res, err := s.service.Do(a.ctx, *a.call.Service)
+	if err != nil {
+		s.proxyFailed(a, err)
+		return
+	}
+	defer res.Body.Close()
+	a.setHead(res.Status, res.Header)
+	buf := make([]byte, readBytes)
+	for {
+		n, err := res.Body.Read(buf)
+		if n > 0 {
+			if err := a.addBytes(buf[:n]); err != nil {
+				s.proxyFailed(a, err)
+				return
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			s.mu.Lock()
+			s.counts.completed(&a.call, fighollow.GenerateResult{}, 0)
+			s.mu.Unlock()
+			a.end(link.Finish{Outcome: fighollow.Completed})
+			return
+		}
+		if err != nil {
+			s.proxyFailed(a, err)
+			return
+		}
+	}
+}
+
+func (s *Sidecar) proxyFailed(a *attempt, err error) {
+	r := &fighollow.Refusal{
+		Code: fighollow.CodeUpstreamFailed, Message: err.Error(), Outcome: fighollow.Unknown, RetryAfterMs: upstreamFailedRetryMs,
+	}
+	switch {
+	case errors.Is(err, fighollow.ErrNotRun):
+		r.Code, r.Outcome = fighollow.CodeNotReady, fighollow.NotRun
+	case a.ctx.Err() != nil:
+		r.Code, r.Message = fighollow.CodeCancelled, context.Cause(a.ctx).Error()
+	}
+	event.AttemptFailed.Log(&s.log).Str("attempt", a.call.Attempt).Str("code", string(r.Code)).Str("message", r.Message).Send()
+	a.end(link.Finish{Outcome: r.Outcome, Refusal: r})
+}
--- /dev/null
+++ b/internal/sidecar/sidecar_test.go
@@ -0,0 +1,154 @@
+package sidecar_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fighollow/fighollow/internal/link"
+	"github.com/fighollow/fighollow/internal/sidecar"
+	"github.com/fighollow/fighollow/internal/standin/engine"
+	"github.com/fighollow/fighollow/internal/standin/plain"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// Guards against an answer that differs from what the engine produced, or an empty engine that is never ordered.
+func TestCallRunsEndToEnd(t *testing.T) {
+	f := startEngine(t, engine.Options{})
+	call := generate("cut the sleeve two centimetres shorter", 300)
+	r := f.run(f.dial(), call)
+	qt.Assert(t, r.accepted, qt.IsTrue)
+	qt.Assert(t, r.finish.Outcome, qt.Equals, fighollow.Completed)
+	qt.Assert(t, r.text, qt.Equals, engine.Text(call.Generate.Prompt, 0, 300))
+	qt.Assert(t, r.units, qt.Equals, uint64(300))
+	qt.Assert(t, r.finish.Result.OutputTokens, qt.Equals, 300)
+}
+
+// Guards against a moved answer that does not continue at the exact token already delivered.
+func TestContinuationStartsAtItsOffset(t *testing.T) {
+	f := startEngine(t, engine.Options{})
+	call := generate("fit verdict", 50)
+	call.Offset, call.Generate.Offset = 20, 20
+	call.Generate.Emitted = engine.Text("fit verdict", 0, 20)
+	r := f.run(f.dial(), call)
+	qt.Assert(t, r.text, qt.Equals, engine.Text("fit verdict", 20, 50))
+	qt.Assert(t, r.units, qt.Equals, uint64(50))
+}
+
+// Guards against a decode engine that recomputes or takes a wrong cache, and a failed import that is told as run.
+func TestDecodeImportsTheCacheOrDidNotRun(t *testing.T) {
+	f := startEngine(t, engine.Options{})
+	c := f.dial()
+	pre := generate("covenant check", 0)
+	pre.Generate.Phase = fighollow.RequestPrefill
+	ref := f.run(c, pre).finish.Result.KV
+	ref.Address = f.cfg.Upstream.Address // this engine also serves as the importing one
+	dec := generate("covenant check", 40)
+	dec.Generate.Phase, dec.Generate.KV = fighollow.RequestDecode, ref
+	r := f.run(c, dec)
+	qt.Assert(t, r.text, qt.Equals, engine.Text("covenant check", 0, 40))
+	qt.Assert(t, r.finish.Result.CachedTokens, qt.Equals, dec.Generate.PromptTokens)
+
+	lost := generate("covenant check", 40)
+	lost.Generate.Phase = fighollow.RequestDecode
+	lost.Generate.KV = &fighollow.KVRef{Address: ref.Address, Handle: "gone", Tokens: ref.Tokens}
+	r = f.run(c, lost)
+	qt.Assert(t, r.finish.Outcome, qt.Equals, fighollow.NotRun)
+	qt.Assert(t, f.attempts(lost.Attempt)[0].Tokens, qt.Equals, 0)
+}
+
+// Guards against a plain service's answer that is cut, doubled or lacks its status.
+func TestPlainCallRunsOnce(t *testing.T) {
+	f := startPlain(t)
+	r := f.run(f.dialServing(), serviceCall(http.MethodPost))
+	qt.Assert(t, r.head.Status, qt.Equals, 200)
+	qt.Assert(t, r.finish.Outcome, qt.Equals, fighollow.Completed)
+	qt.Assert(t, r.units, qt.Equals, uint64(len(r.text)))
+	qt.Assert(t, len(f.posts()), qt.Equals, 1)
+	qt.Assert(t, f.posts()[0].Body, qt.Equals, "two shirts")
+}
+
+// Guards against a call of a plain service that is repeated when its connection breaks after it ran: net/http itself
+// repeats requests that carry an Idempotency-Key.
+func TestBrokenPlainCallIsUnknownAndNotRepeated(t *testing.T) {
+	f := startPlain(t)
+	c := f.dialServing()
+	qt.Assert(t, f.run(c, serviceCall(http.MethodPost)).finish.Outcome, qt.Equals, fighollow.Completed)
+	qt.Assert(t, f.plain.Control(plain.Control{Action: plain.ActionDrop, Count: 1}), qt.IsNil)
+	r := f.run(c, serviceCall(http.MethodPost))
+	qt.Assert(t, r.finish.Outcome, qt.Equals, fighollow.Unknown)
+	qt.Assert(t, len(f.posts()), qt.Equals, 2)
+}
+
+func serviceCall(method string) link.Call {
+	id := newID()
+	return link.Call{
+		Kind: link.CallService, Request: "request-" + id, Attempt: id, Worth: 1,
+		Deadline: time.Now().Add(time.Minute).UnixMilli(),
+		Service: &fighollow.ServiceRequest{
+			Method: method, Path: "/shirts?size=40", Body: []byte("two shirts"),
+			Header: map[string][]string{"Idempotency-Key": {id}},
+		},
+	}
+}
+
+// dialServing returns a link to a sidecar beside a plain service once it takes calls.
+func (f *fleet) dialServing() *link.Conn {
+	c := f.dial()
+	await(f.t, "serving of the plain service", func() bool {
+		return f.run(c, serviceCall(http.MethodGet)).accepted
+	})
+	return c
+}
+
+func (f *fleet) posts() []plain.CallRecord {
+	var out []plain.CallRecord
+	for _, r := range f.plain.Record().Calls {
+		if r.Method == http.MethodPost {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Guards against a stop that interrupts an answer, takes new work, or does not tell the entries.
+func TestStopFinishesWorkInFlight(t *testing.T) {
+	f := startEngine(t, engine.Options{})
+	c := f.dial()
+	f.control(engine.Control{Action: engine.ActionHold, Step: engine.StepToken, N: 10})
+	call := generate("document summary", 100)
+	s, err := c.Open(call)
+	qt.Assert(t, err, qt.IsNil)
+	r := f.receive(s, reply{}, func(r reply) bool { return r.units == 10 })
+	f.cancel()
+	await(t, "word of leaving", func() bool { return f.tells.count(sidecar.LeavingTopic) == 1 })
+	refused := f.run(c, generate("late", 10))
+	qt.Assert(t, refused.refusal.Code, qt.Equals, fighollow.CodeStopping)
+	qt.Assert(t, refused.refusal.Outcome, qt.Equals, fighollow.NotRun)
+	// The hold keeps the answer open, so that a stop that does not wait for it would show here.
+	time.Sleep(200 * time.Millisecond)
+	qt.Assert(t, len(f.stopped), qt.Equals, 0, qt.Commentf("the sidecar stopped with work in flight"))
+	f.control(engine.Control{Action: engine.ActionRelease, Step: engine.StepToken})
+	r = f.receive(s, r, func(reply) bool { return false })
+	qt.Assert(t, r.text, qt.Equals, engine.Text("document summary", 0, 100))
+	qt.Assert(t, r.finish.Outcome, qt.Equals, fighollow.Completed)
+	select {
+	case err := <-f.stopped:
+		qt.Assert(t, err, qt.IsNil)
+	case <-time.After(testTimeout):
+		t.Fatal("the sidecar did not stop after its last answer")
+	}
+}
+
+// Guards against a second sidecar beside one engine, which would be a second sender of orders.
+func TestSecondSidecarCannotStart(t *testing.T) {
+	f := startEngine(t, engine.Options{})
+	second, err := sidecar.New(f.cfg, f.store, testLog(t))
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	qt.Assert(t, second.Run(ctx), qt.ErrorMatches, ".*address already in use")
+}
