--- a/internal/admission/entry.go
+++ b/internal/admission/entry.go
@@ -98,7 +98,3 @@
 	}
 	return wait
 }
-
-func refuse(code fighollow.Code, message string, retryMs int64) *fighollow.Refusal {
-	return &fighollow.Refusal{Code: code, Message: message, Outcome: fighollow.NotRun, RetryAfterMs: retryMs}
-}
--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -60,7 +60,7 @@
 engines=(engine-a1 engine-a2 engine-b1 engine-b2)
 entries=(entry-a1 entry-b1)
 for e in "${engines[@]}"; do
-  start "$e-engine" bin/standin engine --listen "$(field "$e" .upstream.address)" --checks-fence="$(field "$e" .upstream.checksFence)" --change-ms 500
+  start "$e-engine" bin/standin engine --listen "$(field "$e" .upstream.address)" --checks-fence="$(field "$e" .upstream.checksFence)" --change 500ms
 done
 start broker-api-1-service bin/standin service --listen "$(field broker-api-1 .upstream.address)"
 for s in "${engines[@]}" broker-api-1; do start "$s" bin/fighollow sidecar --settings "$dir/$s.json"; done
