planner: changes of role and model that are worth their cost

Cause: the plan must follow lasting shifts of the demand with few role changes. Change: a change is made when its gain over the horizon (or the expected rest of a shift) exceeds its cost (drain, load behind other loads, idle engine, cold cache) times the preset's weight, after the dwell time and within the limits of a data centre and a model; a reversal costs twice. Overflow between roles counts as capacity at a lower rate, so that it carries quick swings. Engine counts are kept as tallies, so a step does not scan the fleet for each engine.

--- a/internal/planner/fleet.go
+++ b/internal/planner/fleet.go
@@ -12,9 +12,16 @@
 	work      fighollow.Assignment
 	since     time.Time // when work was first seen
 	confirmed bool      // the engine was seen to serve work
+	changed   bool      // work replaced other work, as far as was seen
 	goneSince time.Time // zero while the instance is listed
 }
 
+// move is the last change of role that was seen within a model.
+type move struct {
+	to fighollow.Role
+	at time.Time
+}
+
 // node is one engine within a decision.
 type node struct {
 	Engine
@@ -22,13 +29,16 @@
 	work     fighollow.Assignment
 	since    time.Time
 	changing bool // an earlier change is not complete
+	silent   bool // sends no reports while other engines do
 	inUse    bool // listed, not leaving and not drained
 	gone     bool // no longer listed for longer than Policy.ForgetAfter
 	changed  bool // by this decision
 }
 
 // serves reports whether n can take work of its assignment as far as is known.
-func (n *node) serves() bool { return n.assigned && n.inUse && !n.changing && !n.changed && !n.down() }
+func (n *node) serves() bool {
+	return n.assigned && n.inUse && !n.changing && !n.changed && !n.silent && !n.down()
+}
 
 // down reports whether the last report shows an engine that does not serve its assignment.
 func (n *node) down() bool {
@@ -43,12 +53,15 @@
 	nodes   []*node
 	changes []Change
 	blocked []string
+	tallies map[slot]tally
+	dcs     int // data centres
+	moves   map[string]move
 	// moving counts changes that are not complete, by data centre and by model (those that leave and those that come).
 	movingIn, movingModel map[string]int
 }
 
 func (p *Planner) view(now time.Time, in Input) *fleet {
-	f := &fleet{now: now, in: in, opts: p.opts, movingIn: make(map[string]int), movingModel: make(map[string]int)}
+	f := &fleet{now: now, in: in, opts: p.opts, moves: p.moves, movingIn: make(map[string]int), movingModel: make(map[string]int)}
 	listed := make(map[string]bool, len(in.Engines))
 	for _, e := range in.Engines {
 		listed[e.ID] = true
@@ -69,12 +82,15 @@
 		}
 	}
 	slices.SortFunc(f.nodes, byID)
+	reporting := in.reporting()
 	for _, n := range f.nodes {
+		n.silent = reporting && n.State == nil
 		if n.changing {
 			f.movingIn[n.DataCentre]++
 			f.movingModel[n.work.Model]++
 		}
 	}
+	f.countAll()
 	return f
 }
 
@@ -103,18 +119,21 @@
 func (p *Planner) observe(now time.Time, id string, work fighollow.Assignment) *history {
 	h := p.engines[id]
 	if h == nil || h.work.Fence != work.Fence || !h.work.SameWork(work) {
-		h = &history{work: work, since: now}
+		if h != nil && h.work.Model == work.Model && h.work.Role != work.Role {
+			p.moves[work.Model] = move{to: work.Role, at: now}
+		}
+		h = &history{work: work, since: now, changed: h != nil}
 		p.engines[id] = h
 	}
 	return h
 }
 
 // confirmed reports whether a change is complete. A report from before the change can show the same work by chance, so
-// it counts only with the fence of the change or when it is newer than the lag of reports. Without any report the
-// change counts as complete after the usual time.
+// it counts only with the fence of the change or when it is newer than the lag of reports. Without any report a first
+// placement counts as complete after the usual time, and a change only where no engine reports.
 func (p *Planner) confirmed(now time.Time, in Input, e Engine, h *history) bool {
 	if e.State == nil {
-		return now.Sub(h.since) >= p.opts.DrainTime+2*loadTime(in.Models[h.work.Model])
+		return (!h.changed || !in.reporting()) && now.Sub(h.since) >= p.opts.DrainTime+2*loadTime(in.Models[h.work.Model])
 	}
 	if e.State.Phase != fighollow.PhaseReady || !e.State.Assignment.SameWork(h.work) {
 		return false
@@ -122,6 +141,11 @@
 	return e.State.Assignment.Fence >= h.work.Fence || e.ReportedAt.Sub(h.since) > p.opts.ReportLag
 }
 
+// reporting reports whether any engine reports.
+func (in Input) reporting() bool {
+	return slices.ContainsFunc(in.Engines, func(e Engine) bool { return e.State != nil })
+}
+
 // inUse applies the operator's request. A replaced engine is in service again once it reports a later start.
 func inUse(e Engine) bool {
 	if e.Leaving {
@@ -151,7 +175,9 @@
 			f.movingModel[work.Model]++
 		}
 	}
+	f.add(n, -1)
 	n.assigned, n.work, n.changed = true, work, true
+	f.add(n, 1)
 	f.changes = append(f.changes, c)
 }
 
@@ -161,6 +187,7 @@
 		withdrawn := n.Drain != nil && n.Drain.Action == fighollow.ActionWithdraw
 		if n.assigned && (withdrawn || n.gone) {
 			f.changes = append(f.changes, Change{Engine: n.ID, DataCentre: n.DataCentre, From: n.work, Reason: ReasonRemove})
+			f.add(n, -1)
 			n.assigned, n.changed, n.changing = false, true, false
 		}
 	}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -98,27 +98,15 @@
 
 // neediest returns the model that is furthest below its target, and in dc below its even share of it.
 func (f *fleet) neediest(dc string, targets map[string]int) (fighollow.PresetModel, bool) {
-	have, inDC := make(map[string]int), make(map[string]int)
-	dcs := make(map[string]bool)
-	for _, n := range f.nodes {
-		dcs[n.DataCentre] = true
-		if !n.assigned || !n.inUse {
-			continue
-		}
-		have[n.work.Model]++
-		if n.DataCentre == dc {
-			inDC[n.work.Model]++
-		}
-	}
 	var best fighollow.PresetModel
 	score, found := math.Inf(-1), false
 	for _, m := range f.in.Preset.Models {
-		t := targets[m.Model]
-		if have[m.Model] >= t {
+		t, have := float64(targets[m.Model]), f.of(m.Model).inUse
+		if have >= targets[m.Model] {
 			continue
 		}
-		s := float64(t-have[m.Model])/float64(t) - float64(inDC[m.Model]*len(dcs))/float64(t)
-		if s > score {
+		here := f.tallies[slot{dc, m.Model}].inUse
+		if s := (t - float64(have) - float64(here*f.dcs)) / t; s > score {
 			best, score, found = m, s, true
 		}
 	}
@@ -131,27 +119,13 @@
 	if !m.Disaggregated {
 		return fighollow.RoleBoth
 	}
-	var have, here [2]int
-	dcs := make(map[string]bool)
-	for _, n := range f.nodes {
-		dcs[n.DataCentre] = true
-		if !n.assigned || !n.inUse || n.work.Model != m.Model {
-			continue
-		}
-		i := 1
-		if n.work.Role == fighollow.RolePrefill {
-			i = 0
-		}
-		have[i]++
-		if n.DataCentre == dc {
-			here[i]++
-		}
-	}
+	have, here := f.of(m.Model), f.tallies[slot{dc, m.Model}]
 	prefill := prefillCount(target, m.PrefillShare)
-	score := func(i, want int) float64 {
-		return float64(want-have[i]-here[i]*len(dcs)) / float64(want)
+	score := func(want, have, here int) float64 {
+		return float64(want-have-here*f.dcs) / float64(want)
 	}
-	if have[0] < prefill && (have[1] >= target-prefill || score(0, prefill) > score(1, target-prefill)) {
+	if have.prefill < prefill && (have.rest() >= target-prefill ||
+		score(prefill, have.prefill, here.prefill) > score(target-prefill, have.rest(), here.rest())) {
 		return fighollow.RolePrefill
 	}
 	return fighollow.RoleDecode
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -72,12 +72,13 @@
 type Planner struct {
 	opts    Policy
 	engines map[string]*history
+	moves   map[string]move // by model
 }
 
 // New returns a Planner that has seen nothing. Engines count as changed at their first sight, so that a new planner
 // respects the dwell time of changes that it did not see.
 func New(opts Policy) *Planner {
-	return &Planner{opts: opts.withDefaults(), engines: make(map[string]*history)}
+	return &Planner{opts: opts.withDefaults(), engines: make(map[string]*history), moves: make(map[string]move)}
 }
 
 // Decide returns the changes to make at now. It only returns what it wants; a change counts once Input.Plans shows it.
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,121 @@
+package planner_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fighollow/fighollow/internal/planner"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// region is a data centre of engines with plans applied at once and reports as set.
+type region struct {
+	p  *planner.Planner
+	in planner.Input
+}
+
+func newRegion(preset fighollow.Preset, engines ...string) *region {
+	r := &region{p: planner.New(planner.Policy{}), in: planner.Input{Preset: preset, PresetVersion: 1, Plans: make(map[string]fighollow.Plan)}}
+	for _, id := range engines {
+		r.in.Engines = append(r.in.Engines, planner.Engine{ID: id, DataCentre: "hall-a"})
+	}
+	return r
+}
+
+func (r *region) decide(second int) planner.Decision {
+	d := r.p.Decide(start.Add(time.Duration(second)*time.Second), r.in)
+	for dc, plan := range d.Plans {
+		r.in.Plans[dc] = plan
+	}
+	return d
+}
+
+// report makes engine i report that it serves its assignment.
+func (r *region) report(i, second int) {
+	e := &r.in.Engines[i]
+	e.State = &fighollow.EngineState{Phase: fighollow.PhaseReady, Assignment: r.in.Plans[e.DataCentre].Engines[e.ID]}
+	e.ReportedAt = start.Add(time.Duration(second) * time.Second)
+}
+
+func oneModel(version string) fighollow.Preset {
+	return fighollow.Preset{Name: version, Models: []fighollow.PresetModel{{Model: "memo", ModelVersion: version, MinEngines: 1}}}
+}
+
+// Guards against a silent engine that counts as serving while others report: the only engine known to serve was changed.
+func TestSilentEngineIsNoReplacement(t *testing.T) {
+	r := newRegion(oneModel("1"), "a", "b")
+	r.decide(0)
+	r.decide(1)
+	r.report(0, 5)
+	r.decide(60)
+	r.in.Preset = oneModel("2")
+	d := r.decide(61)
+	qt.Assert(t, d.Changes, qt.HasLen, 1)
+	qt.Assert(t, d.Changes[0].Engine, qt.Equals, "b")
+}
+
+// Guards against a change of a silent engine that counts as complete by time: a second change followed over the limit.
+func TestSilentChangeCountsAgainstLimits(t *testing.T) {
+	r := newRegion(oneModel("1"), "a", "b", "c")
+	r.decide(0)
+	r.decide(1)
+	r.report(0, 5)
+	r.report(1, 5)
+	r.decide(60)
+	r.in.Preset = oneModel("2")
+	qt.Assert(t, r.decide(61).Changes, qt.HasLen, 1)
+	qt.Assert(t, r.decide(200).Changes, qt.HasLen, 0)
+	r.report(2, 201)
+	qt.Assert(t, r.decide(202).Changes, qt.HasLen, 1)
+}
+
+// Guards against a preset change that interrupts the only engine of a model while another model can lend one.
+func TestPresetChangeLendsAnEngine(t *testing.T) {
+	r := newRegion(fighollow.Preset{Models: []fighollow.PresetModel{
+		{Model: "memo", ModelVersion: "1", MaxEngines: 1}, {Model: "summary", ModelVersion: "1"}}}, "a", "b", "c")
+	r.decide(0)
+	r.decide(1)
+	r.in.Preset.Models[0] = fighollow.PresetModel{Model: "memo", ModelVersion: "2"}
+	r.in.PresetVersion = 2
+	d := r.decide(100)
+	qt.Assert(t, d.Changes, qt.HasLen, 1)
+	qt.Assert(t, d.Changes[0].From.Model, qt.Equals, "summary")
+	qt.Assert(t, d.Changes[0].To.ModelVersion, qt.Equals, "2")
+	for second := 101; second < 400; second++ {
+		r.decide(second)
+	}
+	for _, a := range r.in.Plans["hall-a"].Engines {
+		qt.Assert(t, a.Model == "summary" || a.ModelVersion == "2", qt.IsTrue)
+	}
+}
+
+// Guards against a replaced engine that stays out of service after its successor started, and one whose assignment is
+// lost on the way.
+func TestReplacedEngineReturns(t *testing.T) {
+	r := newRegion(oneModel("1"), "a", "b")
+	r.decide(0)
+	r.decide(1)
+	before := r.in.Plans["hall-a"]
+	r.in.Engines[0].Drain = &fighollow.Drain{Action: fighollow.ActionReplace, Incarnation: 1000}
+	r.in.Preset = oneModel("2")
+	r.decide(100)
+	qt.Assert(t, r.in.Plans["hall-a"].Engines["a"], qt.DeepEquals, before.Engines["a"])
+	r.report(0, 120)
+	r.report(1, 120)
+	r.in.Engines[0].State.StartedMs = 2000
+	qt.Assert(t, r.decide(121).Changes, qt.HasLen, 1)
+}
+
+// Guards against fences that start again at 1 after the plan object was deleted.
+func TestFencesGrowAfterPlanIsDeleted(t *testing.T) {
+	r := newRegion(oneModel("1"), "a")
+	r.decide(0)
+	r.decide(1)
+	r.report(0, 5)
+	r.in.Engines[0].State.HighestFence = 41
+	delete(r.in.Plans, "hall-a")
+	r.decide(10)
+	qt.Assert(t, r.in.Plans["hall-a"].Engines["a"].Fence, qt.Equals, uint64(42))
+}
--- a/internal/planner/policy.go
+++ b/internal/planner/policy.go
@@ -25,6 +25,17 @@
 	// ForgetAfter is how long an engine that is no longer listed keeps its assignment; default 2 min. The list lags, and
 	// a restarted instance comes back under its id.
 	ForgetAfter time.Duration
+	// MinGain is the least improvement that a change of role or model must bring, in engines; default 0.15.
+	MinGain float64
+	// ReverseFactor multiplies the cost of a change that reverses the model's last one within the horizon; default 2.
+	ReverseFactor float64
+	// ColdTime is the time for which the prefix cache of a changed engine is worth nothing; default 15 s.
+	ColdTime time.Duration
+	// Usable is the share of an engine's rates that can be planned for, as requests are late above it; default 0.9.
+	Usable float64
+	// OverflowRate is the share of its rate that an engine reaches in the other role; default 0.8. A role's own engines
+	// are preferred by OverflowPrice of the work that overflows; default 0.1.
+	OverflowRate, OverflowPrice float64
 }
 
 func (o Policy) withDefaults() Policy {
@@ -32,9 +43,21 @@
 	setDefault(&o.DrainTime, 10*time.Second)
 	setDefault(&o.StuckAfter, 10*time.Minute)
 	setDefault(&o.ForgetAfter, 2*time.Minute)
+	setDefault(&o.ColdTime, 15*time.Second)
+	setShare(&o.MinGain, 0.15)
+	setShare(&o.ReverseFactor, 2)
+	setShare(&o.Usable, 0.9)
+	setShare(&o.OverflowRate, 0.8)
+	setShare(&o.OverflowPrice, 0.1)
 	return o
 }
 
+func setShare(v *float64, def float64) {
+	if *v <= 0 {
+		*v = def
+	}
+}
+
 func setDefault(d *time.Duration, def time.Duration) {
 	if *d <= 0 {
 		*d = def
@@ -66,6 +89,3 @@
 	}
 	return prefill, decode
 }
-
-// improve makes changes of role and model that are worth more than they cost.
-func (f *fleet) improve() {}
--- a/internal/planner/rollout.go
+++ b/internal/planner/rollout.go
@@ -66,7 +66,7 @@
 		return fighollow.Assignment{}, false
 	}
 	m, listed := f.presetModel(n.work.Model)
-	if !listed || m.MaxEngines > 0 && f.inUseOf(m.Model) > m.MaxEngines {
+	if !listed || m.MaxEngines > 0 && f.of(m.Model).inUse > m.MaxEngines {
 		m, ok := f.neediest(n.DataCentre, targets)
 		if !ok {
 			return fighollow.Assignment{}, !listed
@@ -88,12 +88,13 @@
 	f.changes = append(f.changes, Change{Engine: n.ID, DataCentre: n.DataCentre, From: n.work, Reason: reason})
 	f.movingIn[n.DataCentre]++
 	f.movingModel[n.work.Model]++
+	f.add(n, -1)
 	n.assigned, n.changed = false, true
 }
 
 // isLast reports whether n is the only engine that serves its model.
 func (f *fleet) isLast(n *node) bool {
-	return n.serves() && f.servingOf(n.work.Model) == 1
+	return n.serves() && f.of(n.work.Model).serving == 1
 }
 
 // mayLose reports whether a model may lose its last engine: one without demand, and one that the preset does not list
@@ -103,7 +104,7 @@
 		return !f.hasDemand(model)
 	}
 	for _, m := range f.in.Preset.Models {
-		if f.servingOf(m.Model) < max(1, m.MinEngines) {
+		if f.of(m.Model).serving < max(1, m.MinEngines) {
 			return false
 		}
 	}
@@ -116,29 +117,11 @@
 	return !known || e.Fast.Prefill+e.Fast.Decode+e.Slow.Prefill+e.Slow.Decode > 0.01
 }
 
-func (f *fleet) inUseOf(model string) int {
-	return f.count(func(n *node) bool { return n.assigned && n.inUse && n.work.Model == model })
-}
-
-func (f *fleet) servingOf(model string) int {
-	return f.count(func(n *node) bool { return n.serves() && n.work.Model == model })
-}
-
-func (f *fleet) count(match func(n *node) bool) int {
-	count := 0
-	for _, n := range f.nodes {
-		if match(n) {
-			count++
-		}
-	}
-	return count
-}
-
 // lend gives a model whose last engine must change a second engine first. It reports false when no other model can
 // spare one; a lack that only the limits of changes cause is made up at a later step.
 func (f *fleet) lend(name string) bool {
 	m, listed := f.presetModel(name)
-	if !listed || f.inUseOf(name) > 1 {
+	if !listed || f.of(name).inUse > 1 {
 		return true
 	}
 	donor := f.richest(name)
@@ -152,7 +135,7 @@
 // fillMinimum moves engines to models that have fewer in service than the preset's minimum.
 func (f *fleet) fillMinimum() {
 	for _, m := range f.in.Preset.Models {
-		if f.inUseOf(m.Model) >= max(1, m.MinEngines) {
+		if f.of(m.Model).inUse >= max(1, m.MinEngines) {
 			continue
 		}
 		if donor := f.richest(m.Model); donor != "" {
@@ -166,7 +149,7 @@
 func (f *fleet) richest(to string) string {
 	best, most := "", 0.0
 	for _, m := range f.in.Preset.Models {
-		spare := f.inUseOf(m.Model) - max(1, m.MinEngines)
+		spare := f.of(m.Model).inUse - max(1, m.MinEngines)
 		if m.Model == to || spare <= 0 {
 			continue
 		}
@@ -181,7 +164,7 @@
 func (f *fleet) moveFrom(donor string, to fighollow.PresetModel, reason Reason) {
 	for _, n := range f.byLoss() {
 		if n.assigned && n.work.Model == donor && f.mayChange(n, to.Model) && !f.isLast(n) {
-			role := f.neediestRole(to, f.inUseOf(to.Model)+1, n.DataCentre)
+			role := f.neediestRole(to, f.of(to.Model).inUse+1, n.DataCentre)
 			f.change(n, assignment(to, role), Change{Reason: reason})
 			return
 		}
