ledger: write the object through internal/record

Change: the ledger's own copy of that logic is gone. Conclusion: one implementation of conditional writes.

--- a/internal/ledger/store.go
+++ b/internal/ledger/store.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 
 	"github.com/fighollow/fighollow/internal/catalog"
+	"github.com/fighollow/fighollow/internal/record"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -54,54 +55,22 @@
 		if err == nil {
 			return true, nil
 		}
-		if !errors.Is(err, fighollow.ErrConflict) {
+		if !errors.Is(err, fighollow.ErrConflict) && !errors.Is(err, record.ErrOvertaken) {
 			return false, err
 		}
 	}
 	return false, ctx.Err()
 }
 
-// put makes one conditional write. After a lost answer it reads back: the old version means that the write can still
-// arrive, so the same write is repeated.
 func (o object) put(ctx context.Context, e Epochs, expected uint64) error {
 	value, err := json.Marshal(e)
 	if err != nil {
 		return fmt.Errorf("ledger: encode: %w", err)
 	}
 	obj := fighollow.Object{Kind: fighollow.KindLedger, Name: o.region, Value: value}
-	for ctx.Err() == nil {
-		obj.Version, err = o.store.Put(ctx, obj, expected)
-		if err == nil {
-			o.cat.Apply(obj)
-			return nil
-		}
-		if errors.Is(err, fighollow.ErrConflict) {
-			return o.wrote(ctx, e.WriteID)
-		}
-		if !errors.Is(err, fighollow.ErrUnknownOutcome) {
-			return fmt.Errorf("ledger: write: %w", err)
-		}
-		present, version, rerr := o.read(ctx)
-		switch {
-		case rerr != nil:
-			return rerr
-		case present.WriteID == e.WriteID:
-			return nil
-		case version != expected:
-			return fighollow.ErrConflict
-		}
-	}
-	return ctx.Err()
-}
-
-// wrote tells a conflict with one's own earlier write, whose answer was lost, from one with another writer's.
-func (o object) wrote(ctx context.Context, writeID string) error {
-	present, _, err := o.read(ctx)
-	if err != nil {
-		return err
-	}
-	if present.WriteID == writeID {
-		return nil
+	if obj.Version, err = record.Put(ctx, o.store, obj, expected); err != nil {
+		return fmt.Errorf("ledger: write: %w", err)
 	}
-	return fighollow.ErrConflict
+	o.cat.Apply(obj)
+	return nil
 }
