--- a/cmd/fighollow/entry.go
+++ b/cmd/fighollow/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -11,6 +12,7 @@
 
 	"github.com/fighollow/fighollow/internal/entry"
 	"github.com/fighollow/fighollow/internal/objectapi"
+	"github.com/fighollow/fighollow/internal/planner"
 	"github.com/fighollow/fighollow/internal/settings"
 )
 
@@ -36,11 +38,17 @@
 		return err
 	}
 	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("process", cfg.ID).Logger()
-	e, err := entry.New(cfg, objectapi.New(objectapi.Options{Address: cfg.ObjectAPI, Writer: cfg.ID}), log)
+	store := objectapi.New(objectapi.Options{Address: cfg.ObjectAPI, Writer: cfg.ID})
+	e, err := entry.New(cfg, store, log)
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	runner := planner.NewRunner(planner.Options{Holder: cfg.ID, Region: cfg.Region}, store, e.Catalog(), log)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	// A stopping entry plans no more; another takes the lease.
+	wg.Go(func() { _ = runner.Run(ctx) })
 	return e.Run(ctx)
 }
