--- a/internal/ledger/peers.go
+++ b/internal/ledger/peers.go
@@ -7,7 +7,6 @@
 	"sync"
 
 	"github.com/fighollow/fighollow/internal/link"
-	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
 // peers keeps links to the holders that were asked before.
@@ -31,7 +30,7 @@
 			return c, nil
 		}
 	}
-	c, err := link.Dial(ctx, addr, p.self, answerNothing{}, p.opts)
+	c, err := link.Dial(ctx, addr, p.self, link.NoHandler{}, p.opts)
 	if err != nil {
 		return nil, err
 	}
@@ -84,20 +83,3 @@
 	}
 	return err
 }
-
-// answerNothing serves the direction of a link in which a holder asks nothing.
-type answerNothing struct{}
-
-func (answerNothing) ServeCall(_ context.Context, _ *link.Call, s *link.ServerStream) {
-	_ = s.Refuse(fighollow.Refusal{
-		Code: fighollow.CodeNotReady, Message: "no calls are served here", Outcome: fighollow.NotRun,
-	}, fighollow.Load{})
-}
-
-func (answerNothing) ServeAsk(_ context.Context, _ *link.Conn, topic string, _ []byte) (any, error) {
-	return nil, fmt.Errorf("ledger: unexpected question %s", topic)
-}
-
-func (answerNothing) HandleTell(*link.Conn, string, []byte) {}
-func (answerNothing) HandleOpen(*link.Conn)                 {}
-func (answerNothing) HandleClose(*link.Conn, error)         {}
--- /dev/null
+++ b/internal/link/nohandler.go
@@ -0,0 +1,35 @@
+package link
+
+import (
+	"context"
+	"errors"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// NoHandler is the Handler of a link on which this process only sends. It refuses calls and questions.
+type NoHandler struct{}
+
+var errNoHandler = errors.New("not served on this link")
+
+// ServeCall refuses the call as not run.
+func (NoHandler) ServeCall(_ context.Context, _ *Call, s *ServerStream) {
+	// A failed send closes the link, which the peer sees.
+	_ = s.Refuse(fighollow.Refusal{
+		Code: fighollow.CodeNoUpstream, Message: errNoHandler.Error(), Outcome: fighollow.NotRun,
+	}, fighollow.Load{})
+}
+
+// ServeAsk returns an error.
+func (NoHandler) ServeAsk(context.Context, *Conn, string, []byte) (any, error) {
+	return nil, errNoHandler
+}
+
+// HandleTell does nothing.
+func (NoHandler) HandleTell(*Conn, string, []byte) {}
+
+// HandleOpen does nothing.
+func (NoHandler) HandleOpen(*Conn) {}
+
+// HandleClose does nothing.
+func (NoHandler) HandleClose(*Conn, error) {}
