--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -14,11 +14,12 @@
 		switch {
 		case e.isStopping():
 			http.Error(w, "stopping", http.StatusServiceUnavailable)
-		case !e.node.Ready():
+		case !e.isReady():
 			http.Error(w, "no preset in force known", http.StatusServiceUnavailable)
 		default:
 			w.Write([]byte("ok\n"))
 		}
 	})
+	r.Get("/metrics", e.serveMetrics)
 	return r
 }
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/fighollow/fighollow/internal/link"
+	"github.com/fighollow/fighollow/internal/routing"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -72,9 +73,15 @@
 		return refusal
 	}
 	q := &request{
-		caller: c, kind: link.CallGenerate, model: model.Name, deadline: until, key: r.Header.Get(headerKey), generate: gen,
+		caller: c, kind: link.CallGenerate, deadline: until, key: r.Header.Get(headerKey), generate: gen,
 		idempotent: !model.NonIdempotent && r.Header.Get(headerKey) == "",
 	}
+	q.route = routing.Request{
+		Target:       routing.Target{Kind: fighollow.UpstreamEngine, Name: model.Name},
+		Blocks:       routing.AppendBlocks(nil, model.Name+"/"+gen.Adapter, gen.Prompt, bytesPerToken(model)),
+		PromptTokens: gen.PromptTokens,
+		Whole:        !q.idempotent, // a prompt that was computed is work done, after which nothing is "not run"
+	}
 	return e.answer(r.Context(), w, q, &completionFormat{
 		chat: chat, id: c.id, model: model.Name, created: c.arrived.Unix(), stream: b.Stream, usage: b.StreamOptions.IncludeUsage,
 	})
@@ -105,16 +112,19 @@
 		}
 		tokens = min(*want, limit)
 	}
-	perToken := model.BytesPerToken
-	if perToken <= 0 {
-		perToken = defaultBytesPerToken
-	}
 	return fighollow.GenerateRequest{
 		Model: model.Name, Adapter: b.Adapter, Phase: fighollow.RequestWhole, Prompt: prompt,
-		PromptTokens: max(1, int(float64(len(prompt))/perToken)), MaxTokens: tokens,
+		PromptTokens: max(1, int(float64(len(prompt))/bytesPerToken(model))), MaxTokens: tokens,
 	}, nil
 }
 
+func bytesPerToken(model *fighollow.Model) float64 {
+	if model.BytesPerToken <= 0 {
+		return defaultBytesPerToken
+	}
+	return model.BytesPerToken
+}
+
 // text returns the prompt as one string. Chat messages become lines of role and content, closed by the role of the
 // answer, so that a conversation that grows keeps its beginning and with it the cached prefix.
 func (b *completionBody) text(chat bool) (string, error) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,10 +14,12 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/fighollow/fighollow/internal/admission"
 	"github.com/fighollow/fighollow/internal/catalog"
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/link"
 	"github.com/fighollow/fighollow/internal/membership"
+	"github.com/fighollow/fighollow/internal/routing"
 	"github.com/fighollow/fighollow/internal/settings"
 	"github.com/fighollow/fighollow/internal/spread"
 	"github.com/fighollow/fighollow/pkg/fighollow"
@@ -28,6 +30,8 @@
 	headerTimeout = 10 * time.Second
 	bodyTimeout   = 30 * time.Second
 	idleTimeout   = 2 * time.Minute
+	// dialTimeout is short because a request waits for it; links cross at most a few milliseconds of latency.
+	dialTimeout = time.Second
 )
 
 // Entry is one entry process. The Set methods must be called before Run; the others are safe for concurrent use.
@@ -38,6 +42,12 @@
 	node        *spread.Node
 	links       *pool
 	view        atomic.Pointer[view]
+	balance     balance
+	ready       atomic.Bool
+	metrics     *entryMetrics
+	keys        fighollow.KeyLedger // nil: keyed requests are refused
+	askLedger   AskHandler
+	tellDemand  TellHandler
 	incarnation int64
 	linkOpts    link.Options
 
@@ -55,7 +65,7 @@
 	e := &Entry{
 		cfg: cfg, log: log, cat: catalog.New(),
 		incarnation: time.Now().UnixMilli(),
-		linkOpts:    link.Options{MaxFrame: cfg.MaxFrameBytes},
+		linkOpts:    link.Options{MaxFrame: cfg.MaxFrameBytes, DialTimeout: dialTimeout},
 		drained:     make(chan struct{}),
 	}
 	if cfg.TLS != nil {
@@ -71,10 +81,22 @@
 	opts := spread.Options{Peers: cfg.Peers, RemotePeers: cfg.RemotePeers, Link: e.linkOpts}
 	e.node = spread.New(opts, self, store, e.cat, log)
 	e.links = newPool(e.hello(), &peerHandler{e: e}, e.linkOpts)
-	e.view.Store(newView(e.cat, nil, cfg.Process))
+	e.balance.router = routing.New(cfg.ID, cfg.DataCentre, routing.Options{})
+	e.balance.limits = admission.NewEntry(cfg.MaxOpenRequests)
+	e.metrics = newMetrics()
+	e.setView(newView(e.cat, nil, cfg.Region))
 	return e, nil
 }
 
+// SetKeys sets the ledger of idempotency keys. Without one, requests with a key are refused as keyUnknown.
+func (e *Entry) SetKeys(keys fighollow.KeyLedger) { e.keys = keys }
+
+// SetLedgerHandler sets what answers questions of other entries under LedgerTopic.
+func (e *Entry) SetLedgerHandler(h AskHandler) { e.askLedger = h }
+
+// SetDemandHandler sets what takes messages under DemandTopic. It must not block.
+func (e *Entry) SetDemandHandler(h TellHandler) { e.tellDemand = h }
+
 // Catalog returns the entry's copy of the objects.
 func (e *Entry) Catalog() *catalog.Catalog { return e.cat }
 
@@ -185,6 +207,18 @@
 	}
 }
 
+// isReady reports whether the preset in force is known. The catalog never goes back, so that once is for ever.
+func (e *Entry) isReady() bool {
+	if e.ready.Load() {
+		return true
+	}
+	if !e.node.Ready() {
+		return false
+	}
+	e.ready.Store(true)
+	return true
+}
+
 func (e *Entry) isStopping() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/entry/format.go
+++ b/internal/entry/format.go
@@ -100,6 +100,19 @@
 	return append(b, '}')
 }
 
+// splitCharacter returns how many bytes at the end of text begin a character that is not complete.
+func splitCharacter(text []byte) int {
+	for n := 1; n < utf8.UTFMax && n <= len(text); n++ {
+		if c := text[len(text)-n]; utf8.RuneStart(c) {
+			if utf8.FullRune(text[len(text)-n:]) {
+				return 0
+			}
+			return n
+		}
+	}
+	return 0
+}
+
 func appendUsage(b []byte, res *fighollow.GenerateResult) []byte {
 	b = append(b, `{"prompt_tokens":`...)
 	b = strconv.AppendInt(b, int64(res.PromptTokens), 10)
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -64,24 +64,36 @@
 func (e *Entry) counted(h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		c := &caller{id: newID(), arrived: time.Now(), view: e.view.Load()}
+		// The connection may carry the deadline of the request before.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 		w.Header().Set(headerRequestID, c.id)
 		if !e.begin() {
 			writeRefusal(w, notRun(fighollow.CodeStopping, "the entry is stopping"))
 			return
 		}
 		defer e.finish()
-		if refusal := e.identify(c, r); refusal != nil {
-			writeRefusal(w, refusal)
-			return
-		}
-		if refusal := h(w, r, c); refusal != nil {
+		e.metrics.requests.Inc(1)
+		if refusal := e.admitted(w, r, c, h); refusal != nil {
+			e.metrics.refusal(refusal)
 			writeRefusal(w, refusal)
 		}
+		e.metrics.whole.record(time.Since(c.arrived))
+	}
+}
+
+func (e *Entry) admitted(w http.ResponseWriter, r *http.Request, c *caller, h handler) *fighollow.Refusal {
+	if refusal := e.identify(c, r); refusal != nil {
+		return refusal
+	}
+	if refusal := e.balance.admit(c.workspace); refusal != nil {
+		return refusal
 	}
+	defer e.balance.release(c.workspace.Name)
+	return h(w, r, c)
 }
 
 func (e *Entry) identify(c *caller, r *http.Request) *fighollow.Refusal {
-	if !e.node.Ready() {
+	if !e.isReady() {
 		return notRun(fighollow.CodeNotReady, "the entry has no configuration yet")
 	}
 	key := r.Header.Get(headerWorkspace)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -14,6 +14,18 @@
 // LeavingTopic is the topic of the Tell with which a sidecar says that it takes no new work. Its body is not used.
 const LeavingTopic = "sidecar.leaving"
 
+// Prefixes of topics for which a handler can be set.
+const (
+	LedgerTopic = "ledger."
+	DemandTopic = "demand."
+)
+
+// AskHandler answers a question of a peer, as link.Handler.ServeAsk does.
+type AskHandler func(ctx context.Context, c *link.Conn, topic string, body []byte) (any, error)
+
+// TellHandler takes a one-way message of a peer, as link.Handler.HandleTell does.
+type TellHandler func(c *link.Conn, topic string, body []byte)
+
 // peerHandler receives what peers send on links.
 type peerHandler struct{ e *Entry }
 
@@ -29,13 +41,22 @@
 	if strings.HasPrefix(topic, spread.Topic) {
 		return h.e.node.ServeAsk(ctx, c, topic, body)
 	}
+	if strings.HasPrefix(topic, LedgerTopic) && h.e.askLedger != nil {
+		return h.e.askLedger(ctx, c, topic, body)
+	}
 	return nil, fmt.Errorf("entry: unknown topic %s", topic)
 }
 
 // HandleTell implements link.Handler.
 func (h *peerHandler) HandleTell(c *link.Conn, topic string, body []byte) {
-	if strings.HasPrefix(topic, spread.Topic) {
+	switch {
+	case topic == LeavingTopic:
+		h.e.balance.left(c.Peer().ID, c.Peer().Incarnation)
+		event.UpstreamLeaving.Log(&h.e.log).Str("upstream", c.Peer().ID).Send()
+	case strings.HasPrefix(topic, spread.Topic):
 		h.e.node.HandleTell(c, topic, body)
+	case strings.HasPrefix(topic, DemandTopic) && h.e.tellDemand != nil:
+		h.e.tellDemand(c, topic, body)
 	}
 }
 
@@ -44,6 +65,7 @@
 
 // HandleClose implements link.Handler.
 func (h *peerHandler) HandleClose(c *link.Conn, err error) {
+	h.e.balance.linkClosed(c.Peer().ID, c.Peer().Incarnation)
 	event.LinkClosed.Log(&h.e.log).Str("peer", c.Peer().ID).AnErr("reason", err).Send()
 }
 
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -24,11 +24,19 @@
 	case fighollow.CodeWorkspaceLimit:
 		return http.StatusTooManyRequests
 	case fighollow.CodeUpstreamFailed, fighollow.CodeDeadline, fighollow.CodeKeyUnknown, fighollow.CodeOutcomeUnknown:
-		return http.StatusGatewayTimeout
+		return statusUnknown
 	}
 	return http.StatusServiceUnavailable
 }
 
+const statusUnknown = http.StatusGatewayTimeout
+
+// canHelp reports whether asking again later can help after a refusal with this code.
+func canHelp(code fighollow.Code) bool {
+	s := statusOf(code)
+	return s == http.StatusServiceUnavailable || s == http.StatusTooManyRequests || code == fighollow.CodeKeyInProgress
+}
+
 type errorBody struct {
 	Error errorDetail `json:"error"`
 }
@@ -63,7 +71,7 @@
 
 func notRun(code fighollow.Code, message string) *fighollow.Refusal {
 	r := &fighollow.Refusal{Code: code, Message: message, Outcome: fighollow.NotRun}
-	if s := statusOf(code); s == http.StatusServiceUnavailable || s == http.StatusTooManyRequests {
+	if canHelp(code) {
 		r.RetryAfterMs = defaultRetryAfterMs
 	}
 	return r
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -8,6 +8,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/fighollow/fighollow/internal/link"
+	"github.com/fighollow/fighollow/internal/routing"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -56,10 +57,11 @@
 		delete(header, "Authorization")
 	}
 	q := &request{
-		caller: c, kind: link.CallService, service: s.Name, deadline: until, key: r.Header.Get(headerKey),
+		caller: c, kind: link.CallService, deadline: until, key: r.Header.Get(headerKey),
 		idempotent: r.Header.Get(headerKey) == "" && !repeatsHarm(s, r.Method),
 		call:       fighollow.ServiceRequest{Method: r.Method, Path: servicePath(r), Header: header, Body: body},
 	}
+	q.route = routing.Request{Target: routing.Target{Kind: fighollow.UpstreamService, Name: s.Name}, Whole: true}
 	return e.relay(r.Context(), w, q)
 }
 
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -8,7 +9,7 @@
 
 	"github.com/fighollow/fighollow/internal/catalog"
 	"github.com/fighollow/fighollow/internal/membership"
-	"github.com/fighollow/fighollow/internal/settings"
+	"github.com/fighollow/fighollow/internal/routing"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -20,27 +21,16 @@
 	viewPause = 50 * time.Millisecond
 )
 
-// upstream is an instance that may serve requests.
-type upstream struct {
-	id         string
-	link       string
-	dataCentre string
-	kind       fighollow.UpstreamKind
-	service    string
-	model      string // empty: not known, any model may be tried
-	role       fighollow.Role
-}
-
 // view is what the catalog and the members say, decoded for the request path. It is immutable.
 type view struct {
 	workspaces map[string]*fighollow.Workspace // by key
 	models     map[string]*fighollow.Model
 	services   map[string]*fighollow.Service
-	upstreams  []upstream
+	upstreams  []routing.Upstream
 	version    uint64 // highest version of the objects that it was made from
 }
 
-func newView(cat *catalog.Catalog, members []membership.Member, self settings.Process) *view {
+func newView(cat *catalog.Catalog, members []membership.Member, region string) *view {
 	v := &view{
 		version:    cat.Digest().Highest,
 		workspaces: make(map[string]*fighollow.Workspace),
@@ -68,69 +58,56 @@
 			v.services[o.Name] = s
 		}
 	}
-	v.upstreams = upstreams(cat, members, self)
+	v.upstreams = upstreams(cat, members, region)
 	return v
 }
 
-// upstreams joins the live list, the plans, the drains and the members. The members know the own data centre better
-// than the live list, which lags; of the other data centres of the region only the list and the plans are known.
-func upstreams(cat *catalog.Catalog, members []membership.Member, self settings.Process) []upstream {
-	byID := make(map[string]upstream)
-	left := make(map[string]bool)
-	for _, o := range cat.List(fighollow.KindInstance) {
-		var in fighollow.Instance
-		if json.Unmarshal(o.Value, &in) != nil || in.Kind == fighollow.InstanceEntry || in.Region != self.Region {
-			continue
-		}
-		left[o.Name] = in.Leaving
-		byID[o.Name] = upstream{id: o.Name, link: in.Link, dataCentre: in.DataCentre, kind: in.Kind, service: in.Service}
-	}
-	plans := plannedEngines(cat)
-	for id, u := range byID {
-		plan, planned := plans[u.dataCentre]
-		if u.kind != fighollow.UpstreamEngine || !planned {
-			continue
-		}
-		u.model, u.role = plan[id].Model, plan[id].Role
-		byID[id] = u
-		left[id] = left[id] || u.model == ""
-	}
-	for _, m := range members {
-		if m.Kind == fighollow.InstanceEntry {
-			continue
-		}
-		u := upstream{id: m.ID, link: m.Link, dataCentre: m.DataCentre, kind: m.Kind, service: m.Service, model: m.Model, role: m.Role}
-		if m.Model == "" && m.Meta == 0 {
-			u.model, u.role = byID[m.ID].model, byID[m.ID].role
-		}
-		byID[m.ID] = u
-		idle := m.Kind == fighollow.UpstreamEngine && m.Model == "" && m.Meta > 0
-		left[m.ID] = m.State != membership.Alive || idle
-	}
+// fleetList joins the live list, the plans, the drains and the members.
+type fleetList struct {
+	region    string
+	upstreams map[string]routing.Upstream
+	left      map[string]bool // takes no new work
+}
+
+// upstreams returns the instances that may serve. The members know the own data centre better than the live list, which
+// lags; of the other data centres of the region only the list and the plans are known.
+func upstreams(cat *catalog.Catalog, members []membership.Member, region string) []routing.Upstream {
+	f := &fleetList{region: region, upstreams: make(map[string]routing.Upstream), left: make(map[string]bool)}
+	f.addInstances(cat)
+	f.addPlans(cat)
+	f.addMembers(members)
 	for _, o := range cat.List(fighollow.KindDrain) {
 		var d fighollow.Drain
 		// A replaced engine's successor has the same id, so only its sidecar can tell them apart.
 		if json.Unmarshal(o.Value, &d) == nil && d.Action != fighollow.ActionReplace {
-			left[o.Name] = true
+			f.left[o.Name] = true
 		}
 	}
-	out := make([]upstream, 0, len(byID))
-	for id, u := range byID {
-		if !left[id] && u.link != "" {
+	out := make([]routing.Upstream, 0, len(f.upstreams))
+	for id, u := range f.upstreams {
+		if !f.left[id] && u.Link != "" {
 			out = append(out, u)
 		}
 	}
-	slices.SortFunc(out, func(a, b upstream) int {
-		if a.id < b.id {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b routing.Upstream) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
-// plannedEngines returns the assignments by data centre.
-func plannedEngines(cat *catalog.Catalog) map[string]map[string]fighollow.Assignment {
+func (f *fleetList) addInstances(cat *catalog.Catalog) {
+	for _, o := range cat.List(fighollow.KindInstance) {
+		var in fighollow.Instance
+		if json.Unmarshal(o.Value, &in) != nil || in.Kind == fighollow.InstanceEntry || in.Region != f.region {
+			continue
+		}
+		f.left[o.Name] = in.Leaving
+		f.upstreams[o.Name] = routing.Upstream{
+			ID: o.Name, Link: in.Link, DataCentre: in.DataCentre, Target: routing.Target{Kind: in.Kind, Name: in.Service},
+		}
+	}
+}
+
+// addPlans gives engines their planned model and role. Without a plan of their data centre any model may be tried.
+func (f *fleetList) addPlans(cat *catalog.Catalog) {
 	plans := make(map[string]map[string]fighollow.Assignment)
 	for _, o := range cat.List(fighollow.KindPlan) {
 		var p fighollow.Plan
@@ -138,7 +115,35 @@
 			plans[o.Name] = p.Engines
 		}
 	}
-	return plans
+	for id, u := range f.upstreams {
+		plan, planned := plans[u.DataCentre]
+		if u.Target.Kind != fighollow.UpstreamEngine || !planned {
+			continue
+		}
+		u.Target.Name, u.Role = plan[id].Model, plan[id].Role
+		f.upstreams[id] = u
+		f.left[id] = f.left[id] || u.Target.Name == ""
+	}
+}
+
+func (f *fleetList) addMembers(members []membership.Member) {
+	for _, m := range members {
+		if m.Kind == fighollow.InstanceEntry {
+			continue
+		}
+		u := routing.Upstream{ID: m.ID, Link: m.Link, DataCentre: m.DataCentre, Role: m.Role}
+		u.Target = routing.Target{Kind: m.Kind, Name: m.Service}
+		announced := m.Meta > 0
+		if m.Kind == fighollow.UpstreamEngine {
+			u.Target.Name = m.Model
+			if !announced {
+				u.Target.Name, u.Role = f.upstreams[m.ID].Target.Name, f.upstreams[m.ID].Role
+			}
+		}
+		f.upstreams[m.ID] = u
+		idle := m.Kind == fighollow.UpstreamEngine && announced && m.Model == ""
+		f.left[m.ID] = m.State != membership.Alive || idle
+	}
 }
 
 // followView rebuilds the view when the objects or the members change, until ctx ends.
@@ -149,7 +154,7 @@
 	for {
 		changed := e.cat.Changed()
 		members = e.node.Members()
-		e.view.Store(newView(e.cat, members, e.cfg.Process))
+		e.setView(newView(e.cat, members, e.cfg.Region))
 		if !e.waitForChange(ctx, changed, t.C, members) {
 			return
 		}
@@ -176,3 +181,13 @@
 		}
 	}
 }
+
+// setView routes new requests by v.
+func (e *Entry) setView(v *view) {
+	rates := make(map[string]routing.Model, len(v.models))
+	for name, m := range v.models {
+		rates[name] = routing.Model{PrefillRate: m.PrefillTokensPerSecond}
+	}
+	e.balance.update(v.upstreams, rates)
+	e.view.Store(v)
+}
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -13,6 +13,8 @@
 	otherCentreMs = 100
 	// usedMs spreads requests over upstreams that all have free slots; a fuller batch is slower.
 	usedMs = 20
+	// tieMs bounds a random part of the cost, so that idle upstreams share the requests.
+	tieMs = 1
 	// handoverMs and handoverTokenMs are the cost of exporting, fetching and importing a KV cache.
 	handoverMs      = 20
 	handoverTokenMs = 0.005
@@ -142,11 +144,12 @@
 		if !usable(now, q, n) {
 			continue
 		}
-		c := choice{n, r.cost(now, q, n, prefill, n == preferred)}
+		dice := mix(q.Seed, uint64(i))
+		c := choice{n, r.cost(now, q, n, prefill, n == preferred) + tieMs*float64(dice>>32)/(1<<32)}
 		if all.n == nil || c.cost < all.cost {
 			all = c
 		}
-		picked := n.match > 0 || n == preferred || mix(q.Seed, uint64(i))%uint64(len(from)) < sampled
+		picked := n.match > 0 || n == preferred || dice%uint64(len(from)) < sampled
 		if picked && !n.away.weak(now) && (few.n == nil || c.cost < few.cost) {
 			few = c
 		}
