--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -1,7 +1,13 @@
 // Package membership decides which processes of a data centre are alive and who watches whom.
 package membership
 
-import "github.com/fighollow/fighollow/pkg/fighollow"
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
 
 // State is what is known of a member.
 type State string
@@ -56,3 +62,13 @@
 	}
 	return a.Meta > b.Meta
 }
+
+// Sum returns a hash of the member's id, state and versions.
+func (m Member) Sum() uint64 {
+	b := make([]byte, 0, len(m.ID)+17)
+	b = append(b, m.ID...)
+	b = append(b, byte(rank(m.State)))
+	b = binary.BigEndian.AppendUint64(b, m.Incarnation)
+	b = binary.BigEndian.AppendUint64(b, m.Meta)
+	return xxhash.Sum64(b)
+}
--- a/internal/membership/ring.go
+++ b/internal/membership/ring.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"encoding/binary"
 	"sort"
 	"time"
 
@@ -11,11 +10,11 @@
 // arrange recomputes ring, neighbours and sum after a change. A new neighbour's silence counts from now.
 func (m *Machine) arrange(now time.Time) {
 	m.ring = append(m.ring[:0], m.self.ID)
-	m.sum = memberSum(m.self)
+	m.sum = m.self.Sum()
 	for id, r := range m.members {
 		if r.State != Dead {
 			m.ring = append(m.ring, id)
-			m.sum ^= memberSum(r.Member)
+			m.sum ^= r.Sum()
 		}
 	}
 	sort.Slice(m.ring, func(i, j int) bool {
@@ -48,15 +47,6 @@
 	m.near = near
 }
 
-func memberSum(m Member) uint64 {
-	b := make([]byte, 0, len(m.ID)+17)
-	b = append(b, m.ID...)
-	b = append(b, byte(rank(m.State)))
-	b = binary.BigEndian.AppendUint64(b, m.Incarnation)
-	b = binary.BigEndian.AppendUint64(b, m.Meta)
-	return xxhash.Sum64(b)
-}
-
 // Neighbours returns the members that this process connects to: those at ring offsets 1, 2, 4, 8, ...
 func (m *Machine) Neighbours() []string { return append([]string(nil), m.dial...) }
 
--- /dev/null
+++ b/internal/spread/measure_test.go
@@ -0,0 +1,181 @@
+package spread_test
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fighollow/fighollow/internal/spread"
+	"github.com/fighollow/fighollow/internal/standin/objects"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// sample is the state of all counters at one time.
+type sample struct {
+	at       time.Time
+	cpu      time.Duration
+	sent     []int64
+	received []int64
+	calls    int64
+}
+
+func take(a *api, procs []*proc) sample {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	s := sample{at: time.Now(), cpu: time.Duration(u.Utime.Nano() + u.Stime.Nano())}
+	for _, p := range procs {
+		sent, received := p.node.Traffic()
+		s.sent, s.received = append(s.sent, sent), append(s.received, received)
+	}
+	c := a.Counts()
+	s.calls = c.Gets + c.Lists + c.Puts + c.Deletes + c.Watches
+	return s
+}
+
+// rates are per second and process, between two samples.
+type rates struct {
+	sent, received, sentMax, receivedMax float64
+	cpu                                  float64 // share of a core
+	calls                                float64 // of the object API, by all processes
+}
+
+func (s sample) until(e sample) rates {
+	var r rates
+	secs, n := e.at.Sub(s.at).Seconds(), float64(len(s.sent))
+	for i := range s.sent {
+		sent, received := float64(e.sent[i]-s.sent[i])/secs, float64(e.received[i]-s.received[i])/secs
+		r.sent, r.received = r.sent+sent/n, r.received+received/n
+		r.sentMax, r.receivedMax = max(r.sentMax, sent), max(r.receivedMax, received)
+	}
+	r.cpu = (e.cpu - s.cpu).Seconds() / secs / n
+	r.calls = float64(e.calls-s.calls) / secs
+	return r
+}
+
+func (r rates) String() string {
+	return fmt.Sprintf("%.0f/%.0f | %.0f/%.0f | %.2f%% | %.1f", r.sent, r.received, r.sentMax, r.receivedMax, 100*r.cpu, r.calls)
+}
+
+// TestMeasure prints what spread costs. scripts/spread.sh runs it; SPREAD_MEASURE is a list of size:dataCentres, as
+// "168:1,300:2". All processes run in this test process with the stand-in, so that CPU and memory include the latter.
+func TestMeasure(t *testing.T) {
+	list := os.Getenv("SPREAD_MEASURE")
+	if list == "" {
+		t.Skip("SPREAD_MEASURE is not set")
+	}
+	idle := duration(t, "SPREAD_IDLE", 20*time.Second)
+	busy := duration(t, "SPREAD_BUSY", 20*time.Second)
+	fmt.Println("bytes/s are sent/received at the link layer; busy: a 20 KB plan every 10 s and a 4 KB preset every 2 s")
+	fmt.Println("| processes | dcs | join s | change s median/max | state | bytes/s mean | bytes/s max | CPU of a core | API calls/s | waiting watches | MB/process |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, item := range strings.Split(list, ",") {
+		var size, count int
+		_, err := fmt.Sscanf(item, "%d:%d", &size, &count)
+		qt.Assert(t, err, qt.IsNil)
+		t.Run(item, func(t *testing.T) { measure(t, size, count, idle, busy) })
+	}
+}
+
+func duration(t *testing.T, name string, def time.Duration) time.Duration {
+	text := os.Getenv(name)
+	if text == "" {
+		return def
+	}
+	d, err := time.ParseDuration(text)
+	qt.Assert(t, err, qt.IsNil)
+	return d
+}
+
+func measure(t *testing.T, size, count int, idle, busy time.Duration) {
+	debug.FreeOSMemory()
+	before := heap()
+	a := newAPI(t, objects.Options{})
+	populate(t, a, size)
+	v := a.use(t, "ordinary")
+	var dcs []string
+	for i := range count {
+		dcs = append(dcs, "hall-"+strconv.Itoa(i))
+	}
+	begin := time.Now()
+	procs := startFleet(t, a, size, dcs, spread.Options{})
+	eventually(t, 3*patience, "everything known everywhere", func() bool {
+		return allHold(procs, fighollow.KindInForce, fighollow.InForceName, v) && allSee(procs, size/count)
+	})
+	join := time.Since(begin)
+	settle(t, procs)
+
+	s := take(a, procs)
+	time.Sleep(idle)
+	idleRates := s.until(take(a, procs))
+	waiting := a.Counts().Waiting
+	s = take(a, procs)
+	median, longest := change(t, a, procs, busy)
+	busyRates := s.until(take(a, procs))
+	memory := float64(heap()-before) / float64(size) / (1 << 20)
+	row := fmt.Sprintf("| %d | %d | %.1f | %.2f/%.2f |", size, count, join.Seconds(), median.Seconds(), longest.Seconds())
+	fmt.Printf("%s idle | %s | %d | %.1f |\n%s busy | %s | | |\n", row, idleRates, waiting, memory, row, busyRates)
+	qt.Check(t, longest < 18*time.Second, qt.IsTrue)
+	qt.Check(t, waiting <= int64(spread.Watchers*count), qt.IsTrue, qt.Commentf("%d waiting watches", waiting))
+	qt.Check(t, idleRates.sentMax < 4096 && idleRates.receivedMax < 4096, qt.IsTrue)
+	qt.Check(t, idleRates.cpu < 0.013, qt.IsTrue)
+}
+
+// populate writes the objects that a fleet of this size has besides plans and the preset.
+func populate(t *testing.T, a *api, size int) {
+	for i := range size {
+		id := fmt.Sprintf("%04d", i)
+		a.put(t, fighollow.KindInstance, id, fighollow.Instance{ID: id, Kind: fighollow.UpstreamEngine, DataCentre: "elsewhere", Leaving: true})
+	}
+	for i := range 100 {
+		a.put(t, fighollow.KindWorkspace, fmt.Sprint(i), fighollow.Workspace{Name: fmt.Sprint(i), Key: strings.Repeat("k", 40)})
+	}
+}
+
+// settle waits until all catalogs agree, so that the idle time holds no repair of the start.
+func settle(t *testing.T, procs []*proc) {
+	eventually(t, 3*patience, "digests agree", func() bool {
+		for _, p := range procs {
+			if p.cat.Digest() != procs[0].cat.Digest() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// change writes presets and plans for a while and returns how long a preset took until it was everywhere.
+func change(t *testing.T, a *api, procs []*proc, busy time.Duration) (median, longest time.Duration) {
+	var took []time.Duration
+	filler := strings.Repeat("x", 4<<10)
+	for begin, i := time.Now(), 0; time.Since(begin) < busy; i++ {
+		at := time.Now()
+		if i%5 == 0 {
+			a.put(t, fighollow.KindPlan, "hall-0", strings.Repeat("p", 20<<10))
+		}
+		v := a.use(t, fmt.Sprint(filler, i))
+		eventually(t, patience, "change everywhere", func() bool {
+			return allHold(procs, fighollow.KindInForce, fighollow.InForceName, v)
+		})
+		took = append(took, time.Since(at))
+		longest = max(longest, time.Since(at))
+		time.Sleep(2*time.Second - time.Since(at))
+	}
+	slices.Sort(took)
+	return took[len(took)/2], longest
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
