fighollow: keys, region control and demand reports in the entry's process

Cause: the ledger, the planner and the entry were not connected. Change: the entry command builds them and hands keys over at the end of a graceful stop.

--- a/cmd/fighollow/entry.go
+++ b/cmd/fighollow/entry.go
@@ -6,14 +6,19 @@
 	"os/signal"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
 	"github.com/fighollow/fighollow/internal/entry"
+	"github.com/fighollow/fighollow/internal/event"
+	"github.com/fighollow/fighollow/internal/ledger"
+	"github.com/fighollow/fighollow/internal/link"
 	"github.com/fighollow/fighollow/internal/objectapi"
-	"github.com/fighollow/fighollow/internal/planner"
+	"github.com/fighollow/fighollow/internal/region"
 	"github.com/fighollow/fighollow/internal/settings"
+	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
 // entryCommand runs an entry until SIGTERM or SIGINT begins its graceful stop.
@@ -45,10 +50,52 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	runner := planner.NewRunner(planner.Options{Holder: cfg.ID, Region: cfg.Region}, store, e.Catalog(), log)
+	control, keys, err := newControl(cfg, store, e, log)
+	if err != nil {
+		return err
+	}
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	// A stopping entry plans no more; another takes the lease.
-	wg.Go(func() { _ = runner.Run(ctx) })
-	return e.Run(ctx)
+	wg.Go(func() { control.Run(ctx) })
+	wg.Go(func() { _ = keys.Run(ctx) })
+	err = e.Run(ctx)
+	stopKeys(keys, log)
+	return err
+}
+
+// newControl builds the entry's part in the control of its region and registers it with the entry.
+func newControl(cfg settings.Entry, store fighollow.ObjectStore, e *entry.Entry, log zerolog.Logger,
+) (*region.Control, *ledger.Ledger, error) {
+	opts := link.Options{MaxFrame: cfg.MaxFrameBytes}
+	if cfg.TLS != nil {
+		var err error
+		if opts.TLS, err = link.LoadTLS(cfg.TLS.Certificate, cfg.TLS.Key, cfg.TLS.Authority); err != nil {
+			return nil, nil, err
+		}
+	}
+	self := link.Hello{
+		ID: cfg.ID, Incarnation: time.Now().UnixMilli(), Kind: fighollow.InstanceEntry,
+		DataCentre: cfg.DataCentre, Region: cfg.Region, Link: cfg.Link,
+	}
+	control := region.New(region.Options{
+		Self: self, Link: opts, KeyHorizon: time.Duration(cfg.KeyHorizonMs) * time.Millisecond, Members: e.Node().Members,
+	}, store, e.Catalog(), log)
+	keys := ledger.New(ledger.Options{Link: opts}, self, store, e.Catalog(), e.Node().Members, log)
+	e.SetKeys(keys)
+	e.SetLedgerHandler(keys.ServeAsk)
+	e.SetDemandHandler(control.HandleTell)
+	return control, keys, nil
+}
+
+// keysStopTimeout bounds the hand-over of keys at the end of a graceful stop, when no request is open any more. Keys
+// that are not handed over are answered as unknown.
+const keysStopTimeout = 10 * time.Second
+
+func stopKeys(keys *ledger.Ledger, log zerolog.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), keysStopTimeout)
+	defer cancel()
+	if err := keys.Stop(ctx); err != nil {
+		event.KeysNotHandedOver.Log(&log).Err(err).Send()
+	}
 }
--- a/internal/event/ledger.go
+++ b/internal/event/ledger.go
@@ -4,12 +4,13 @@
 
 // Events of the ledger of idempotency keys.
 var (
-	KeyRefused       = Event{5001, "keyRefused", zerolog.InfoLevel, "a request was refused because of its idempotency key"}
-	HolderRegistered = Event{5002, "holderRegistered", zerolog.InfoLevel, "the process vouches for keys from now on"}
-	LedgerWritten    = Event{5003, "ledgerWritten", zerolog.InfoLevel, "the epochs of the region's ledger were extended or a new epoch was appended"}
-	LedgerNotWritten = Event{5004, "ledgerNotWritten", zerolog.WarnLevel, "the ledger object could not be written; keyed requests are refused once the last epoch ends"}
-	KeysDelegated    = Event{5005, "keysDelegated", zerolog.InfoLevel, "a stopping process passed its keys on to another entry"}
-	SettleLost       = Event{5006, "settleLost", zerolog.WarnLevel, "the end of a keyed request did not reach the key's holder; the key stays in progress until it expires"}
+	KeyRefused        = Event{5001, "keyRefused", zerolog.InfoLevel, "a request was refused because of its idempotency key"}
+	HolderRegistered  = Event{5002, "holderRegistered", zerolog.InfoLevel, "the process vouches for keys from now on"}
+	LedgerWritten     = Event{5003, "ledgerWritten", zerolog.InfoLevel, "the epochs of the region's ledger were extended or a new epoch was appended"}
+	LedgerNotWritten  = Event{5004, "ledgerNotWritten", zerolog.WarnLevel, "the ledger object could not be written; keyed requests are refused once the last epoch ends"}
+	KeysDelegated     = Event{5005, "keysDelegated", zerolog.InfoLevel, "a stopping process passed its keys on to another entry"}
+	SettleLost        = Event{5006, "settleLost", zerolog.WarnLevel, "the end of a keyed request did not reach the key's holder; the key stays in progress until it expires"}
+	KeysNotHandedOver = Event{5007, "keysNotHandedOver", zerolog.WarnLevel, "a stopping process could not pass its keys on; they are answered as unknown until a new epoch"}
 )
 
-var ledgerEvents = []Event{KeyRefused, HolderRegistered, LedgerWritten, LedgerNotWritten, KeysDelegated, SettleLost}
+var ledgerEvents = []Event{KeyRefused, HolderRegistered, LedgerWritten, LedgerNotWritten, KeysDelegated, SettleLost, KeysNotHandedOver}
