--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -13,6 +13,9 @@
 esac
 
 dir=examples/local
+# scripts/capacity.sh starts the same fleet with other objects and faster engines.
+objects=${FIGHOLLOW_LOCAL_OBJECTS:-$dir/objects.json}
+read -ra engine_flags <<<"${FIGHOLLOW_LOCAL_ENGINE_FLAGS:-}"
 logs=$(mktemp -d)
 api=127.0.0.1:17000
 pids=()
@@ -47,7 +50,7 @@
 go build -o bin/ ./cmd/...
 
 echo "starting the fleet; logs are in $logs"
-start objects bin/standin objects --listen "$api" --load "$dir/objects.json"
+start objects bin/standin objects --listen "$api" --load "$objects"
 for _ in $(seq 100); do
   if bin/fighollow preset list --object-api "$api" >/dev/null 2>&1; then break; fi
   sleep 0.1
@@ -60,7 +63,7 @@
 engines=(engine-a1 engine-a2 engine-b1 engine-b2)
 entries=(entry-a1 entry-b1)
 for e in "${engines[@]}"; do
-  start "$e-engine" bin/standin engine --listen "$(field "$e" .upstream.address)" --checks-fence="$(field "$e" .upstream.checksFence)" --change 500ms
+  start "$e-engine" bin/standin engine --listen "$(field "$e" .upstream.address)" --checks-fence="$(field "$e" .upstream.checksFence)" --change 500ms "${engine_flags[@]}"
 done
 start broker-api-1-service bin/standin service --listen "$(field broker-api-1 .upstream.address)"
 for s in "${engines[@]}" broker-api-1; do start "$s" bin/fighollow sidecar --settings "$dir/$s.json"; done
