--- a/internal/order/machine.go
+++ b/internal/order/machine.go
@@ -64,7 +64,7 @@
 	restarts int
 
 	outstanding *fighollow.Assignment
-	notBefore   time.Time // observations that began earlier do not count
+	notBefore   time.Time // observations that began no later do not count
 	retryAt     time.Time
 	sure        bool // no work runs at the engine that the sidecar does not know of
 
@@ -102,7 +102,7 @@
 
 // Observed takes the engine's report, asked for at began. A report asked for before the end of the last order is ignored.
 func (m *Machine) Observed(began time.Time, s fighollow.EngineState) {
-	if m.outstanding != nil || began.Before(m.notBefore) || m.seen && began.Before(m.began) {
+	if m.outstanding != nil || !began.After(m.notBefore) || m.seen && began.Before(m.began) {
 		return
 	}
 	if m.seen && s.StartedMs != m.state.StartedMs {
