sidecar: tests of orders, drains and changes under load

Cause: the order loop, drains and the admin paths had no test of their own. Found: /metrics panicked, because the library's timer cannot be copied with a meter that counts nothing; the time to the first token is now a histogram in microseconds. Change: tests over HTTP against an engine that breaks off work for an order: role change, crash in a change, lost reply, an order left by a killed sidecar, drain, replacement, and changes back and forth under load.

--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -23,7 +23,7 @@
 	resumed    metrics.Counter
 	orders     metrics.Counter
 	restarts   metrics.Counter
-	firstToken metrics.Timer
+	firstToken metrics.Histogram // microseconds
 
 	mu sync.Mutex // guards the creation of counters by code and outcome
 }
@@ -31,15 +31,14 @@
 func newGauges(s *Sidecar) *gauges {
 	r := metrics.NewRegistry()
 	g := &gauges{
-		registry: r,
-		accepted: metrics.NewRegisteredCounter("attempts.accepted", r),
-		resumed:  metrics.NewRegisteredCounter("attempts.resumed", r),
-		orders:   metrics.NewRegisteredCounter("engine.orders", r),
-		restarts: metrics.NewRegisteredCounter("engine.restarts", r),
-		// The timer has no meter of its own: the library's meters run one goroutine for the whole process.
-		firstToken: metrics.NewCustomTimer(metrics.NewHistogram(metrics.NewExpDecaySample(512, 0.015)), metrics.NilMeter{}),
+		registry:   r,
+		accepted:   metrics.NewRegisteredCounter("attempts.accepted", r),
+		resumed:    metrics.NewRegisteredCounter("attempts.resumed", r),
+		orders:     metrics.NewRegisteredCounter("engine.orders", r),
+		restarts:   metrics.NewRegisteredCounter("engine.restarts", r),
+		firstToken: metrics.NewHistogram(metrics.NewExpDecaySample(512, 0.015)),
 	}
-	_ = r.Register("attempts.firstToken", g.firstToken) // the name is new in this registry
+	_ = r.Register("attempts.firstTokenMicros", g.firstToken) // the name is new in this registry
 	load := func(part func(l fighollow.Load) int) func() int64 {
 		return func() int64 { return int64(part(s.load())) }
 	}
--- a/internal/sidecar/generate.go
+++ b/internal/sidecar/generate.go
@@ -69,7 +69,7 @@
 			return fighollow.GenerateResult{}, fmt.Errorf("%w: index %d where %d is next", errOrder, t.Index, a.next())
 		}
 		if t.Index == a.firstOffset() {
-			s.metrics.firstToken.Update(time.Since(began))
+			s.metrics.firstToken.Update(time.Since(began).Microseconds())
 			a.setFirst(time.Now())
 		}
 		a.addToken(t.Text)
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -103,14 +103,7 @@
 		opts.Change = 20 * time.Millisecond
 	}
 	opts.ChecksFence = true
-	f.engine = engine.New(opts)
-	t.Cleanup(f.engine.Close)
-	srv := httptest.NewServer(f.engine)
-	t.Cleanup(func() {
-		f.engine.Close()
-		srv.Close()
-	})
-	f.cfg.Upstream.Address = strings.TrimPrefix(srv.URL, "http://")
+	f.attach(opts)
 	for _, c := range change {
 		c(f)
 	}
@@ -120,6 +113,17 @@
 	return f
 }
 
+// attach starts an engine stand-in for the sidecar.
+func (f *fleet) attach(opts engine.Options) {
+	f.engine = engine.New(opts)
+	srv := httptest.NewServer(f.engine)
+	f.t.Cleanup(func() {
+		f.engine.Close()
+		srv.Close()
+	})
+	f.cfg.Upstream.Address = strings.TrimPrefix(srv.URL, "http://")
+}
+
 func startPlain(t *testing.T) *fleet {
 	f := newFleet(t, "service")
 	f.cfg.Upstream.Service = "orders"
--- /dev/null
+++ b/internal/sidecar/order_test.go
@@ -0,0 +1,216 @@
+package sidecar_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fighollow/fighollow/internal/link"
+	"github.com/fighollow/fighollow/internal/sidecar"
+	"github.com/fighollow/fighollow/internal/standin/engine"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// checkOrders fails when an order came with work in flight or a fence went back.
+func (f *fleet) checkOrders() {
+	f.t.Helper()
+	fence := uint64(0)
+	for _, o := range f.engine.Record().Orders {
+		qt.Assert(f.t, o.Running, qt.Equals, 0, qt.Commentf("order %+v", o))
+		qt.Assert(f.t, o.Assignment.Fence >= fence, qt.IsTrue, qt.Commentf("fence %d after %d", o.Assignment.Fence, fence))
+		fence = o.Assignment.Fence
+	}
+	for _, a := range f.engine.Record().Attempts {
+		qt.Assert(f.t, a.Outcome, qt.Not(qt.Equals), engine.OutcomeInterrupted, qt.Commentf("%+v", a))
+	}
+}
+
+// Guards against a role change that interrupts an answer, or that admits work before its end. The engine here breaks
+// off work for an order.
+func TestRoleChangeWaitsForWork(t *testing.T) {
+	f := startEngine(t, engine.Options{InterruptsWork: true})
+	c := f.dial()
+	f.control(engine.Control{Action: engine.ActionHold, Step: engine.StepToken, N: 5})
+	call := generate("long answer", 200)
+	s, err := c.Open(call)
+	qt.Assert(t, err, qt.IsNil)
+	r := f.receive(s, reply{}, func(r reply) bool { return r.units == 5 })
+	f.plan(2, assignment("velvet", 2))
+	await(t, "closed admission", func() bool {
+		r := f.run(c, generate("during the change", 1))
+		return r.refusal != nil && r.refusal.Code == fighollow.CodeNotReady && r.refusal.RetryAfterMs > 0
+	})
+	f.control(engine.Control{Action: engine.ActionRelease, Step: engine.StepToken})
+	r = f.receive(s, r, func(reply) bool { return false })
+	qt.Assert(t, r.text, qt.Equals, engine.Text("long answer", 0, 200))
+	f.awaitServing("velvet")
+	f.checkOrders()
+	qt.Assert(t, len(f.engine.Record().Orders), qt.Equals, 2)
+}
+
+// Guards against an engine that stays empty after a crash in the middle of a change, or that gets another fence for it.
+func TestCrashInAChangeIsOrderedAgain(t *testing.T) {
+	f := startEngine(t, engine.Options{})
+	f.control(engine.Control{Action: engine.ActionHold, Step: engine.StepOrderApplied})
+	f.plan(2, assignment("velvet", 2))
+	await(t, "change", func() bool { return f.engine.State().Phase == fighollow.PhaseChanging })
+	f.control(engine.Control{Action: engine.ActionCrash})
+	f.control(engine.Control{Action: engine.ActionRelease, Step: engine.StepOrderApplied})
+	f.awaitServing("velvet")
+	f.checkOrders()
+	orders := f.engine.Record().Orders
+	qt.Assert(t, orders[len(orders)-1].Assignment.Fence, qt.Equals, uint64(2))
+}
+
+// Guards against an order that is repeated, or work that is admitted too early, when the reply to an order was lost.
+func TestOrderWithALostReplyIsObserved(t *testing.T) {
+	f := startEngine(t, engine.Options{InterruptsWork: true})
+	f.control(engine.Control{Action: engine.ActionHold, Step: engine.StepOrderReply})
+	f.plan(2, assignment("velvet", 2))
+	f.awaitServing("velvet") // after the time-out of the order
+	f.control(engine.Control{Action: engine.ActionRelease, Step: engine.StepOrderReply})
+	f.checkOrders()
+	qt.Assert(t, len(f.engine.Record().Orders), qt.Equals, 2)
+}
+
+// Guards against a new sidecar that orders or serves before an order left by a killed one has taken effect, at an engine
+// that ignores fencing numbers.
+func TestNewSidecarWaitsForAnOrderLeftBehind(t *testing.T) {
+	f := newFleet(t, "engine")
+	f.cfg.Upstream.ChecksFence, f.cfg.Upstream.OrderSettleMs = false, 600
+	f.attach(engine.Options{InterruptsWork: true, Change: 20 * time.Millisecond, Initial: assignment("loom", 1)})
+	f.plan(3, assignment("loom", 3))
+	f.start()
+	c := f.dial()
+	left := time.AfterFunc(300*time.Millisecond, func() {
+		order := assignment("velvet", 2)
+		body, err := json.Marshal(order)
+		if err != nil {
+			return
+		}
+		res, err := http.Post("http://"+f.cfg.Upstream.Address+"/order", "application/json", bytes.NewReader(body))
+		if err == nil {
+			_ = res.Body.Close()
+		}
+	})
+	defer left.Stop()
+	var calls []reply
+	await(t, "corrected order", func() bool {
+		calls = append(calls, f.run(c, generate("steady", 20)))
+		o := f.engine.Record().Orders
+		return len(o) == 2 && o[1].Assignment.Fence == 3 && calls[len(calls)-1].finish != nil
+	})
+	for _, r := range calls {
+		qt.Assert(t, r.finish == nil || r.finish.Outcome == fighollow.Completed, qt.IsTrue, qt.Commentf("%+v", r.finish))
+	}
+	for _, a := range f.engine.Record().Attempts {
+		qt.Assert(t, a.Outcome, qt.Equals, engine.OutcomeFinished)
+	}
+}
+
+// Guards against a drain that interrupts, is not told to the entries, or does not end with a restore.
+func TestDrainAndRestore(t *testing.T) {
+	f := startEngine(t, engine.Options{})
+	c := f.dial()
+	f.put(fighollow.KindDrain, "upstream-1", fighollow.Drain{Action: fighollow.ActionDrain, By: "operator"})
+	await(t, "drain", func() bool {
+		r := f.run(c, generate("drained", 1))
+		return r.refusal != nil && r.refusal.Code == fighollow.CodeDraining
+	})
+	await(t, "word of leaving", func() bool { return f.tells.count(sidecar.LeavingTopic) >= 1 })
+	qt.Assert(t, f.admin("/readyz"), qt.Equals, http.StatusServiceUnavailable)
+	o, err := f.store.Get(context.Background(), fighollow.KindDrain, "upstream-1")
+	qt.Assert(t, err, qt.IsNil)
+	_, err = f.store.Delete(context.Background(), fighollow.KindDrain, "upstream-1", o.Version)
+	qt.Assert(t, err, qt.IsNil)
+	f.awaitServing("loom")
+	qt.Assert(t, f.admin("/readyz"), qt.Equals, http.StatusOK)
+}
+
+// Guards against a replaced engine whose successor is never used.
+func TestReplaceEndsWithTheSuccessor(t *testing.T) {
+	f := startEngine(t, engine.Options{})
+	c := f.dial()
+	f.put(fighollow.KindDrain, "upstream-1", fighollow.Drain{
+		Action: fighollow.ActionReplace, Incarnation: f.engine.State().StartedMs,
+	})
+	await(t, "drain", func() bool {
+		r := f.run(c, generate("replaced", 1))
+		return r.refusal != nil && r.refusal.Code == fighollow.CodeDraining
+	})
+	f.control(engine.Control{Action: engine.ActionCrash})
+	f.awaitServing("loom")
+}
+
+func (f *fleet) admin(path string) int {
+	res, err := http.Get("http://" + f.cfg.Admin + path)
+	qt.Assert(f.t, err, qt.IsNil)
+	defer res.Body.Close()
+	_, err = io.Copy(io.Discard, res.Body)
+	qt.Assert(f.t, err, qt.IsNil)
+	return res.StatusCode
+}
+
+// Guards against an admin server without its three paths.
+func TestAdminPaths(t *testing.T) {
+	f := startEngine(t, engine.Options{})
+	for _, path := range []string{"/healthz", "/readyz", "/metrics"} {
+		qt.Assert(t, f.admin(path), qt.Equals, http.StatusOK, qt.Commentf(path))
+	}
+}
+
+// Guards against an answer that is interrupted while roles change back and forth under load.
+func TestChangesUnderLoadInterruptNothing(t *testing.T) {
+	f := startEngine(t, engine.Options{InterruptsWork: true, Slots: 4, DecodeRate: 500}, func(f *fleet) { f.cfg.Upstream.OrderSettleMs = 50 })
+	stop := make(chan struct{})
+	done := make(chan int)
+	load := func(c *link.Conn) {
+		completed := 0
+		for {
+			select {
+			case <-stop:
+				done <- completed
+				return
+			default:
+			}
+			call := generate("under load", 20)
+			call.Generate.Model = []string{"loom", "velvet"}[completed%2]
+			r := f.run(c, call)
+			if r.finish == nil {
+				call.Generate.Model = []string{"velvet", "loom"}[completed%2]
+				call.Attempt = newID()
+				call.Generate.ID = call.Attempt
+				r = f.run(c, call)
+			}
+			if r.finish != nil {
+				if r.finish.Outcome == fighollow.Unknown {
+					f.t.Errorf("interrupted: %+v", r.finish.Refusal)
+				}
+				completed++
+			}
+		}
+	}
+	for range 6 {
+		go load(f.dial())
+	}
+	for i := uint64(2); i < 8; i++ {
+		f.plan(i, assignment([]string{"velvet", "loom"}[i%2], i))
+		await(t, "change", func() bool {
+			s := f.engine.State()
+			return s.Phase == fighollow.PhaseReady && s.Assignment.Fence == i
+		})
+	}
+	close(stop)
+	total := 0
+	for range 6 {
+		total += <-done
+	}
+	qt.Assert(t, total > 0, qt.IsTrue)
+	f.checkOrders()
+}
