--- /dev/null
+++ b/cmd/fighollow/entry.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/fighollow/fighollow/internal/entry"
+	"github.com/fighollow/fighollow/internal/event"
+	"github.com/fighollow/fighollow/internal/ledger"
+	"github.com/fighollow/fighollow/internal/link"
+	"github.com/fighollow/fighollow/internal/objectapi"
+	"github.com/fighollow/fighollow/internal/region"
+	"github.com/fighollow/fighollow/internal/settings"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// entryCommand runs an entry until SIGTERM or SIGINT begins its graceful stop.
+func entryCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "entry",
+		Usage: "serve callers",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Required: true, Usage: "JSON settings `FILE`"}},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return runEntry(ctx, cmd.String("settings"))
+		},
+	}
+}
+
+func runEntry(ctx context.Context, file string) error {
+	cfg, err := settings.ReadEntry(file)
+	if err != nil {
+		return err
+	}
+	level, err := zerolog.ParseLevel(cfg.LogLevel)
+	if err != nil {
+		return err
+	}
+	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("process", cfg.ID).Logger()
+	store := objectapi.New(objectapi.Options{Address: cfg.ObjectAPI, Writer: cfg.ID})
+	e, err := entry.New(cfg, store, log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	control, keys, err := newControl(cfg, store, e, log)
+	if err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	// A stopping entry plans no more; another takes the lease.
+	wg.Go(func() { control.Run(ctx) })
+	wg.Go(func() { _ = keys.Run(ctx) })
+	err = e.Run(ctx)
+	stopKeys(keys, log)
+	return err
+}
+
+// newControl builds the entry's part in the control of its region and registers it with the entry.
+func newControl(cfg settings.Entry, store fighollow.ObjectStore, e *entry.Entry, log zerolog.Logger,
+) (*region.Control, *ledger.Ledger, error) {
+	opts := link.Options{MaxFrame: cfg.MaxFrameBytes}
+	if cfg.TLS != nil {
+		var err error
+		if opts.TLS, err = link.LoadTLS(cfg.TLS.Certificate, cfg.TLS.Key, cfg.TLS.Authority); err != nil {
+			return nil, nil, err
+		}
+	}
+	self := link.Hello{
+		ID: cfg.ID, Incarnation: time.Now().UnixMilli(), Kind: fighollow.InstanceEntry,
+		DataCentre: cfg.DataCentre, Region: cfg.Region, Link: cfg.Link,
+	}
+	control := region.New(region.Options{
+		Self: self, Link: opts, KeyHorizon: time.Duration(cfg.KeyHorizonMs) * time.Millisecond, Members: e.Node().Members,
+	}, store, e.Catalog(), log)
+	keys := ledger.New(ledger.Options{Link: opts}, self, store, e.Catalog(), e.Node().Members, log)
+	e.SetKeys(keys)
+	e.SetLedgerHandler(keys.ServeAsk)
+	e.SetDemandHandler(control.HandleTell)
+	return control, keys, nil
+}
+
+// keysStopTimeout bounds the hand-over of keys at the end of a graceful stop, when no request is open any more. Keys
+// that are not handed over are answered as unknown.
+const keysStopTimeout = 10 * time.Second
+
+func stopKeys(keys *ledger.Ledger, log zerolog.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), keysStopTimeout)
+	defer cancel()
+	if err := keys.Stop(ctx); err != nil {
+		event.KeysNotHandedOver.Log(&log).Err(err).Send()
+	}
+}
--- /dev/null
+++ b/cmd/standin/load.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/fighollow/fighollow/internal/engine"
+	"github.com/fighollow/fighollow/internal/standin/load"
+)
+
+// loadCommand sends the same load through an entry and, where --direct names an engine, straight to that engine.
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "load",
+		Usage: "take the place of callers and measure what they see",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "entry", Required: true, Usage: "IP:port of an entry for callers"},
+			&cli.StringFlag{Name: "direct", Usage: "IP:port of an engine, for a comparison without the system between"},
+			&cli.StringFlag{Name: "key", Required: true, Usage: "key of the workspace"},
+			&cli.StringFlag{Name: "model", Required: true, Usage: "model to ask for"},
+			&cli.IntFlag{Name: "requests", Value: 200, Usage: "requests in all"},
+			&cli.IntFlag{Name: "concurrency", Value: 8, Usage: "requests open at once"},
+			&cli.IntFlag{Name: "prompt-bytes", Value: 400, Usage: "length of a prompt"},
+			&cli.IntFlag{Name: "shared-bytes", Usage: "start of the prompt that all requests have in common"},
+			&cli.IntFlag{Name: "tokens", Value: 64, Usage: "tokens of an answer"},
+		},
+		Action: runLoad,
+	}
+}
+
+func runLoad(ctx context.Context, cmd *cli.Command) error {
+	opts := load.Options{
+		Requests: cmd.Int("requests"), Concurrency: cmd.Int("concurrency"), PromptBytes: cmd.Int("prompt-bytes"),
+		MaxTokens: cmd.Int("tokens"), Shared: cmd.Int("shared-bytes"),
+	}
+	if opts.Requests < 1 || opts.Concurrency < 1 || opts.Shared < 0 {
+		return fmt.Errorf("requests and concurrency must be above 0, shared-bytes not below")
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: opts.Concurrency}
+	entry := &load.HTTP{
+		URL: "http://" + cmd.String("entry"), Key: cmd.String("key"), Model: cmd.String("model"),
+		Client: &http.Client{Transport: transport},
+	}
+	t := tabwriter.NewWriter(cmd.Root().Writer, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "path\tcompleted\tfailed\trequests/s\ttokens/s\tfirst p50 us\tfirst p95 us\tgap p50 us\tgap p95 us\t")
+	var all []*load.Result
+	if addr := cmd.String("direct"); addr != "" {
+		direct := &load.Direct{Engine: engine.New(addr), Model: cmd.String("model")}
+		all = append(all, measured(t, "direct", load.Run(ctx, direct, opts)))
+	}
+	all = append(all, measured(t, "entry", load.Run(ctx, entry, opts)))
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	return printErrors(cmd.Root().Writer, all)
+}
+
+func measured(w io.Writer, path string, r *load.Result) *load.Result {
+	s := r.Elapsed.Seconds()
+	fmt.Fprintf(w, "%s\t%d\t%d\t%.0f\t%.0f\t%d\t%d\t%d\t%d\t\n", path, r.Completed, r.Failed,
+		float64(r.Completed)/s, float64(r.Tokens)/s,
+		r.FirstToken.ValueAtQuantile(50), r.FirstToken.ValueAtQuantile(95), r.Gap.ValueAtQuantile(50), r.Gap.ValueAtQuantile(95))
+	return r
+}
+
+func printErrors(w io.Writer, all []*load.Result) error {
+	for _, r := range all {
+		messages := make([]string, 0, len(r.Errors))
+		for m := range r.Errors {
+			messages = append(messages, m)
+		}
+		slices.Sort(messages)
+		for _, m := range messages {
+			if _, err := fmt.Fprintf(w, "%6d  %s\n", r.Errors[m], m); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- a/internal/admission/sidecar.go
+++ b/internal/admission/sidecar.go
@@ -233,9 +233,3 @@
 func (s *Sidecar) refusal(now time.Time, code fighollow.Code, message string) *fighollow.Refusal {
 	return refuse(code, message, s.wait(now, len(s.queue)).Milliseconds())
 }
-
-func refuse(code fighollow.Code, message string, retryMs int64) *fighollow.Refusal {
-	return &fighollow.Refusal{
-		Code: code, Message: message, Outcome: fighollow.NotRun, RetryAfterMs: min(max(retryMs, minRetryMs), maxRetryMs),
-	}
-}
--- /dev/null
+++ b/internal/entry/fake_test.go
@@ -0,0 +1,200 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fighollow/fighollow/internal/link"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+const patience = 10 * time.Second
+
+// memory is an object store in memory.
+type memory struct {
+	mu      sync.Mutex
+	version uint64
+	log     []fighollow.Object
+	changed chan struct{}
+}
+
+func newMemory() *memory { return &memory{changed: make(chan struct{})} }
+
+func (m *memory) set(kind fighollow.Kind, name string, v any) {
+	value, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.version++
+	m.log = append(m.log, fighollow.Object{Kind: kind, Name: name, Version: m.version, Value: value})
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *memory) Get(context.Context, fighollow.Kind, string) (fighollow.Object, error) {
+	return fighollow.Object{}, fighollow.ErrNotFound
+}
+
+func (m *memory) List(context.Context, fighollow.Kind) ([]fighollow.Object, uint64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]fighollow.Object(nil), m.log...), m.version, nil
+}
+
+func (m *memory) Put(context.Context, fighollow.Object, uint64) (uint64, error) {
+	return 0, fighollow.ErrUnavailable
+}
+
+func (m *memory) Delete(context.Context, fighollow.Kind, string, uint64) (uint64, error) {
+	return 0, fighollow.ErrUnavailable
+}
+
+func (m *memory) Watch(ctx context.Context, after uint64) ([]fighollow.Object, uint64, error) {
+	m.mu.Lock()
+	changed := m.changed
+	m.mu.Unlock()
+	m.mu.Lock()
+	if m.version == after {
+		m.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, after, ctx.Err()
+		}
+		m.mu.Lock()
+	}
+	defer m.mu.Unlock()
+	var out []fighollow.Object
+	for _, o := range m.log {
+		if o.Version > after {
+			out = append(out, o)
+		}
+	}
+	return out, m.version, nil
+}
+
+// sidecar is a fake sidecar that records its calls and answers them with serve.
+type sidecar struct {
+	id   string
+	addr string
+	l    *link.Listener
+
+	mu    sync.Mutex
+	serve func(ctx context.Context, call *link.Call, s *link.ServerStream)
+	calls []link.Call
+	conns []*link.Conn
+}
+
+func (f *sidecar) ServeCall(ctx context.Context, call *link.Call, s *link.ServerStream) {
+	f.mu.Lock()
+	f.calls = append(f.calls, *call)
+	serve := f.serve
+	f.mu.Unlock()
+	serve(ctx, call, s)
+}
+
+func (f *sidecar) ServeAsk(context.Context, *link.Conn, string, []byte) (any, error) {
+	return nil, io.EOF
+}
+func (f *sidecar) HandleTell(*link.Conn, string, []byte) {}
+func (f *sidecar) HandleOpen(c *link.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.conns = append(f.conns, c)
+}
+func (f *sidecar) HandleClose(*link.Conn, error) {}
+
+// answer changes how calls are served.
+func (f *sidecar) answer(serve func(context.Context, *link.Call, *link.ServerStream)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.serve = serve
+}
+
+func (f *sidecar) seen() []link.Call {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]link.Call(nil), f.calls...)
+}
+
+// cut closes the links that entries have opened so far.
+func (f *sidecar) cut() {
+	f.mu.Lock()
+	conns := f.conns
+	f.conns = nil
+	f.mu.Unlock()
+	for _, c := range conns {
+		c.Close()
+	}
+}
+
+// tell sends a one-way message on all links.
+func (f *sidecar) tell(topic string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.conns {
+		_ = c.Tell(topic, "")
+	}
+}
+
+// restart replaces the process at the sidecar's address by one with a higher incarnation.
+func (f *sidecar) restart(t *testing.T) {
+	f.l.Close()
+	eventually(t, func() bool {
+		l, err := link.Listen(f.addr, link.Hello{ID: f.id, Kind: fighollow.UpstreamEngine, Incarnation: time.Now().UnixMilli() + 1}, f, link.Options{}, nil)
+		f.l = l
+		return err == nil
+	})
+	t.Cleanup(f.l.Close)
+}
+
+// words answers a call with n tokens "w0 w1 ... " from the call's offset on.
+func words(n int) func(context.Context, *link.Call, *link.ServerStream) {
+	return func(_ context.Context, call *link.Call, s *link.ServerStream) {
+		if s.Accept(fighollow.Load{Slots: 8}) != nil {
+			return
+		}
+		if sendWords(call, s, n) == nil {
+			finish(s, n)
+		}
+	}
+}
+
+func sendWords(call *link.Call, s *link.ServerStream, to int) error {
+	for i := int(call.Offset); i < to; i++ {
+		if err := s.Chunk(uint64(i), 1, []byte(word(i))); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func finish(s *link.ServerStream, n int) {
+	_ = s.Finish(link.Finish{Outcome: fighollow.Completed, Result: &fighollow.GenerateResult{
+		FinishReason: "stop", PromptTokens: 3, OutputTokens: n,
+	}})
+}
+
+// overloaded refuses every call.
+func overloaded(_ context.Context, _ *link.Call, s *link.ServerStream) {
+	r := fighollow.Refusal{Code: fighollow.CodeOverloaded, Message: "refused", Outcome: fighollow.NotRun}
+	_ = s.Refuse(r, fighollow.Load{Slots: 8})
+}
+
+func word(i int) string { return fmt.Sprintf("w%d ", i) }
+
+func text(n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(word(i))
+	}
+	return b.String()
+}
