entry: tests of keys, split, services, topics and encoding

Cause: these paths were written without tests. Change: tests with a fake ledger and fake prefill and decode engines. Two faults that they found are fixed: a service's answer that broke off lost the part received before, and an answer whose end was waiting with its first token was missing from the latency of the first part. Conclusion: load and a random walk over outcomes are next.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -248,6 +248,9 @@
 
 func (a *attempt) finish(m *link.Finish) (*fighollow.GenerateResult, *fighollow.Refusal, error) {
 	a.e.balance.finished(a.u.ID, time.Since(a.began), m.Load)
+	if a.dirty {
+		a.timeFlush() // the rest leaves with the end of the answer
+	}
 	if m.Outcome == fighollow.Completed {
 		if a.q.kind == link.CallGenerate && m.Result == nil {
 			return nil, unknown(fighollow.CodeUpstreamFailed, "the upstream finished without a result"), nil
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -29,6 +29,7 @@
 	admin string
 	stop  context.CancelFunc
 	done  chan error
+	keys  *ledger
 	log   *logBuffer
 	wait  func()
 }
@@ -44,6 +45,8 @@
 	return l.b.Write(p)
 }
 
+func (l *logBuffer) note(s string) { _, _ = l.Write([]byte(s + "\n")) }
+
 func (l *logBuffer) String() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -72,6 +75,12 @@
 	f.store.set(fighollow.KindWorkspace, "acme", fighollow.Workspace{Name: "acme", Key: secret, Worth: 2, Priority: 7})
 	e, err := entry.New(cfg, f.store, zerolog.New(f.log))
 	qt.Assert(t, err, qt.IsNil)
+	f.keys = &ledger{answers: make(map[string]*fighollow.StoredAnswer), outcomes: make(map[string]fighollow.Outcome)}
+	e.SetKeys(f.keys)
+	e.SetDemandHandler(func(c *link.Conn, topic string, _ []byte) { f.log.note(c.Peer().ID + " tells " + topic) })
+	e.SetLedgerHandler(func(_ context.Context, c *link.Conn, topic string, _ []byte) (any, error) {
+		return c.Peer().ID + " asks " + topic, nil
+	})
 	qt.Assert(t, e.Listen(), qt.IsNil)
 	callers, admin, _ := e.Addrs()
 	f.entry, f.url, f.admin = e, "http://"+callers, "http://"+admin
@@ -112,16 +121,20 @@
 }
 
 func (f *fleet) plan(dc, id, model string) {
-	if model == "" {
-		return
+	if model != "" {
+		f.planRole(dc, id, model, fighollow.RoleBoth)
 	}
+}
+
+func (f *fleet) planRole(dc, id, model string, role fighollow.Role) {
 	var p fighollow.Plan
 	_, _ = f.entry.Catalog().Decode(fighollow.KindPlan, dc, &p)
 	if p.Engines == nil {
 		p.Engines = make(map[string]fighollow.Assignment)
 	}
-	p.Engines[id] = fighollow.Assignment{Role: fighollow.RoleBoth, Model: model}
+	p.Engines[id] = fighollow.Assignment{Role: role, Model: model}
 	f.store.set(fighollow.KindPlan, dc, p)
+	f.settle()
 }
 
 // settle waits until the entry routes by the newest objects.
@@ -141,6 +154,15 @@
 	return res.StatusCode
 }
 
+func (f *fleet) get(url string) string {
+	res, err := http.Get(url)
+	qt.Assert(f.t, err, qt.IsNil)
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	qt.Assert(f.t, err, qt.IsNil)
+	return string(b)
+}
+
 func eventually(t *testing.T, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
--- /dev/null
+++ b/internal/entry/key_test.go
@@ -0,0 +1,144 @@
+package entry_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fighollow/fighollow/internal/link"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// ledger is a fake ledger of keys in memory.
+type ledger struct {
+	mu       sync.Mutex
+	answers  map[string]*fighollow.StoredAnswer
+	outcomes map[string]fighollow.Outcome // empty while the request runs
+}
+
+func (l *ledger) Claim(_ context.Context, _ time.Time, w fighollow.Workspace, key, _ string) (*fighollow.StoredAnswer, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	outcome, ok := l.outcomes[w.Name+"/"+key]
+	switch {
+	case !ok || outcome == fighollow.NotRun:
+		l.outcomes[w.Name+"/"+key] = ""
+		return nil, nil
+	case l.answers[w.Name+"/"+key] != nil:
+		return l.answers[w.Name+"/"+key], nil
+	case outcome == "":
+		return nil, &fighollow.Refusal{Code: fighollow.CodeKeyInProgress, Outcome: fighollow.Unknown}
+	}
+	return nil, &fighollow.Refusal{Code: fighollow.CodeKeyAlreadyRun, Outcome: fighollow.Unknown}
+}
+
+func (l *ledger) Settle(_ context.Context, _ time.Time, w fighollow.Workspace, key, _ string, o fighollow.Outcome, a *fighollow.StoredAnswer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outcomes[w.Name+"/"+key] = o
+	l.answers[w.Name+"/"+key] = a
+}
+
+func (l *ledger) outcome(key string) fighollow.Outcome {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.outcomes["acme/"+key]
+}
+
+// Guards against a second run of a key, and against a repeat that gets another answer than the first caller.
+func TestRepeatedKeyGetsTheStoredAnswer(t *testing.T) {
+	f := startFleet(t)
+	s := f.add("engine-1", "m", words(4))
+	for _, stream := range []bool{false, true} {
+		key := map[bool]string{false: "plain", true: "streamed"}[stream]
+		first := f.chat("m", stream, "Idempotency-Key", key)
+		again := f.chat("m", stream, "Idempotency-Key", key)
+		qt.Assert(t, first.content(t), qt.Equals, text(4))
+		qt.Assert(t, again.content(t), qt.Equals, text(4))
+		qt.Assert(t, again.header.Get("Content-Type"), qt.Equals, first.header.Get("Content-Type"))
+	}
+	qt.Assert(t, s.seen(), qt.HasLen, 2)
+	qt.Assert(t, s.seen()[0].Idempotent, qt.IsFalse)
+
+	s.answer(words(20_000)) // more than 64 KiB of text
+	qt.Assert(t, f.chat("m", false, "Idempotency-Key", "large").status, qt.Equals, 200)
+	a := f.chat("m", false, "Idempotency-Key", "large")
+	code, _ := a.refusal(t)
+	qt.Assert(t, a.status, qt.Equals, 409)
+	qt.Assert(t, code, qt.Equals, "keyAlreadyRun")
+}
+
+// Guards against a key that stays claimed for a request that never ran, or is free for one that may have run.
+func TestKeyIsSettledByTheOutcome(t *testing.T) {
+	f := startFleet(t)
+	s := f.add("engine-1", "m", overloaded)
+	qt.Assert(t, f.chat("m", false, "Idempotency-Key", "k").status, qt.Equals, 503)
+	qt.Assert(t, f.keys.outcome("k"), qt.Equals, fighollow.NotRun)
+	s.answer(func(_ context.Context, _ *link.Call, st *link.ServerStream) {
+		_ = st.Accept(fighollow.Load{})
+		_ = st.Finish(link.Finish{Outcome: fighollow.Unknown})
+	})
+	qt.Assert(t, f.chat("m", false, "Idempotency-Key", "k").status, qt.Equals, 504)
+	qt.Assert(t, f.keys.outcome("k"), qt.Equals, fighollow.Unknown)
+	qt.Assert(t, f.chat("m", false, "Idempotency-Key", "k").status, qt.Equals, 409)
+	qt.Assert(t, s.seen(), qt.HasLen, 2)
+}
+
+// Guards against keyed requests that run without anybody to vouch for the key.
+func TestKeysWithoutLedgerAreRefused(t *testing.T) {
+	f := startFleet(t)
+	s := f.add("engine-1", "m", words(1))
+	f.entry.SetKeys(nil)
+	a := f.chat("m", false, "Idempotency-Key", "k")
+	code, notRun := a.refusal(t)
+	qt.Assert(t, a.status, qt.Equals, 504)
+	qt.Assert(t, code, qt.Equals, "keyUnknown")
+	qt.Assert(t, notRun, qt.IsFalse)
+	qt.Assert(t, s.seen(), qt.HasLen, 0)
+}
+
+// Guards against a service's answer that its repeat does not get, and against POST calls that run twice.
+func TestServiceKeysAndMethods(t *testing.T) {
+	f := startFleet(t)
+	serve := func(_ context.Context, _ *link.Call, st *link.ServerStream) {
+		_ = st.Accept(fighollow.Load{})
+		_ = st.Head(202, map[string][]string{"Content-Type": {"text/plain"}})
+		_ = st.Chunk(0, 4, []byte("done"))
+		_ = st.Finish(link.Finish{Outcome: fighollow.Completed})
+	}
+	in := fighollow.Instance{Kind: fighollow.UpstreamService, Service: "orders", DataCentre: "dc"}
+	s := f.addInstance("orders-1", in, "", serve)
+	for range 2 {
+		a := f.send("POST", "/services/orders/new", "x", "Idempotency-Key", "k")
+		qt.Assert(t, a.status, qt.Equals, 202)
+		qt.Assert(t, a.body, qt.Equals, "done")
+		qt.Assert(t, a.header.Get("Content-Type"), qt.Equals, "text/plain")
+	}
+	qt.Assert(t, s.seen(), qt.HasLen, 1)
+
+	fail := func(_ context.Context, _ *link.Call, st *link.ServerStream) {
+		_ = st.Accept(fighollow.Load{})
+		_ = st.Finish(link.Finish{Outcome: fighollow.Unknown})
+	}
+	s.answer(fail)
+	two := f.addInstance("orders-2", in, "", fail)
+	for method, runs := range map[string]int{"POST": 1, "PATCH": 1, "GET": 2, "PUT": 2} {
+		before := len(calls(s, two))
+		qt.Assert(t, f.send(method, "/services/orders/x", "").status, qt.Equals, 504)
+		qt.Assert(t, len(calls(s, two))-before, qt.Equals, runs, qt.Commentf(method))
+	}
+	s.answer(func(_ context.Context, _ *link.Call, st *link.ServerStream) {
+		_ = st.Accept(fighollow.Load{})
+		_ = st.Head(200, nil)
+		_ = st.Chunk(0, 4, []byte("half"))
+		_ = st.Finish(link.Finish{Outcome: fighollow.Unknown})
+	})
+	two.answer(overloaded)
+	before := len(calls(s, two))
+	a := f.send("GET", "/services/orders/x", "")
+	qt.Assert(t, a.body, qt.Equals, "half\nBROKEN OFF")
+	qt.Assert(t, len(calls(s, two))-before <= 2, qt.IsTrue)
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -36,7 +36,8 @@
 		return refusal
 	}
 	e.metrics.refusal(refusal)
-	// The status is already with the caller; only a broken connection shows that the body is not complete.
+	// The status is decided; only a broken connection shows that the body is not complete.
+	_ = out.flush() // an error means that the caller has left
 	panic(http.ErrAbortHandler)
 }
 
