--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -1,7 +1,13 @@
 // Package membership decides which processes of a data centre are alive and who watches whom.
 package membership
 
-import "github.com/fighollow/fighollow/pkg/fighollow"
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
 
 // State is what is known of a member.
 type State string
@@ -31,3 +37,38 @@
 	// Meta grows with each change of the fields that the member itself announces.
 	Meta uint64 `msgpack:"meta,omitempty"`
 }
+
+// rank orders states of one incarnation: each state overrides those before it, and only the member itself can go back,
+// with a higher incarnation.
+func rank(s State) int {
+	switch s {
+	case Leaving:
+		return 1
+	case Suspect:
+		return 2
+	case Dead:
+		return 3
+	}
+	return 0
+}
+
+// Newer reports whether a is later word about a member than b.
+func Newer(a, b Member) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	if a.State != b.State {
+		return rank(a.State) > rank(b.State)
+	}
+	return a.Meta > b.Meta
+}
+
+// Sum returns a hash of the member's id, state and versions.
+func (m Member) Sum() uint64 {
+	b := make([]byte, 0, len(m.ID)+17)
+	b = append(b, m.ID...)
+	b = append(b, byte(rank(m.State)))
+	b = binary.BigEndian.AppendUint64(b, m.Incarnation)
+	b = binary.BigEndian.AppendUint64(b, m.Meta)
+	return xxhash.Sum64(b)
+}
