entry: tests give objects to the catalog directly

Cause: a process without peers waits 3 s before it watches the object API, which made the tests of the entry take 92 s. Change: the fake store applies its writes to the catalog at once; package spread has its own tests of the distribution. Conclusion: the tests no longer depend on the timing of spread.

--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -10,14 +10,17 @@
 	"testing"
 	"time"
 
+	"github.com/fighollow/fighollow/internal/entry"
 	"github.com/fighollow/fighollow/internal/link"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
 const patience = 10 * time.Second
 
-// memory is an object store in memory.
+// memory is an object store in memory. Its writes go to the entry's catalog at once: how objects are distributed is
+// tested in package spread.
 type memory struct {
+	entry   *entry.Entry
 	mu      sync.Mutex
 	version uint64
 	log     []fighollow.Object
@@ -35,6 +38,7 @@
 	defer m.mu.Unlock()
 	m.version++
 	m.log = append(m.log, fighollow.Object{Kind: kind, Name: name, Version: m.version, Value: value})
+	m.entry.Catalog().Apply(m.log[len(m.log)-1])
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -68,13 +68,14 @@
 		f(&cfg)
 	}
 	f := &fleet{t: t, store: newMemory(), done: make(chan error, 1), log: new(logBuffer)}
+	e, err := entry.New(cfg, f.store, zerolog.New(f.log))
+	qt.Assert(t, err, qt.IsNil)
+	f.store.entry = e
 	f.store.set(fighollow.KindInForce, fighollow.InForceName, fighollow.InForce{})
 	f.store.set(fighollow.KindModel, "m", fighollow.Model{Name: "m"})
 	f.store.set(fighollow.KindModel, "once", fighollow.Model{Name: "once", NonIdempotent: true})
 	f.store.set(fighollow.KindService, "orders", fighollow.Service{Name: "orders"})
 	f.store.set(fighollow.KindWorkspace, "acme", fighollow.Workspace{Name: "acme", Key: secret, Worth: 2, Priority: 7})
-	e, err := entry.New(cfg, f.store, zerolog.New(f.log))
-	qt.Assert(t, err, qt.IsNil)
 	f.keys = &ledger{answers: make(map[string]*fighollow.StoredAnswer), outcomes: make(map[string]fighollow.Outcome)}
 	e.SetKeys(f.keys)
 	e.SetDemandHandler(func(c *link.Conn, topic string, _ []byte) { f.log.note(c.Peer().ID + " tells " + topic) })
