spread: compressed values and staggered announcements

Cause: in a trial with 168 processes a watcher sent 97 KB/s while 4 KB/s of values changed, since all its neighbours fetched from it. Ruled out: sending values only along a tree: it needs repair when a member in it is paused.

--- a/internal/spread/message.go
+++ b/internal/spread/message.go
@@ -93,6 +93,7 @@
 	Total   int            `msgpack:"total"` // bytes of the whole value
 	Offset  int            `msgpack:"offset"`
 	Data    []byte         `msgpack:"data"`
+	Flate   bool           `msgpack:"flate,omitempty"` // Data is compressed; Offset and Total count plain bytes
 }
 
 type objectsReply struct {
--- a/internal/spread/pull.go
+++ b/internal/spread/pull.go
@@ -24,7 +24,8 @@
 	holders map[*peer]bool // have announced this version too, and need no announcement
 }
 
-// took announces objects that are new here to all peers but the one they came from.
+// took announces objects that are new here to all peers but the one they came from: to a few at once, so that no process
+// has to send a value to all its neighbours, and to those that have not announced the object themselves a little later.
 func (n *Node) took(objects []fighollow.Object, from *link.Conn) {
 	if len(objects) == 0 {
 		return
@@ -41,10 +42,21 @@
 		for _, p := range n.peers {
 			if p.conn != from && (f.version < o.Version || !f.holders[p]) {
 				p.refs[k] = max(p.refs[k], o.Version)
-				p.ring()
 			}
 		}
 	}
+	first := firstAnnounced
+	for _, p := range n.peers { // in random order
+		if len(p.refs) == 0 {
+			continue
+		}
+		if first > 0 {
+			first--
+			p.ring()
+			continue
+		}
+		time.AfterFunc(announceRest, p.ring)
+	}
 }
 
 // takeRefs notes what a peer holds and fetches what is new. n.mu is held.
@@ -176,6 +188,12 @@
 
 // assemble adds a part to what is there of its object. An object that changes between two parts starts again.
 func assemble(partial map[catalog.Key]part, k catalog.Key, p part) (o fighollow.Object, done bool, err error) {
+	if p.Flate {
+		if p.Data, err = decompress(p.Data, fighollow.MaxValueBytes); err != nil {
+			return o, false, err
+		}
+		p.Flate = false
+	}
 	if p.Total > fighollow.MaxValueBytes || p.Offset+len(p.Data) > p.Total || p.Offset < p.Total && len(p.Data) == 0 {
 		return o, false, errReply
 	}
@@ -319,9 +337,10 @@
 		}
 		from := min(max(w.Offset, 0), len(o.Value))
 		to := min(from+max(left, 1), len(o.Value))
+		data, shorter := compress(o.Value[from:to])
 		r.Parts = append(r.Parts, part{
 			Kind: o.Kind, Name: o.Name, Version: o.Version, Deleted: o.Deleted,
-			Total: len(o.Value), Offset: from, Data: o.Value[from:to],
+			Total: len(o.Value), Offset: from, Data: data, Flate: shorter,
 		})
 		left -= to - from + len(o.Kind) + len(o.Name) + refBytes
 	}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -31,8 +31,11 @@
 	// batchDelay lets announcements that arrive on several links at once leave in one message, and drops those that the
 	// receiver has announced itself in the meantime.
 	batchDelay = 30 * time.Millisecond
-	pullEvery  = time.Second
-	syncEvery  = 2 * time.Second
+	// firstAnnounced peers learn of a new object at once, the rest after announceRest.
+	firstAnnounced = 3
+	announceRest   = 300 * time.Millisecond
+	pullEvery      = time.Second
+	syncEvery      = 2 * time.Second
 	// aloneAfter is how long a process tries to reach peers before it watches the object API on its own.
 	aloneAfter      = 3 * time.Second
 	maxBatchBytes   = 256 << 10
