--- /dev/null
+++ b/internal/admission/doc.go
@@ -0,0 +1,2 @@
+// Package admission decides which requests are let in. All its functions are pure.
+package admission
