--- a/pkg/fighollow/validate.go
+++ b/pkg/fighollow/validate.go
@@ -41,70 +41,66 @@
 }
 
 func (p Policy) validate(object string) error {
-	switch {
-	case p.RoleChangeWeight < 0:
-		return invalid(object, "policy.roleChangeWeight", "%v is negative", p.RoleChangeWeight)
-	case p.MinDwellMs < 0:
-		return invalid(object, "policy.minDwellMs", "%d is negative", p.MinDwellMs)
-	case p.HorizonMs < 0:
-		return invalid(object, "policy.horizonMs", "%d is negative", p.HorizonMs)
-	case p.MaxChangesPerDataCentre < 0:
-		return invalid(object, "policy.maxChangesPerDataCentre", "%d is negative", p.MaxChangesPerDataCentre)
-	case p.MaxChangesPerModel < 0:
-		return invalid(object, "policy.maxChangesPerModel", "%d is negative", p.MaxChangesPerModel)
-	}
-	return nil
+	return notNegative(object,
+		amount{"policy.roleChangeWeight", p.RoleChangeWeight},
+		amount{"policy.minDwellMs", float64(p.MinDwellMs)},
+		amount{"policy.horizonMs", float64(p.HorizonMs)},
+		amount{"policy.maxChangesPerDataCentre", float64(p.MaxChangesPerDataCentre)},
+		amount{"policy.maxChangesPerModel", float64(p.MaxChangesPerModel)},
+	)
 }
 
 // Validate checks a workspace. Its errors are ErrInvalid and name the field.
 func (w Workspace) Validate() error {
-	object := "workspace " + w.Name
-	switch {
-	case w.Name == "":
+	if w.Name == "" {
 		return invalid("workspace", "name", "is missing or empty")
-	case w.Key == "":
+	}
+	object := "workspace " + w.Name
+	if w.Key == "" {
 		return invalid(object, "key", "is missing or empty")
-	case w.RequestsPerSecond < 0:
-		return invalid(object, "requestsPerSecond", "%v is negative", w.RequestsPerSecond)
-	case w.Burst < 0:
-		return invalid(object, "burst", "%d is negative", w.Burst)
-	case w.MaxConcurrent < 0:
-		return invalid(object, "maxConcurrent", "%d is negative", w.MaxConcurrent)
-	case w.Worth < 0:
-		return invalid(object, "worth", "%v is negative", w.Worth)
-	case w.DeadlineMs < 0:
-		return invalid(object, "deadlineMs", "%d is negative", w.DeadlineMs)
 	}
-	return nil
+	return notNegative(object,
+		amount{"requestsPerSecond", w.RequestsPerSecond},
+		amount{"burst", float64(w.Burst)},
+		amount{"maxConcurrent", float64(w.MaxConcurrent)},
+		amount{"worth", w.Worth},
+		amount{"deadlineMs", float64(w.DeadlineMs)},
+	)
 }
 
 // Validate checks a model. Its errors are ErrInvalid and name the field.
 func (m Model) Validate() error {
-	object := "model " + m.Name
-	switch {
-	case m.Name == "":
+	if m.Name == "" {
 		return invalid("model", "name", "is missing or empty")
-	case m.BytesPerToken < 0:
-		return invalid(object, "bytesPerToken", "%v is negative", m.BytesPerToken)
-	case m.MaxOutputTokens < 0:
-		return invalid(object, "maxOutputTokens", "%d is negative", m.MaxOutputTokens)
-	case m.PrefillTokensPerSecond < 0:
-		return invalid(object, "prefillTokensPerSecond", "%v is negative", m.PrefillTokensPerSecond)
-	case m.DecodeTokensPerSecond < 0:
-		return invalid(object, "decodeTokensPerSecond", "%v is negative", m.DecodeTokensPerSecond)
-	case m.LoadMs < 0:
-		return invalid(object, "loadMs", "%d is negative", m.LoadMs)
 	}
-	return nil
+	return notNegative("model "+m.Name,
+		amount{"bytesPerToken", m.BytesPerToken},
+		amount{"maxOutputTokens", float64(m.MaxOutputTokens)},
+		amount{"prefillTokensPerSecond", m.PrefillTokensPerSecond},
+		amount{"decodeTokensPerSecond", m.DecodeTokensPerSecond},
+		amount{"loadMs", float64(m.LoadMs)},
+	)
 }
 
 // Validate checks a plain service. Its errors are ErrInvalid and name the field.
 func (s Service) Validate() error {
-	switch {
-	case s.Name == "":
+	if s.Name == "" {
 		return invalid("service", "name", "is missing or empty")
-	case s.DeadlineMs < 0:
-		return invalid("service "+s.Name, "deadlineMs", "%d is negative", s.DeadlineMs)
+	}
+	return notNegative("service "+s.Name, amount{"deadlineMs", float64(s.DeadlineMs)})
+}
+
+// amount is a numeric field that must not be below 0.
+type amount struct {
+	field string
+	value float64
+}
+
+func notNegative(object string, amounts ...amount) error {
+	for _, a := range amounts {
+		if a.value < 0 {
+			return invalid(object, a.field, "%v is negative", a.value)
+		}
 	}
 	return nil
 }
