--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -67,6 +67,7 @@
 	return c.Open(link.Call{
 		Kind: a.q.kind, Request: a.q.caller.id, Attempt: a.id, Workspace: a.q.caller.workspace.Name,
 		Deadline: a.q.deadline.UnixMilli(), Idempotent: a.q.idempotent, Resume: true, Offset: a.q.offset,
+		Incarnation: a.incarnation,
 	})
 }
 
--- a/internal/sidecar/attempt_test.go
+++ b/internal/sidecar/attempt_test.go
@@ -20,6 +20,7 @@
 
 // Guards against a resumed answer that repeats or lacks a token, or an attempt that a resume runs again.
 func TestBrokenLinkIsResumedAtTheExactOffset(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{})
 	for _, at := range []uint64{0, 1, 7, 60} {
 		t.Run(fmt.Sprint(at), func(t *testing.T) {
@@ -45,6 +46,7 @@
 
 // Guards against a "not run" for an attempt whose call arrives afterwards and runs.
 func TestResumeOfAnUnseenAttemptBarsIt(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{})
 	c := f.dial()
 	call := generate("never sent", 5)
@@ -57,6 +59,7 @@
 
 // Guards against a false "not run" from a new process for an attempt that the one before it ran.
 func TestResumeAtANewProcessIsUnknown(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{})
 	c := f.dial()
 	old := resume(c, newID(), 0)
@@ -69,6 +72,7 @@
 
 // Guards against two runs of one attempt id, however its calls and resumes race.
 func TestAttemptRunsAtMostOnce(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{Slots: 16})
 	var calls []link.Call
 	for range 10 {
@@ -108,6 +112,7 @@
 
 // Guards against an engine that works on for a caller that left, and a slot that is lost with it.
 func TestCancelFreesTheSlot(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{Slots: 1})
 	c := f.dial()
 	f.control(engine.Control{Action: engine.ActionHold, Step: engine.StepToken, N: 3})
@@ -125,6 +130,7 @@
 
 // Guards against a queued attempt that runs although it was cancelled before it had a slot.
 func TestCancelledInTheQueueDoesNotRun(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{Slots: 1})
 	c := f.dial()
 	f.control(engine.Control{Action: engine.ActionHold, Step: engine.StepFirstToken})
@@ -147,6 +153,7 @@
 
 // Guards against an attempt that runs for ever after its entry was killed.
 func TestUnresumedAttemptIsCancelledAfterTheWindow(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{})
 	c := f.dial()
 	f.control(engine.Control{Action: engine.ActionHold, Step: engine.StepToken, N: 3})
@@ -163,6 +170,7 @@
 
 // Guards against an answer that is lost with the last message of a link.
 func TestFinishedAnswerCanStillBeResumed(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{})
 	c := f.dial()
 	call := generate("short", 12)
@@ -174,6 +182,7 @@
 
 // Guards against an engine crash that is told as a whole answer or as work that did not happen.
 func TestEngineCrashInMidStreamIsUnknown(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{})
 	c := f.dial()
 	f.control(engine.Control{Action: engine.ActionHold, Step: engine.StepToken, N: 4})
@@ -190,6 +199,7 @@
 
 // Guards against refusals that are not "not run", that name no retry, or that run all the same.
 func TestRefusalsAreTrue(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{Slots: 1}, func(f *fleet) { f.cfg.QueueLength = 1 })
 	c := f.dial()
 	f.control(engine.Control{Action: engine.ActionHold, Step: engine.StepFirstToken})
@@ -232,3 +242,38 @@
 	qt.Assert(t, r.finish.Outcome, qt.Equals, fighollow.Completed)
 	qt.Assert(t, len(f.attempts(queued.Attempt)), qt.Equals, 0)
 }
+
+// Guards against a token that is lost or repeated when the engine's answer breaks off, and an attempt that then runs
+// again.
+func TestBrokenEngineStreamIsResumed(t *testing.T) {
+	t.Parallel()
+	f := startEngine(t, engine.Options{})
+	c := f.dial()
+	f.control(engine.Control{Action: engine.ActionHold, Step: engine.StepToken, N: 30})
+	call := generate("broken stream", 90)
+	s, err := c.Open(call)
+	qt.Assert(t, err, qt.IsNil)
+	r := f.receive(s, reply{}, func(r reply) bool { return r.units == 30 })
+	f.control(engine.Control{Action: engine.ActionCut})
+	f.control(engine.Control{Action: engine.ActionRelease, Step: engine.StepToken})
+	r = f.receive(s, r, func(reply) bool { return false })
+	qt.Assert(t, r.text, qt.Equals, engine.Text("broken stream", 0, 90))
+	qt.Assert(t, r.finish.Outcome, qt.Equals, fighollow.Completed)
+	qt.Assert(t, len(f.attempts(call.Attempt)), qt.Equals, 1)
+}
+
+// Guards against an attempt that is told as not run, or as complete, when the engine broke off before its first word.
+func TestCutBeforeAcceptIsNotComplete(t *testing.T) {
+	t.Parallel()
+	f := startEngine(t, engine.Options{})
+	c := f.dial()
+	f.control(engine.Control{Action: engine.ActionHold, Step: engine.StepBeforeAccept})
+	s, err := c.Open(generate("never begun", 9))
+	qt.Assert(t, err, qt.IsNil)
+	await(t, "held attempt", func() bool { return f.engine.Record().Held[engine.StepBeforeAccept] == 1 })
+	f.control(engine.Control{Action: engine.ActionCut})
+	await(t, "cut", func() bool { return f.engine.Record().Held[engine.StepBeforeAccept] == 0 })
+	f.control(engine.Control{Action: engine.ActionRelease, Step: engine.StepBeforeAccept})
+	r := f.receive(s, reply{}, func(reply) bool { return false })
+	qt.Assert(t, r.finish.Outcome, qt.Equals, fighollow.Unknown)
+}
--- a/internal/sidecar/order_test.go
+++ b/internal/sidecar/order_test.go
@@ -34,6 +34,7 @@
 // Guards against a role change that interrupts an answer, or that admits work before its end. The engine here breaks
 // off work for an order.
 func TestRoleChangeWaitsForWork(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{InterruptsWork: true})
 	c := f.dial()
 	f.control(engine.Control{Action: engine.ActionHold, Step: engine.StepToken, N: 5})
@@ -56,6 +57,7 @@
 
 // Guards against an engine that stays empty after a crash in the middle of a change, or that gets another fence for it.
 func TestCrashInAChangeIsOrderedAgain(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{})
 	f.control(engine.Control{Action: engine.ActionHold, Step: engine.StepOrderApplied})
 	f.plan(2, assignment("velvet", 2))
@@ -70,6 +72,7 @@
 
 // Guards against an order that is repeated, or work that is admitted too early, when the reply to an order was lost.
 func TestOrderWithALostReplyIsObserved(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{InterruptsWork: true})
 	f.control(engine.Control{Action: engine.ActionHold, Step: engine.StepOrderReply})
 	f.plan(2, assignment("velvet", 2))
@@ -82,6 +85,7 @@
 // Guards against a new sidecar that orders or serves before an order left by a killed one has taken effect, at an engine
 // that ignores fencing numbers.
 func TestNewSidecarWaitsForAnOrderLeftBehind(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, "engine")
 	f.cfg.Upstream.ChecksFence, f.cfg.Upstream.OrderSettleMs = false, 600
 	f.attach(engine.Options{InterruptsWork: true, Change: 20 * time.Millisecond, Initial: assignment("loom", 1)})
@@ -116,6 +120,7 @@
 
 // Guards against a drain that interrupts, is not told to the entries, or does not end with a restore.
 func TestDrainAndRestore(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{})
 	c := f.dial()
 	f.put(fighollow.KindDrain, "upstream-1", fighollow.Drain{Action: fighollow.ActionDrain, By: "operator"})
@@ -135,6 +140,7 @@
 
 // Guards against a replaced engine whose successor is never used.
 func TestReplaceEndsWithTheSuccessor(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{})
 	c := f.dial()
 	f.put(fighollow.KindDrain, "upstream-1", fighollow.Drain{
@@ -159,6 +165,7 @@
 
 // Guards against an admin server without its three paths.
 func TestAdminPaths(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{})
 	for _, path := range []string{"/healthz", "/readyz", "/metrics"} {
 		qt.Assert(t, f.admin(path), qt.Equals, http.StatusOK, qt.Commentf(path))
@@ -167,6 +174,7 @@
 
 // Guards against an answer that is interrupted while roles change back and forth under load.
 func TestChangesUnderLoadInterruptNothing(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{InterruptsWork: true, Slots: 4, DecodeRate: 500}, func(f *fleet) { f.cfg.Upstream.OrderSettleMs = 50 })
 	stop := make(chan struct{})
 	done := make(chan int)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -17,6 +17,7 @@
 
 // Guards against an answer that differs from what the engine produced, or an empty engine that is never ordered.
 func TestCallRunsEndToEnd(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{})
 	call := generate("cut the sleeve two centimetres shorter", 300)
 	r := f.run(f.dial(), call)
@@ -29,6 +30,7 @@
 
 // Guards against a moved answer that does not continue at the exact token already delivered.
 func TestContinuationStartsAtItsOffset(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{})
 	call := generate("fit verdict", 50)
 	call.Offset, call.Generate.Offset = 20, 20
@@ -40,6 +42,7 @@
 
 // Guards against a decode engine that recomputes or takes a wrong cache, and a failed import that is told as run.
 func TestDecodeImportsTheCacheOrDidNotRun(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{})
 	c := f.dial()
 	pre := generate("covenant check", 0)
@@ -62,6 +65,7 @@
 
 // Guards against a plain service's answer that is cut, doubled or lacks its status.
 func TestPlainCallRunsOnce(t *testing.T) {
+	t.Parallel()
 	f := startPlain(t)
 	r := f.run(f.dialServing(), serviceCall(http.MethodPost))
 	qt.Assert(t, r.head.Status, qt.Equals, 200)
@@ -74,6 +78,7 @@
 // Guards against a call of a plain service that is repeated when its connection breaks after it ran: net/http itself
 // repeats requests that carry an Idempotency-Key.
 func TestBrokenPlainCallIsUnknownAndNotRepeated(t *testing.T) {
+	t.Parallel()
 	f := startPlain(t)
 	c := f.dialServing()
 	qt.Assert(t, f.run(c, serviceCall(http.MethodPost)).finish.Outcome, qt.Equals, fighollow.Completed)
@@ -116,6 +121,7 @@
 
 // Guards against a stop that interrupts an answer, takes new work, or does not tell the entries.
 func TestStopFinishesWorkInFlight(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{})
 	c := f.dial()
 	f.control(engine.Control{Action: engine.ActionHold, Step: engine.StepToken, N: 10})
@@ -145,6 +151,7 @@
 
 // Guards against a second sidecar beside one engine, which would be a second sender of orders.
 func TestSecondSidecarCannotStart(t *testing.T) {
+	t.Parallel()
 	f := startEngine(t, engine.Options{})
 	second, err := sidecar.New(f.cfg, f.store, testLog(t))
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/standin/engine/control.go
+++ b/internal/standin/engine/control.go
@@ -26,6 +26,7 @@
 	ActionHold    = "hold"
 	ActionRelease = "release"
 	ActionCrash   = "crash"
+	ActionCut     = "cut" // breaks open answers off; their attempts go on and can be resumed
 )
 
 // Control is the body of POST /control.
@@ -105,9 +106,13 @@
 
 // Control holds or releases a step, or crashes the engine.
 func (e *Engine) Control(c Control) error {
-	if c.Action == ActionCrash {
+	switch c.Action {
+	case ActionCrash:
 		e.Crash()
 		return nil
+	case ActionCut:
+		e.cut()
+		return nil
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -130,6 +135,14 @@
 	return nil
 }
 
+// cut breaks open answers off.
+func (e *Engine) cut() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.life.cut()
+	e.life.streams, e.life.cut = context.WithCancel(e.life.ctx)
+}
+
 // wait blocks while step is held. It reports false when ctx ended first.
 func (e *Engine) wait(ctx context.Context, step string) bool {
 	e.mu.Lock()
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -75,6 +75,8 @@
 type life struct {
 	ctx       context.Context // ends with the crash
 	end       context.CancelFunc
+	streams   context.Context // ends when open answers are cut
+	cut       context.CancelFunc
 	started   time.Time
 	phase     fighollow.Phase
 	now       fighollow.Assignment
@@ -117,8 +119,9 @@
 
 func (e *Engine) newLife() *life {
 	ctx, cancel := context.WithCancel(context.Background())
+	streams, cut := context.WithCancel(ctx)
 	return &life{
-		ctx: ctx, end: cancel, started: time.Now(), phase: fighollow.PhaseEmpty,
+		ctx: ctx, end: cancel, streams: streams, cut: cut, started: time.Now(), phase: fighollow.PhaseEmpty,
 		attempts: make(map[string]*attempt), exports: make(map[string]export),
 		cache: newPrefixCache(e.opts.CacheBlocks),
 	}
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -62,10 +62,10 @@
 	}
 }
 
-// withLife returns a context that also ends when the engine crashes.
+// withLife returns a context that also ends when the engine crashes or answers are cut.
 func (e *Engine) withLife(ctx context.Context) (context.Context, context.CancelFunc) {
 	e.mu.Lock()
-	life := e.life.ctx
+	life := e.life.streams
 	e.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(life, cancel)
