entry: random walk over outcomes, and draining that can end

Cause: no test combined failures, and a sidecar that said "leaving" because of a drain was left out for ever, although it serves again with the same incarnation after a restore. The reason in the Tell separates a stop (left out for that incarnation) from a drain (left out for 5 s, by which time the list lacks the upstream). Refusals because of draining pause an upstream for 2 to 10 s, growing. Ruled out: ending the exclusion when a member is seen alive with a higher meta: a role change announced just before the drain looks the same.

--- a/internal/entry/balance.go
+++ b/internal/entry/balance.go
@@ -108,10 +108,14 @@
 	return b.router.Reached(time.Now(), id, incarnation)
 }
 
-func (b *balance) left(id string, incarnation int64) {
+func (b *balance) left(id string, incarnation int64, forever bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.router.Left(time.Now(), id, incarnation)
+	if forever {
+		b.router.Left(time.Now(), id, incarnation)
+	} else {
+		b.router.Drained(time.Now(), id)
+	}
 }
 
 func (b *balance) linkClosed(id string, incarnation int64) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -78,7 +78,7 @@
 	self := membership.Member{
 		ID: cfg.ID, Incarnation: uint64(e.incarnation), Kind: fighollow.InstanceEntry, DataCentre: cfg.DataCentre, Link: cfg.Link,
 	}
-	opts := spread.Options{Peers: cfg.Peers, RemotePeers: cfg.RemotePeers, Link: e.linkOpts}
+	opts := spread.Options{Peers: cfg.Peers, RemotePeers: cfg.RemotePeers, Link: e.linkOpts, Region: cfg.Region}
 	e.node = spread.New(opts, self, store, e.cat, log)
 	e.links = newPool(e.hello(), &peerHandler{e: e}, e.linkOpts)
 	e.balance.router = routing.New(cfg.ID, cfg.DataCentre, routing.Options{})
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -5,13 +5,16 @@
 	"fmt"
 	"strings"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/link"
 	"github.com/fighollow/fighollow/internal/spread"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
-// LeavingTopic is the topic of the Tell with which a sidecar says that it takes no new work. Its body is not used.
+// LeavingTopic is the topic of the Tell with which a sidecar says that it takes no new work. Its body is a map in which
+// the entry reads the reason only; the link names the process.
 const LeavingTopic = "sidecar.leaving"
 
 // Prefixes of topics for which a handler can be set.
@@ -51,8 +54,7 @@
 func (h *peerHandler) HandleTell(c *link.Conn, topic string, body []byte) {
 	switch {
 	case topic == LeavingTopic:
-		h.e.balance.left(c.Peer().ID, c.Peer().Incarnation)
-		event.UpstreamLeaving.Log(&h.e.log).Str("upstream", c.Peer().ID).Send()
+		h.e.upstreamLeaving(c, body)
 	case strings.HasPrefix(topic, spread.Topic):
 		h.e.node.HandleTell(c, topic, body)
 	case strings.HasPrefix(topic, DemandTopic) && h.e.tellDemand != nil:
@@ -60,6 +62,16 @@
 	}
 }
 
+// upstreamLeaving keeps new work from a sidecar. One that stops never takes work again; one that drains can be restored.
+func (e *Entry) upstreamLeaving(c *link.Conn, body []byte) {
+	var leaving struct {
+		Reason string `msgpack:"reason"`
+	}
+	forever := msgpack.Unmarshal(body, &leaving) != nil || leaving.Reason == "" || leaving.Reason == "stop"
+	e.balance.left(c.Peer().ID, c.Peer().Incarnation, forever)
+	event.UpstreamLeaving.Log(&e.log).Str("upstream", c.Peer().ID).Str("reason", leaving.Reason).Send()
+}
+
 // HandleOpen implements link.Handler.
 func (h *peerHandler) HandleOpen(*link.Conn) {}
 
--- a/internal/routing/exclusion.go
+++ b/internal/routing/exclusion.go
@@ -7,8 +7,13 @@
 )
 
 const (
-	// drainingPause is how long an upstream that refused because it is draining is left out before it is asked again.
-	drainingPause = 2 * time.Second
+	// drainingPause is how long an upstream that refused because it is draining is left out before it is asked again. It
+	// grows with each such refusal in a row up to its bound.
+	drainingPause    = 2 * time.Second
+	maxDrainingPause = 10 * time.Second
+	// drainedPause is how long an upstream that said that it drains is left out; by then the list of upstreams, which
+	// follows the drains and the members, lacks it.
+	drainedPause  = 5 * time.Second
 	notReadyPause = time.Second
 	// unreachablePause and its bound grow with each failure in a row.
 	unreachablePause    = time.Second
@@ -25,6 +30,7 @@
 	until       time.Time // gets nothing before
 	weakUntil   time.Time // gets something only when there is no other upstream
 	failures    int       // in a row
+	drains      int       // refusals in a row because of draining
 }
 
 func (x *exclusion) excluded(now time.Time) bool {
@@ -37,13 +43,19 @@
 	pause := time.Duration(0)
 	switch r.Code {
 	case fighollow.CodeDraining, fighollow.CodeStopping:
-		pause = drainingPause
+		pause = min(drainingPause<<min(x.drains, 4), maxDrainingPause)
+		x.drains++
 	case fighollow.CodeNotReady, fighollow.CodeModelNotFound, fighollow.CodeNoUpstream:
 		pause = notReadyPause
 	default:
 		return
 	}
-	until := now.Add(max(pause, min(time.Duration(r.RetryAfterMs)*time.Millisecond, maxUnreachablePause)))
+	x.extend(now.Add(max(pause, min(time.Duration(r.RetryAfterMs)*time.Millisecond, maxUnreachablePause))))
+}
+
+func (x *exclusion) drained(now time.Time) { x.extend(now.Add(drainedPause)) }
+
+func (x *exclusion) extend(until time.Time) {
 	if until.After(x.until) {
 		x.until = until
 	}
@@ -67,7 +79,7 @@
 		return true
 	}
 	x.leavingOpen = false
-	x.until = now.Add(leavingPause)
+	x.extend(now.Add(leavingPause))
 	return false
 }
 
@@ -78,6 +90,6 @@
 func (x *exclusion) linkClosed(now time.Time, incarnation int64) {
 	if x.leaving != 0 && incarnation == x.leaving && x.leavingOpen {
 		x.leavingOpen = false
-		x.until = now.Add(leavingPause)
+		x.extend(now.Add(leavingPause))
 	}
 }
--- a/internal/routing/machine_test.go
+++ b/internal/routing/machine_test.go
@@ -21,6 +21,13 @@
 	tellOpen   bool      // the link of the process that said that it leaves is open
 	tellClosed time.Time // or when its process was last found to be the one that leaves
 	drained    time.Time // end of the time in which a refusal keeps work away
+	drains     int       // refusals since it last accepted
+}
+
+func (e *truth) drain(until time.Time) {
+	if until.After(e.drained) {
+		e.drained = until
+	}
 }
 
 // mayGetWork says whether an attempt may be sent; sure is false where the router may be more careful.
@@ -91,10 +98,22 @@
 				id, e := pick(t)
 				code := rapid.SampledFrom([]fighollow.Code{fighollow.CodeDraining, fighollow.CodeOverloaded}).Draw(t, "code")
 				if code == fighollow.CodeDraining {
-					e.drained = now.Add(2 * time.Second)
+					pause := min(2*time.Second<<min(e.drains, 4), 10*time.Second)
+					e.drains++
+					e.drain(now.Add(pause))
 				}
 				r.Refused(now, id, &fighollow.Refusal{Code: code, Outcome: fighollow.NotRun}, fighollow.Load{Slots: 4})
 			},
+			"draining": func(t *rapid.T) {
+				id, e := pick(t)
+				e.drain(now.Add(5 * time.Second))
+				r.Drained(now, id)
+			},
+			"accepted": func(t *rapid.T) {
+				id, e := pick(t)
+				e.drains = 0
+				r.Accepted(now, id, fighollow.Load{Slots: 4}, nil)
+			},
 			"request": func(t *rapid.T) { dispatch(t, r, known, &now) },
 		})
 	})
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -140,6 +140,7 @@
 func (r *Router) Accepted(now time.Time, id string, load fighollow.Load, blocks []uint64) {
 	n := r.node(id)
 	n.load.report(now, load)
+	n.away.drains = 0
 	r.prefixes.learn(now, blocks, n)
 }
 
@@ -193,6 +194,14 @@
 	n.away.left(incarnation)
 }
 
+// Drained notes that an upstream takes no new work but can be restored. It is left out until the list of upstreams must
+// have learned of that.
+func (r *Router) Drained(now time.Time, id string) {
+	n := r.node(id)
+	n.updated = now
+	n.away.drained(now)
+}
+
 // LinkClosed notes that the link to the sidecar with this incarnation has closed.
 func (r *Router) LinkClosed(now time.Time, id string, incarnation int64) {
 	r.node(id).away.linkClosed(now, incarnation)
