entry: benchmarks of a loaded entry

Cause: one entry must carry 50 times its share of the target load, about 320 requests/s and 86,000 tokens/s. Change: BenchmarkLoad (320 requests/s of 270 tokens, one every 10 ms) and BenchmarkTokens (as fast as they come).

--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -150,7 +150,7 @@
 }
 
 // restart replaces the process at the sidecar's address by one with a higher incarnation.
-func (f *sidecar) restart(t *testing.T) {
+func (f *sidecar) restart(t testing.TB) {
 	f.l.Close()
 	eventually(t, func() bool {
 		l, err := link.Listen(f.addr, link.Hello{ID: f.id, Kind: fighollow.UpstreamEngine, Incarnation: time.Now().UnixMilli() + 1}, f, link.Options{}, nil)
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -22,7 +22,7 @@
 
 // fleet is an entry with fake sidecars.
 type fleet struct {
-	t     *testing.T
+	t     testing.TB
 	store *memory
 	entry *entry.Entry
 	url   string
@@ -56,7 +56,7 @@
 const secret = "secret-of-acme"
 
 // startFleet runs an entry whose workspace acme has the key secret and whose models are m and once (not idempotent).
-func startFleet(t *testing.T, change ...func(*settings.Entry)) *fleet {
+func startFleet(t testing.TB, change ...func(*settings.Entry)) *fleet {
 	cfg := settings.Entry{
 		Process: settings.Process{
 			ID: "entry-1", DataCentre: "dc", Region: "r", Link: "127.0.0.1:0", Admin: "127.0.0.1:0",
@@ -164,7 +164,7 @@
 	return string(b)
 }
 
-func eventually(t *testing.T, ok func() bool) {
+func eventually(t testing.TB, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
 		if ok() {
@@ -212,7 +212,7 @@
 }
 
 // content returns the text of a chat completion, streamed or not.
-func (a answer) content(t *testing.T) string {
+func (a answer) content(t testing.TB) string {
 	t.Helper()
 	type choice struct {
 		Message, Delta struct{ Content string }
@@ -239,7 +239,7 @@
 }
 
 // refusal returns the error of an answer or of its error event.
-func (a answer) refusal(t *testing.T) (code string, notRun bool) {
+func (a answer) refusal(t testing.TB) (code string, notRun bool) {
 	t.Helper()
 	var v struct {
 		Error struct {
--- /dev/null
+++ b/internal/entry/load_test.go
@@ -0,0 +1,121 @@
+package entry_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/fighollow/fighollow/internal/link"
+	"github.com/fighollow/fighollow/internal/settings"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// paced answers with n tokens, one every gap.
+func paced(n int, gap time.Duration) func(context.Context, *link.Call, *link.ServerStream) {
+	return func(ctx context.Context, _ *link.Call, s *link.ServerStream) {
+		if s.Accept(fighollow.Load{Slots: 1000}) != nil {
+			return
+		}
+		next := time.Now()
+		for i := range n {
+			if s.Chunk(uint64(i), 1, []byte("token ")) != nil {
+				return
+			}
+			next = next.Add(gap)
+			time.Sleep(time.Until(next))
+		}
+		finish(s, n)
+	}
+}
+
+// drain reads a streamed answer and returns the number of events with text.
+func drain(r io.Reader) int {
+	br := bufio.NewReader(r)
+	n := 0
+	for {
+		line, err := br.ReadSlice('\n')
+		if bytes.Contains(line, []byte(`"finish_reason":null`)) {
+			n++
+		}
+		if err != nil {
+			return n
+		}
+	}
+}
+
+func cpu() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkLoad sends 320 requests/s of 270 tokens each, 50 times one entry's share of the target load, for 6 s. Callers
+// and sidecars run in the same process, so the CPU time includes theirs.
+func BenchmarkLoad(b *testing.B) {
+	const rate, tokens, seconds = 320, 270, 6
+	f := startFleet(b, func(s *settings.Entry) { s.MaxOpenRequests = 5000 })
+	for i := range 16 {
+		f.add(fmt.Sprintf("engine-%d", i), "m", paced(tokens, 10*time.Millisecond))
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2000}}
+	var got, failed atomic.Int64
+	for b.Loop() {
+		var wg sync.WaitGroup
+		before, began := cpu(), time.Now()
+		tick := time.NewTicker(time.Second / rate)
+		for range rate * seconds {
+			<-tick.C
+			wg.Go(func() {
+				body := `{"model":"m","prompt":"hi","stream":true}`
+				req, err := http.NewRequest("POST", f.url+"/v1/completions", bytes.NewReader([]byte(body)))
+				if err != nil {
+					failed.Add(1)
+					return
+				}
+				req.Header.Set("X-Workspace-Key", secret)
+				res, err := client.Do(req)
+				if err != nil {
+					failed.Add(1)
+					return
+				}
+				defer res.Body.Close()
+				got.Add(int64(drain(res.Body)))
+			})
+		}
+		tick.Stop()
+		wg.Wait()
+		took := time.Since(began)
+		b.ReportMetric(float64(got.Load())/took.Seconds(), "tokens/s")
+		b.ReportMetric((cpu()-before).Seconds()/took.Seconds(), "cores")
+		b.ReportMetric(float64(failed.Load()), "failed")
+	}
+	b.Log(f.get(f.admin + "/metrics"))
+}
+
+// BenchmarkTokens streams tokens as fast as they come and reports the cost of one, callers and sidecars included.
+func BenchmarkTokens(b *testing.B) {
+	f := startFleet(b)
+	const tokens = 1000
+	for i := range 4 {
+		f.add(fmt.Sprintf("engine-%d", i), "m", words(tokens))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		res := f.open(context.Background(), "POST", "/v1/completions", `{"model":"m","prompt":"hi","stream":true}`)
+		if n := drain(res.Body); n != tokens {
+			b.Fatalf("%d tokens", n)
+		}
+		res.Body.Close()
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/tokens, "ns/token")
+}
