spread: blind watchers give way, and twins refute slowly

Cause: two watchers that cannot reach the object API, while others of the data centre can, kept the data centre behind if no other data centre could be reached either. Two processes with one id outbid each other's incarnations without pause. Change: a watcher that fails for 10 s announces that it is blind, and others come first for 5 min; a process refutes at most twice in a heartbeat's interval. Ruled out: more watchers: their calls wait at the API all the time, and they can be cut off together as well. Measured: tests only. In trial mutations, switching off either rule fails its test. A first version of the test for blind watchers passed without the rule, because it cut the stores before the elected two had begun to watch; it now waits. Conclusion: an outage of the whole API lets two members after the other try and give way, one announcement each 5 s.

--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -57,17 +57,18 @@
 // Machine is the membership as one process sees it. It uses no clock and no network: each method takes the present time
 // and what happened, and returns what to do. It is not safe for concurrent use.
 type Machine struct {
-	opts     Options
-	self     Member
-	members  map[string]*record // all but self
-	ring     []string           // ids of members that are not dead, self included, in ring order
-	dial     []string           // neighbours that this process connects to
-	near     map[string]bool    // neighbours in both directions
-	sum      uint64
-	lastTick time.Time
-	lastBeat time.Time
-	lastTry  time.Time
-	tries    int
+	opts       Options
+	self       Member
+	members    map[string]*record // all but self
+	ring       []string           // ids of members that are not dead, self included, in ring order
+	dial       []string           // neighbours that this process connects to
+	near       map[string]bool    // neighbours in both directions
+	sum        uint64
+	lastTick   time.Time
+	lastBeat   time.Time
+	lastTry    time.Time
+	lastRefute time.Time
+	tries      int
 }
 
 // New returns a Machine that knows only self.
@@ -199,7 +200,7 @@
 func (m *Machine) Announce(change func(m *Member), now time.Time) []Action {
 	next := m.self
 	change(&next)
-	m.self.Role, m.self.Model, m.self.ModelVersion = next.Role, next.Model, next.ModelVersion
+	m.self.Role, m.self.Model, m.self.ModelVersion, m.self.Blind = next.Role, next.Model, next.ModelVersion, next.Blind
 	if next.State == Leaving {
 		m.self.State = Leaving
 	}
@@ -216,7 +217,7 @@
 			continue
 		}
 		if u.ID == m.self.ID {
-			out = m.refute(out, u)
+			out = m.refute(out, u, now)
 			continue
 		}
 		out = m.take(out, u, now)
@@ -241,12 +242,16 @@
 	return u.ID != "" && u.DataCentre == m.self.DataCentre
 }
 
-func (m *Machine) refute(out []Action, u Member) []Action {
+// refute raises the own incarnation above other word about this process. Two processes with the same id would otherwise
+// outbid each other as fast as messages travel, so it does so at most twice in a heartbeat's interval; heartbeats and
+// exchanges repeat a suspicion that is not answered.
+func (m *Machine) refute(out []Action, u Member, now time.Time) []Action {
 	behind := u.Incarnation < m.self.Incarnation ||
 		u.Incarnation == m.self.Incarnation && rank(u.State) <= rank(m.self.State) && u.Meta <= m.self.Meta
-	if behind {
+	if behind || now.Sub(m.lastRefute) < m.opts.Heartbeat/2 {
 		return out
 	}
+	m.lastRefute = now
 	m.self.Incarnation = u.Incarnation + 1
 	m.self.Meta = max(m.self.Meta, u.Meta)
 	return append(out, Action{Kind: ActionRefute, Member: m.self})
--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -286,6 +286,21 @@
 	qt.Assert(t, m.Heard("other", now), qt.DeepEquals, []membership.Action{{Kind: membership.ActionTell, To: "other", Member: suspect}})
 }
 
+// Guards against two processes with one id that outbid each other without pause, as an old instance and its replacement.
+func TestProcessesWithTheSameIDRefuteSlowly(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	self := membership.Member{ID: "twin", DataCentre: "hall-a", Incarnation: 1}
+	a := membership.New(membership.Options{}, self, now)
+	self.Incarnation = 2
+	b := membership.New(membership.Options{}, self, now)
+	refutations := 0
+	for range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		refutations += len(a.Merge(b.Members(), now)) + len(b.Merge(a.Members(), now))
+	}
+	qt.Assert(t, refutations <= 22, qt.IsTrue, qt.Commentf("%d in 10 s", refutations))
+}
+
 // Guards against memory that grows with what peers send, and against members of other data centres in the ring.
 func TestForeignAndExcessMembersAreIgnored(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -34,6 +34,8 @@
 	Role         fighollow.Role `msgpack:"role,omitempty"`
 	Model        string         `msgpack:"model,omitempty"`
 	ModelVersion string         `msgpack:"modelVersion,omitempty"`
+	// Blind says that the member has tried for long to reach the object API and failed, so that others should watch it.
+	Blind bool `msgpack:"blind,omitempty"`
 	// Meta grows with each change of the fields that the member itself announces.
 	Meta uint64 `msgpack:"meta,omitempty"`
 }
--- a/internal/membership/ring.go
+++ b/internal/membership/ring.go
@@ -54,19 +54,23 @@
 func (m *Machine) Near(id string) bool { return m.near[id] }
 
 // Watchers returns the ids of the n members that watch the object API for the data centre: those first in rendezvous
-// order among the members that are neither dead nor leaving.
+// order among the members that are neither dead nor leaving; blind ones come last.
 func (m *Machine) Watchers(n int) []string {
 	type candidate struct {
 		id     string
 		weight uint64
+		blind  bool
 	}
 	var all []candidate
 	for _, id := range m.ring {
 		if member, _ := m.Get(id); member.State != Leaving {
-			all = append(all, candidate{id, xxhash.Sum64String("watcher/" + id)})
+			all = append(all, candidate{id, xxhash.Sum64String("watcher/" + id), member.Blind})
 		}
 	}
 	sort.Slice(all, func(i, j int) bool {
+		if all[i].blind != all[j].blind {
+			return all[j].blind
+		}
 		return all[i].weight > all[j].weight || all[i].weight == all[j].weight && all[i].id < all[j].id
 	})
 	var out []string
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -55,14 +55,15 @@
 // Node is the part of a process that takes part in membership and in the distribution of objects. Its methods are safe
 // for concurrent use.
 type Node struct {
-	opts    Options
-	store   fighollow.ObjectStore
-	cat     *catalog.Catalog
-	log     zerolog.Logger
-	hello   link.Hello
-	budget  int // bytes of a reply
-	started time.Time
-	done    chan struct{} // closed when Run ends
+	opts      Options
+	store     fighollow.ObjectStore
+	cat       *catalog.Catalog
+	log       zerolog.Logger
+	hello     link.Hello
+	budget    int // bytes of a reply
+	started   time.Time
+	done      chan struct{} // closed when Run ends
+	heartbeat time.Duration
 
 	mu       sync.Mutex
 	machine  *membership.Machine
@@ -75,6 +76,7 @@
 	lastPull time.Time
 	lastSync time.Time
 	lastSeed time.Time
+	blindAt  time.Time
 	watch    context.CancelFunc // ends this process's watch; nil while it is not a watcher
 	sent     int64              // on links that have ended
 	received int64
@@ -90,8 +92,13 @@
 	if maxFrame == 0 {
 		maxFrame = link.DefaultMaxFrame
 	}
+	heartbeat := opts.Membership.Heartbeat
+	if heartbeat <= 0 {
+		heartbeat = membership.DefaultHeartbeat
+	}
 	return &Node{
-		opts: opts, store: store, cat: cat, log: log,
+		heartbeat: heartbeat,
+		opts:      opts, store: store, cat: cat, log: log,
 		hello: link.Hello{
 			ID: self.ID, Incarnation: int64(self.Incarnation), Kind: self.Kind,
 			DataCentre: self.DataCentre, Region: opts.Region, Link: self.Link,
@@ -112,11 +119,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	defer n.close()
 	go n.bootstrap(ctx)
-	heartbeat := n.opts.Membership.Heartbeat
-	if heartbeat <= 0 {
-		heartbeat = membership.DefaultHeartbeat
-	}
-	t := time.NewTicker(heartbeat / ticksPerHeartbeat)
+	t := time.NewTicker(n.heartbeat / ticksPerHeartbeat)
 	defer t.Stop()
 	for {
 		n.tick(ctx, time.Now())
@@ -136,6 +139,9 @@
 	n.prune(now)
 	n.seed(ctx, now)
 	n.electWatch(ctx, now)
+	if n.machine.Self().Blind && now.Sub(n.blindAt) >= blindRest*n.heartbeat {
+		n.act(ctx, n.machine.Announce(func(m *membership.Member) { m.Blind = false }, now), nil)
+	}
 }
 
 func (n *Node) close() {
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -122,6 +122,48 @@
 	eventually(t, patience, "preset everywhere", inForce(procs, v))
 }
 
+// Guards against a data centre that stays behind because both its watchers, and only they, cannot reach the object API.
+func TestBlindWatchersAreReplaced(t *testing.T) {
+	t.Parallel()
+	a := newAPI(t, objects.Options{})
+	v := a.use(t, "ordinary")
+	procs := startFleet(t, a, 5, []string{"hall-a"}, quick)
+	eventually(t, patience, "all members known", func() bool { return allSee(procs, 5) })
+	eventually(t, patience, "preset everywhere", inForce(procs, v))
+	eventually(t, patience, "two watches", func() bool { return a.Counts().Waiting == spread.Watchers })
+	watchers := membersWatching(procs)
+	for _, p := range procs {
+		p.store.cut.Store(watchers[p.id])
+	}
+	v = a.use(t, "peak")
+	eventually(t, patience, "preset everywhere", inForce(procs, v))
+	eventually(t, patience, "both are known to be blind", func() bool {
+		blind := 0
+		for _, m := range procs[0].node.Members() {
+			if m.Blind && watchers[m.ID] {
+				blind++
+			}
+		}
+		return blind == spread.Watchers
+	})
+}
+
+// Guards against processes that cannot join because their settings name no peers; the platform's list names them.
+func TestProcessesJoinThroughThePlatformsList(t *testing.T) {
+	t.Parallel()
+	a := newAPI(t, objects.Options{})
+	v := a.use(t, "ordinary")
+	var procs []*proc
+	for i := range 4 {
+		id, addr := fmt.Sprint("p", i), freeAddr(t)
+		a.put(t, fighollow.KindInstance, id, fighollow.Instance{ID: id, DataCentre: "hall-a", Link: addr})
+		procs = append(procs, start(t, a, id, "hall-a", addr, quick))
+	}
+	eventually(t, patience, "all members known", func() bool { return allSee(procs, 4) })
+	eventually(t, patience, "preset everywhere", inForce(procs, v))
+	eventually(t, patience, "two watches", func() bool { return a.Counts().Waiting == spread.Watchers })
+}
+
 // Guards against a data centre that is the only one to lose the object API and stays behind.
 func TestDataCentreWithoutTheAPIFollowsOthers(t *testing.T) {
 	t.Parallel()
--- a/internal/spread/watch.go
+++ b/internal/spread/watch.go
@@ -9,6 +9,7 @@
 
 	"github.com/fighollow/fighollow/internal/catalog"
 	"github.com/fighollow/fighollow/internal/event"
+	"github.com/fighollow/fighollow/internal/membership"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -57,10 +58,29 @@
 	}
 }
 
+// blindHeartbeats and blindRest say after how many heartbeat intervals of failure a watcher lets other members try, and
+// after how many more it offers itself again.
+const (
+	blindHeartbeats = 5
+	blindRest       = 150
+)
+
+// setBlind announces whether this process has failed to reach the object API for long.
+func (n *Node) setBlind(blind bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.machine.Self().Blind == blind {
+		return
+	}
+	n.blindAt = time.Now()
+	n.act(context.Background(), n.machine.Announce(func(m *membership.Member) { m.Blind = blind }, time.Now()), nil)
+}
+
 // watchLoop lists the objects and follows their changes until ctx ends.
 func (n *Node) watchLoop(ctx context.Context) {
 	var after uint64
-	listed, failing := false, false
+	var failing time.Time // since when; zero while the last call succeeded
+	listed := false
 	for retry := firstRetry; ctx.Err() == nil; {
 		var err error
 		if listed {
@@ -70,13 +90,16 @@
 		}
 		switch {
 		case err == nil:
-			listed, failing, retry = true, false, firstRetry
+			listed, failing, retry = true, time.Time{}, firstRetry
+			n.setBlind(false)
 			continue
 		case errors.Is(err, fighollow.ErrWatchExpired):
 			listed = false
-		case ctx.Err() == nil && !failing:
-			failing = true
+		case ctx.Err() == nil && failing.IsZero():
+			failing = time.Now()
 			event.WatchFailed.Log(&n.log).Err(err).Send()
+		case ctx.Err() == nil && time.Since(failing) >= blindHeartbeats*n.heartbeat:
+			n.setBlind(true)
 		}
 		select {
 		case <-ctx.Done():
