membership: cheap Members, and the measurement times a death

Cause: entries read the members for each request; a sorted copy of 168 members for each call costs 33 KB. Conclusion: callers must not change the slice.

--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -64,6 +64,7 @@
 	dial       []string           // neighbours that this process connects to
 	near       map[string]bool    // neighbours in both directions
 	sum        uint64
+	list       []Member // answer of Members; nil after a change
 	lastTick   time.Time
 	lastBeat   time.Time
 	lastTry    time.Time
@@ -87,14 +88,18 @@
 // Sum returns an order-independent hash of all members that are not dead. Equal sums mean equal members.
 func (m *Machine) Sum() uint64 { return m.sum }
 
-// Members returns all known members, this process included, in the order of their ids.
+// Members returns all known members, this process included, in the order of their ids. The slice is not changed later and
+// must not be changed by the caller, so that a call is cheap while nothing happens.
 func (m *Machine) Members() []Member {
-	out := []Member{m.self}
+	if m.list != nil {
+		return m.list
+	}
+	m.list = append(make([]Member, 0, len(m.members)+1), m.self)
 	for _, r := range m.members {
-		out = append(out, r.Member)
+		m.list = append(m.list, r.Member)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
-	return out
+	sort.Slice(m.list, func(i, j int) bool { return m.list[i].ID < m.list[j].ID })
+	return m.list
 }
 
 // Get returns a known member.
@@ -150,6 +155,7 @@
 		case r.State == Dead:
 			if now.Sub(r.since) >= m.opts.Forget {
 				delete(m.members, id)
+				changed = true
 			}
 		case r.State == Suspect:
 			if now.Sub(r.since) >= m.opts.RefuteWithin {
--- a/internal/membership/ring.go
+++ b/internal/membership/ring.go
@@ -9,6 +9,7 @@
 
 // arrange recomputes ring, neighbours and sum after a change. A new neighbour's silence counts from now.
 func (m *Machine) arrange(now time.Time) {
+	m.list = nil
 	m.ring = append(m.ring[:0], m.self.ID)
 	m.sum = m.self.Sum()
 	for id, r := range m.members {
--- a/internal/spread/measure_test.go
+++ b/internal/spread/measure_test.go
@@ -14,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/fighollow/fighollow/internal/membership"
 	"github.com/fighollow/fighollow/internal/spread"
 	"github.com/fighollow/fighollow/internal/standin/objects"
 	"github.com/fighollow/fighollow/pkg/fighollow"
@@ -78,8 +79,8 @@
 	idle := duration(t, "SPREAD_IDLE", 20*time.Second)
 	busy := duration(t, "SPREAD_BUSY", 20*time.Second)
 	fmt.Println("bytes/s are sent/received at the link layer; busy: a plan of 136 engines every 10 s and a preset of 39 models every 2 s; lease: 4 leases renewed every 5 s")
-	fmt.Println("| processes | dcs | join s | change s median/max | state | bytes/s mean | bytes/s max | CPU of a core | API calls/s | waiting watches | MB/process |")
-	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|")
+	fmt.Println("| processes | dcs | join s | change s median/max | dead known s | state | bytes/s mean | bytes/s max | CPU of a core | API calls/s | waiting watches | MB/process |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for _, item := range strings.Split(list, ",") {
 		var size, count int
 		_, err := fmt.Sscanf(item, "%d:%d", &size, &count)
@@ -127,8 +128,9 @@
 	s = take(a, procs)
 	renew(t, a, busy)
 	leaseRates := s.until(take(a, procs))
+	noticed := killOne(t, procs)
 	memory := float64(heap()-before) / float64(size) / (1 << 20)
-	row := fmt.Sprintf("| %d | %d | %.1f | %.2f/%.2f |", size, count, join.Seconds(), median.Seconds(), longest.Seconds())
+	row := fmt.Sprintf("| %d | %d | %.1f | %.2f/%.2f | %.1f |", size, count, join.Seconds(), median.Seconds(), longest.Seconds(), noticed.Seconds())
 	fmt.Printf("%s idle | %s | %d | %.1f |\n%s lease | %s | | |\n%s busy | %s | | |\n",
 		row, idleRates, waiting, memory, row, leaseRates, row, busyRates)
 	qt.Check(t, longest < 18*time.Second, qt.IsTrue)
@@ -171,6 +173,24 @@
 	return f
 }
 
+// killOne kills the last process and returns how long it takes until all of its data centre consider it dead.
+func killOne(t *testing.T, procs []*proc) time.Duration {
+	last := procs[len(procs)-1]
+	last.kill()
+	begin := time.Now()
+	eventually(t, patience, "the dead process is noticed", func() bool {
+		for _, p := range procs {
+			for _, m := range p.node.Members() {
+				if p != last && m.ID == last.id && m.State != membership.Dead {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	return time.Since(begin)
+}
+
 // renew writes four planner leases every 5 s for a while.
 func renew(t *testing.T, a *api, d time.Duration) {
 	for begin, i := time.Now(), 0; time.Since(begin) < d; i++ {
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -171,7 +171,8 @@
 	n.act(context.Background(), n.machine.Announce(change, time.Now()), nil)
 }
 
-// Members returns the members known, this process and dead ones included, in the order of their ids.
+// Members returns the members known, this process and dead ones included, in the order of their ids. The slice is shared
+// between callers and must not be changed.
 func (n *Node) Members() []membership.Member {
 	n.mu.Lock()
 	defer n.mu.Unlock()
