entry: leave silent sidecars early and close unused links

Cause: a paused sidecar held requests until the link's pings failed after about 4 s, and links to former candidates stayed open. Change: a repeatable request goes elsewhere when its sidecar neither accepts nor refuses within 1 s (it decides at once, so silence means a pause or a cut); other requests then avoid that sidecar. Ruled out: the same for requests that must run once: the call may have arrived. Measured: tests under the race detector. The closing of unused links has no test; its time is not adjustable from outside. Conclusion: a paused sidecar costs a repeatable request 1 s.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -40,8 +40,13 @@
 	errOffset = errors.New("the upstream's answer has a gap")
 	errOutput = errors.New("the prefill engine sent output")
 	errHead   = errors.New("the engine sent a service's status")
+	// errNoReply says that a sidecar neither accepted nor refused.
+	errNoReply = errors.New("the upstream did not reply in time")
 )
 
+// replyTimeout is how long a sidecar may take to accept or refuse a call that may be repeated elsewhere.
+const replyTimeout = time.Second
+
 // ended is a context that is done, to ask a stream for a message without waiting.
 var ended = func() context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -51,6 +56,8 @@
 
 // run sends the call and relays its answer.
 func (a *attempt) run(ctx context.Context) (*fighollow.GenerateResult, *fighollow.Refusal) {
+	a.e.links.hold(a.u.Link)
+	defer a.e.links.release(a.u.Link)
 	c, refusal := a.connect(ctx)
 	if refusal != nil {
 		a.q.dials++
@@ -118,6 +125,9 @@
 
 // follow relays the stream until its end, and asks for the attempt again when the link broke.
 func (a *attempt) follow(ctx context.Context, s *link.Stream) (*fighollow.GenerateResult, *fighollow.Refusal) {
+	if err := a.awaitReply(ctx, s); err != nil {
+		return a.giveUp(ctx, s, err)
+	}
 	res, refusal, err := a.receive(ctx, s)
 	if err == nil {
 		return res, refusal
@@ -125,7 +135,35 @@
 	if errors.Is(err, link.ErrClosed) {
 		return a.resolve(ctx)
 	}
-	refusal = a.broken(ctx, err)
+	return a.giveUp(ctx, s, err)
+}
+
+// awaitReply waits for the first message. A sidecar admits or refuses at once, so that silence means that it or the
+// network is held up: a request that may run twice then goes elsewhere, before the link's pings notice.
+func (a *attempt) awaitReply(ctx context.Context, s *link.Stream) error {
+	if a.pending != nil {
+		return nil
+	}
+	first, cancel := context.WithTimeout(ctx, replyTimeout)
+	defer cancel()
+	m, err := s.Recv(first)
+	switch {
+	case err == nil:
+		a.pending = m
+		return nil
+	case first.Err() == nil || ctx.Err() != nil:
+		return nil // receive meets the same error
+	}
+	a.e.balance.unreachable(a.u.ID)
+	if a.q.idempotent {
+		return errNoReply
+	}
+	return nil
+}
+
+// giveUp ends an attempt whose answer is not wanted or not usable.
+func (a *attempt) giveUp(ctx context.Context, s *link.Stream, err error) (*fighollow.GenerateResult, *fighollow.Refusal) {
+	refusal := a.broken(ctx, err)
 	s.Cancel(refusal.Message)
 	a.e.balance.lost(a.u.ID)
 	return nil, refusal
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -148,6 +148,7 @@
 	var background sync.WaitGroup
 	background.Go(func() { _ = e.node.Run(work) })
 	background.Go(func() { e.followView(work) })
+	background.Go(func() { e.links.closeUnused(work) })
 
 	hs := &http.Server{Handler: e.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	as := &http.Server{Handler: e.adminRoutes(), ReadHeaderTimeout: headerTimeout}
--- a/internal/entry/load_test.go
+++ b/internal/entry/load_test.go
@@ -77,7 +77,7 @@
 			<-tick.C
 			wg.Go(func() {
 				body := `{"model":"m","prompt":"hi","stream":true}`
-				req, err := http.NewRequest("POST", f.url+"/v1/completions", bytes.NewReader([]byte(body)))
+				req, err := http.NewRequest(http.MethodPost, f.url+"/v1/completions", bytes.NewReader([]byte(body)))
 				if err != nil {
 					failed.Add(1)
 					return
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -292,3 +292,26 @@
 	qt.Assert(t, notRun, qt.IsTrue)
 	qt.Assert(t, a.header.Get("Retry-After"), qt.Equals, "2")
 }
+
+// Guards against requests that wait for a paused sidecar until its link is found to be dead, and against a second run of
+// one that must run once.
+func TestSilentSidecarIsLeft(t *testing.T) {
+	for model, repeats := range map[string]bool{"m": true, "once": false} {
+		f := startFleet(t)
+		silent := func(ctx context.Context, _ *link.Call, _ *link.ServerStream) { <-ctx.Done() }
+		one := f.add("engine-1", model, silent)
+		f.add("engine-2", model, words(3))
+		for range 100 {
+			a := f.chat(model, false, "X-Deadline-Ms", "2500")
+			if len(one.seen()) == 0 {
+				continue
+			}
+			qt.Assert(t, a.status == 200, qt.Equals, repeats)
+			if repeats {
+				qt.Assert(t, a.content(t), qt.Equals, text(3))
+			}
+			break
+		}
+		qt.Assert(t, one.seen(), qt.HasLen, 1)
+	}
+}
