engine, sidecar: tests of the protocol and the stand-in; queued attempts end with their deadline

Cause: an attempt that waited for a slot was given up only when another ended, and prompts stayed in memory as long as their answers. Change: the queue is looked at in each round of the order loop; prompts and bodies are dropped once they were sent. A replacement is not told as leaving before the engine's start is known.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -5,7 +5,6 @@
 package engine
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -180,15 +179,16 @@
 }
 
 // post returns ErrUnavailable when no connection could be made, and ErrUnknownOutcome when the request may have arrived.
-func (c *Client) post(ctx context.Context, path string, body any) (*http.Response, error) {
-	data, err := json.Marshal(body)
+func (c *Client) post(ctx context.Context, path string, v any) (*http.Response, error) {
+	data, err := json.Marshal(v)
 	if err != nil {
 		return nil, fmt.Errorf("engine: encode %s: %w", path, err)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, &body{data: data})
 	if err != nil {
 		return nil, fmt.Errorf("engine: %w", err)
 	}
+	req.ContentLength = int64(len(data))
 	req.Header.Set("Content-Type", "application/json")
 	res, err := c.effect.Do(req)
 	if err == nil {
@@ -201,6 +201,19 @@
 	return nil, fmt.Errorf("engine: %w: %w", fighollow.ErrUnknownOutcome, err)
 }
 
+// body is the body of a request. It lets go of its data at its end, which net/http would keep as long as the response.
+type body struct{ data []byte }
+
+func (b *body) Read(p []byte) (int, error) {
+	if len(b.data) == 0 {
+		b.data = nil
+		return 0, io.EOF
+	}
+	n := copy(p, b.data)
+	b.data = b.data[n:]
+	return n, nil
+}
+
 func readFault(res *http.Response) Fault {
 	var f Fault
 	if err := json.NewDecoder(io.LimitReader(res.Body, maxReply)).Decode(&f); err != nil {
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -66,8 +66,8 @@
 	}
 	return c.Open(link.Call{
 		Kind: a.q.kind, Request: a.q.caller.id, Attempt: a.id, Workspace: a.q.caller.workspace.Name,
-		Deadline: a.q.deadline.UnixMilli(), Idempotent: a.q.idempotent, Resume: true, Offset: a.q.offset,
-		Incarnation: a.incarnation,
+		Deadline: a.q.deadline.UnixMilli(), Idempotent: a.q.idempotent, Resume: true, Incarnation: a.incarnation,
+		Offset: a.q.offset,
 	})
 }
 
--- a/internal/sidecar/attempt_test.go
+++ b/internal/sidecar/attempt_test.go
@@ -277,3 +277,22 @@
 	r := f.receive(s, reply{}, func(reply) bool { return false })
 	qt.Assert(t, r.finish.Outcome, qt.Equals, fighollow.Unknown)
 }
+
+// Guards against a queued attempt that is kept past its deadline while all slots are held.
+func TestQueuedAttemptEndsWithItsDeadline(t *testing.T) {
+	t.Parallel()
+	f := startEngine(t, engine.Options{Slots: 1})
+	c := f.dial()
+	f.control(engine.Control{Action: engine.ActionHold, Step: engine.StepFirstToken})
+	s, err := c.Open(generate("holds the slot", 2))
+	qt.Assert(t, err, qt.IsNil)
+	f.receive(s, reply{}, func(r reply) bool { return r.accepted })
+	queued := generate("waits", 2)
+	queued.Deadline = time.Now().Add(time.Second).UnixMilli()
+	r := f.run(c, queued)
+	qt.Assert(t, r.accepted, qt.IsTrue)
+	qt.Assert(t, r.finish.Outcome, qt.Equals, fighollow.NotRun)
+	qt.Assert(t, r.finish.Refusal.Code, qt.Equals, fighollow.CodeTooLate)
+	qt.Assert(t, len(f.attempts(queued.Attempt)), qt.Equals, 0)
+	f.control(engine.Control{Action: engine.ActionRelease, Step: engine.StepFirstToken})
+}
--- a/internal/sidecar/generate.go
+++ b/internal/sidecar/generate.go
@@ -29,6 +29,7 @@
 func (s *Sidecar) generate(a *attempt) {
 	began := time.Now()
 	stream, err := s.engine.Generate(a.ctx, *a.call.Generate)
+	a.call.Generate.Prompt, a.call.Generate.Emitted = "", "" // large, and not needed again
 	for try := 0; ; try++ {
 		if err == nil {
 			before := a.next()
--- a/internal/sidecar/leave.go
+++ b/internal/sidecar/leave.go
@@ -59,8 +59,8 @@
 	s.objectInvalid(err)
 	s.mu.Lock()
 	old, action := s.drain, d.Action
-	if d.Action == fighollow.ActionReplace && s.successor(d) {
-		action = ""
+	if d.Action == fighollow.ActionReplace && d.Incarnation != 0 {
+		action = s.replaced(d)
 	}
 	s.drain = action
 	s.mu.Unlock()
@@ -73,16 +73,21 @@
 	}
 }
 
-// successor reports whether the upstream started after the one that a replacement removes. s.mu is held.
-func (s *Sidecar) successor(d fighollow.Drain) bool {
-	if d.Incarnation == 0 {
-		return false
+// replaced returns the action of a replacement: none for an upstream that started after the one that is to go. s.mu is
+// held.
+func (s *Sidecar) replaced(d fighollow.Drain) fighollow.DrainAction {
+	started := s.incarnation
+	if s.machine != nil {
+		state, ok := s.machine.State()
+		if !ok {
+			return s.drain // nothing is admitted before the next observation
+		}
+		started = state.StartedMs
 	}
-	if s.machine == nil {
-		return s.incarnation > d.Incarnation
+	if started > d.Incarnation {
+		return ""
 	}
-	state, ok := s.machine.State()
-	return ok && state.StartedMs > d.Incarnation
+	return d.Action
 }
 
 // stop refuses new work, says so, and returns when every accepted attempt has ended and its answer has arrived.
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -34,6 +34,7 @@
 	for ctx.Err() == nil {
 		changed := s.cat.Changed()
 		s.readDrain()
+		s.serveQueue()
 		wait := observeSteady
 		if s.engine != nil {
 			d := s.round(ctx)
--- a/internal/sidecar/proxy.go
+++ b/internal/sidecar/proxy.go
@@ -15,6 +15,7 @@
 // proxy runs an attempt at the plain service and keeps its answer.
 func (s *Sidecar) proxy(a *attempt) {
 	res, err := s.service.Do(a.ctx, *a.call.Service)
+	a.call.Service.Body = nil // can be large, and is not needed again
 	if err != nil {
 		s.proxyFailed(a, err)
 		return
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -155,6 +155,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.admission.Done(a.call.Attempt)
+	s.next(now)
+	s.metrics.ended(a.outcome())
+	if s.admission.InFlight() == 0 {
+		s.wakeOrders()
+	}
+}
+
+// next starts queued attempts for which there is a slot, and gives up those that would be late. s.mu is held.
+func (s *Sidecar) next(now time.Time) {
 	start, removed := s.admission.Next(now)
 	for _, t := range start {
 		close(s.held[t.ID].start)
@@ -162,10 +171,13 @@
 	for _, r := range removed {
 		s.giveUp(r)
 	}
-	s.metrics.ended(a.outcome())
-	if s.admission.InFlight() == 0 {
-		s.wakeOrders()
-	}
+}
+
+// serveQueue gives up attempts that became late while they waited, and follows a change of the number of slots.
+func (s *Sidecar) serveQueue() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next(time.Now())
 }
 
 // giveUp ends a queued attempt that did not run. s.mu is held.
