settings: refuse link addresses that nobody can connect to

Cause: 0.0.0.0 as link address was taken and would have been announced to all members. Change: addresses that others connect to must not be unspecified; admin and caller addresses may be. Measured: one more case in TestFaultsNameFileAndField. Conclusion: the fault is named before anything starts.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -131,7 +131,7 @@
 	c := &checker{file: file}
 	c.process(&s.Process)
 	c.oneOf("upstream.kind", s.Upstream.Kind, "engine", "service")
-	c.address("upstream.address", s.Upstream.Address)
+	c.reachable("upstream.address", s.Upstream.Address)
 	if s.Upstream.Kind == "service" {
 		c.text("upstream.service", s.Upstream.Service)
 		c.number("upstream.slots", &s.Upstream.Slots, DefaultServiceSlots, 1, 100_000)
@@ -194,13 +194,13 @@
 	c.text("id", p.ID)
 	c.text("dataCentre", p.DataCentre)
 	c.text("region", p.Region)
-	c.address("link", p.Link)
+	c.reachable("link", p.Link)
 	c.address("admin", p.Admin)
-	c.address("objectApi", p.ObjectAPI)
+	c.reachable("objectApi", p.ObjectAPI)
 	seen := make(map[string]bool)
 	for i, a := range p.Peers {
 		field := fmt.Sprintf("peers[%d]", i)
-		c.address(field, a)
+		c.reachable(field, a)
 		if seen[a] {
 			c.fail(field, "%s is listed twice", a)
 		}
@@ -208,7 +208,7 @@
 	}
 	for dc, addrs := range p.RemotePeers {
 		for i, a := range addrs {
-			c.address(fmt.Sprintf("remotePeers.%s[%d]", dc, i), a)
+			c.reachable(fmt.Sprintf("remotePeers.%s[%d]", dc, i), a)
 		}
 	}
 	if p.TLS != nil {
@@ -236,6 +236,14 @@
 	}
 }
 
+// reachable checks an address that other processes connect to, which must not be the unspecified one.
+func (c *checker) reachable(field, v string) {
+	c.address(field, v)
+	if a, err := netip.ParseAddrPort(v); err == nil && a.Addr().IsUnspecified() {
+		c.fail(field, "%s cannot be connected to", v)
+	}
+}
+
 func (c *checker) oneOf(field, v string, allowed ...string) {
 	for _, a := range allowed {
 		if v == a {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -48,6 +48,7 @@
 		{"same address twice", `127.0.0.1:7003`, `127.0.0.1:7001`, "link"},
 		{"peer twice", `"http"`, `"peers": ["127.0.0.1:1", "127.0.0.1:1"], "http"`, "peers[1]"},
 		{"body above frame", `"http"`, `"maxBodyBytes": 5000000, "http"`, "maxBodyBytes"},
+		{"unspecified link", `127.0.0.1:7001`, `0.0.0.0:7001`, "link"},
 		{"log level", `"http"`, `"logLevel": "loud", "http"`, "logLevel"},
 		{"data after the value", `7003"}`, `7003"} {}`, "after the JSON value"},
 	} {
