link: test that a late answer of a cancelled stream is dropped

Change: a test in which the answer of a cancelled stream arrives before that of another stream on the same link.

--- a/internal/link/conn_test.go
+++ b/internal/link/conn_test.go
@@ -248,3 +248,30 @@
 	got, _ := receive(t, s)
 	qt.Assert(t, got, qt.Equals, "small")
 }
+
+// Guards against a late answer for a stream that was given up reaching another request on the same link.
+func TestLateAnswerOfACancelledStreamIsDropped(t *testing.T) {
+	late := make(chan struct{})
+	h := &echo{serve: func(ctx context.Context, call *link.Call, s *link.ServerStream) {
+		if call.Request == "given up" {
+			<-ctx.Done()
+			_ = s.Accept(fighollow.Load{})
+			_ = s.Chunk(0, 1, []byte("late"))
+			_ = s.Finish(link.Finish{Outcome: fighollow.Completed})
+			close(late)
+			return
+		}
+		<-late
+		serveEcho(ctx, call, s)
+	}}
+	l := listen(t, h, link.Options{})
+	c := dial(t, l.Addr(), link.Options{})
+	first, err := c.Open(link.Call{Request: "given up"})
+	qt.Assert(t, err, qt.IsNil)
+	second, err := c.Open(link.Call{Request: "wanted"})
+	qt.Assert(t, err, qt.IsNil)
+	first.Cancel("given up")
+	got, outcome := receive(t, second)
+	qt.Assert(t, got, qt.Equals, "wanted")
+	qt.Assert(t, outcome, qt.Equals, fighollow.Completed)
+}
