membership: a restored member is alive again

Cause: a sidecar announces Leaving while its engine is drained and Alive after a restore, but a machine kept Leaving for ever, so that entries never routed to a restored engine until its sidecar restarted. Change: setting Alive after Leaving raises the incarnation, which is how a member overrides what others know of it. Ruled out: ordering Leaving and Alive by Meta: an old Alive of the same incarnation must not override a Leaving. Measured: TestMembersOverruleTheLiveList in internal/entry failed before and passes now; the tests of membership and spread pass. Conclusion: found from the entry's side; the owner of the package should confirm it.

--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -202,13 +202,18 @@
 	return nil
 }
 
-// Announce changes what this process tells of itself. A process that is leaving stays so.
+// Announce changes what this process tells of itself. A process that was leaving and sets State to Alive, as after a
+// drain that the operator took back, gets a higher incarnation, which overrides what others know.
 func (m *Machine) Announce(change func(m *Member), now time.Time) []Action {
 	next := m.self
 	change(&next)
 	m.self.Role, m.self.Model, m.self.ModelVersion, m.self.Blind = next.Role, next.Model, next.ModelVersion, next.Blind
-	if next.State == Leaving {
+	switch {
+	case next.State == Leaving:
 		m.self.State = Leaving
+	case next.State == Alive && m.self.State == Leaving:
+		m.self.State = Alive
+		m.self.Incarnation++
 	}
 	m.self.Meta++
 	m.arrange(now)
