entry: tests of members and of retries in an overload

Cause: what the members say and the rate of retries were tested in parts only. Change: a test in which a fake sidecar is a real member (the model that it announces, leaving within 3 s, restored), and one that counts the calls of 400 requests that all upstreams refuse.

--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -10,8 +10,13 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/fighollow/fighollow/internal/catalog"
 	"github.com/fighollow/fighollow/internal/entry"
 	"github.com/fighollow/fighollow/internal/link"
+	"github.com/fighollow/fighollow/internal/membership"
+	"github.com/fighollow/fighollow/internal/spread"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -95,6 +100,7 @@
 	serve func(ctx context.Context, call *link.Call, s *link.ServerStream)
 	calls []link.Call
 	conns []*link.Conn
+	node  *spread.Node // nil: the sidecar takes no part in membership
 }
 
 func (f *sidecar) ServeCall(ctx context.Context, call *link.Call, s *link.ServerStream) {
@@ -105,10 +111,47 @@
 	serve(ctx, call, s)
 }
 
-func (f *sidecar) ServeAsk(context.Context, *link.Conn, string, []byte) (any, error) {
+func (f *sidecar) ServeAsk(ctx context.Context, c *link.Conn, topic string, body []byte) (any, error) {
+	if n := f.member(); n != nil {
+		return n.ServeAsk(ctx, c, topic, body)
+	}
 	return nil, io.EOF
 }
-func (f *sidecar) HandleTell(*link.Conn, string, []byte) {}
+
+func (f *sidecar) HandleTell(c *link.Conn, topic string, body []byte) {
+	if n := f.member(); n != nil {
+		n.HandleTell(c, topic, body)
+	}
+}
+
+func (f *sidecar) member() *spread.Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.node
+}
+
+// join makes the sidecar a member of the entry's data centre that announces model.
+func (f *sidecar) join(t testing.TB, fl *fleet, model string) {
+	_, _, peers := fl.entry.Addrs()
+	self := membership.Member{
+		ID: f.id, Incarnation: uint64(time.Now().UnixMilli()), Kind: fighollow.UpstreamEngine, DataCentre: "dc", Link: f.addr,
+	}
+	n := spread.New(spread.Options{Peers: []string{peers}}, self, fl.store, catalog.New(), zerolog.Nop())
+	n.Announce(func(m *membership.Member) { m.Model, m.Role = model, fighollow.RoleBoth })
+	f.mu.Lock()
+	f.node = n
+	f.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = n.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
 func (f *sidecar) HandleOpen(c *link.Conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -109,7 +109,7 @@
 
 func (f *fleet) addInstance(id string, in fighollow.Instance, model string, serve func(context.Context, *link.Call, *link.ServerStream)) *sidecar {
 	s := &sidecar{id: id, serve: serve}
-	hello := link.Hello{ID: id, Kind: in.Kind, Incarnation: time.Now().UnixMilli()}
+	hello := link.Hello{ID: id, Kind: in.Kind, DataCentre: in.DataCentre, Incarnation: time.Now().UnixMilli()}
 	l, err := link.Listen("127.0.0.1:0", hello, s, link.Options{}, nil)
 	qt.Assert(f.t, err, qt.IsNil)
 	f.t.Cleanup(l.Close)
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/fighollow/fighollow/internal/entry"
 	"github.com/fighollow/fighollow/internal/link"
+	"github.com/fighollow/fighollow/internal/membership"
 	"github.com/fighollow/fighollow/internal/settings"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
@@ -278,6 +280,27 @@
 	eventually(t, func() bool { return f.chat("m", false).status == 200 })
 }
 
+// Guards against routing by the live list or the plan where the members know better: the model that an engine serves, and
+// that it leaves (I7: no new work after 3 s).
+func TestMembersOverruleTheLiveList(t *testing.T) {
+	// Members are told the address of the settings, so that it must name a port.
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	l.Close()
+	f := startFleet(t, func(cfg *settings.Entry) { cfg.Link = l.Addr().String() })
+	in := fighollow.Instance{Kind: fighollow.UpstreamEngine, DataCentre: "dc"}
+	s := f.addInstance("engine-1", in, "once", words(2))
+	s.join(t, f, "m")
+	eventually(t, func() bool { return f.chat("m", false).status == 200 })
+	qt.Assert(t, f.chat("once", false).status, qt.Equals, 503)
+	said := time.Now()
+	s.member().Announce(func(m *membership.Member) { m.State = membership.Leaving })
+	eventually(t, func() bool { return f.chat("m", false).status == 503 })
+	qt.Assert(t, time.Since(said) < 3*time.Second, qt.IsTrue)
+	s.member().Announce(func(m *membership.Member) { m.State = membership.Alive })
+	eventually(t, func() bool { return f.chat("m", false).status == 200 })
+}
+
 // Guards against a limit of the workspace that the entry does not apply.
 func TestWorkspaceLimitIsApplied(t *testing.T) {
 	f := startFleet(t, func(s *settings.Entry) { s.MaxOpenRequests = 10 })
@@ -315,3 +338,18 @@
 		qt.Assert(t, one.seen(), qt.HasLen, 1)
 	}
 }
+
+// Guards against retries that amplify an overload.
+func TestOverloadIsNotAmplified(t *testing.T) {
+	f := startFleet(t)
+	var all []*sidecar
+	for _, id := range []string{"engine-1", "engine-2", "engine-3", "engine-4"} {
+		all = append(all, f.add(id, "m", overloaded))
+	}
+	const requests = 400
+	for range requests {
+		qt.Assert(t, f.chat("m", false).status, qt.Equals, 503)
+	}
+	sent := len(calls(all...))
+	qt.Assert(t, sent <= requests*11/10+10, qt.IsTrue, qt.Commentf("%d calls for %d requests", sent, requests))
+}
