spread: calls on links between members are refused

Cause: a call on a link that the Node dialled was neither answered nor refused. Change: it is refused as not run, except a resume, whose attempt may run on another link and is unknown. Measured: not tested; no process sends calls on these links now. Conclusion: a caller that takes the wrong link gets an answer.

--- a/internal/spread/dial.go
+++ b/internal/spread/dial.go
@@ -35,7 +35,16 @@
 // handler serves the links that the Node dials.
 type handler struct{ n *Node }
 
-func (h handler) ServeCall(context.Context, *link.Call, *link.ServerStream) {}
+func (h handler) ServeCall(_ context.Context, call *link.Call, s *link.ServerStream) {
+	outcome := fighollow.NotRun
+	if call.Resume {
+		outcome = fighollow.Unknown // the attempt may run on another link of this process
+	}
+	// A failed send closes the link, which the caller sees.
+	_ = s.Refuse(fighollow.Refusal{
+		Code: fighollow.CodeNotReady, Message: "a link between members takes no calls", Outcome: outcome,
+	}, fighollow.Load{})
+}
 
 func (h handler) ServeAsk(ctx context.Context, c *link.Conn, topic string, body []byte) (any, error) {
 	return h.n.ServeAsk(ctx, c, topic, body)
