--- a/internal/planner/machine_test.go
+++ b/internal/planner/machine_test.go
@@ -53,7 +53,7 @@
 }
 
 func newMachine(t *rapid.T) *machine {
-	m := &machine{now: start, p: planner.New(planner.Policy{}), engines: make(map[string]*fakeEngine),
+	m := &machine{now: start, p: planner.NewPlanner(planner.Policy{}), engines: make(map[string]*fakeEngine),
 		plans: make(map[string]fighollow.Plan), fences: make(map[string]uint64), version: 1, demand: make(map[string]demand.Estimate)}
 	dcs := rapid.IntRange(1, 3).Draw(t, "dataCentres")
 	for i := range rapid.IntRange(2, 12).Draw(t, "engines") {
@@ -331,13 +331,13 @@
 		b.ReportAllocs()
 		in := fleetInput(1500, 39)
 		for range b.N {
-			planner.New(planner.Policy{}).Decide(start, in)
+			planner.NewPlanner(planner.Policy{}).Decide(start, in)
 		}
 	})
 	b.Run("shift", func(b *testing.B) {
 		b.ReportAllocs()
 		in := fleetInput(1500, 39)
-		p := planner.New(planner.Policy{})
+		p := planner.NewPlanner(planner.Policy{})
 		in.Plans = p.Decide(start, in).Plans
 		p.Decide(start, in)
 		for name, e := range in.Demand {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -75,9 +75,9 @@
 	moves   map[string]move // by model
 }
 
-// New returns a Planner that has seen nothing. Engines count as changed at their first sight, so that a new planner
+// NewPlanner returns a Planner that has seen nothing. Engines count as changed at their first sight, so that a new planner
 // respects the dwell time of changes that it did not see.
-func New(opts Policy) *Planner {
+func NewPlanner(opts Policy) *Planner {
 	return &Planner{opts: opts.withDefaults(), engines: make(map[string]*history), moves: make(map[string]move)}
 }
 
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -18,7 +18,7 @@
 }
 
 func newRegion(preset fighollow.Preset, engines ...string) *region {
-	r := &region{p: planner.New(planner.Policy{}), in: planner.Input{Preset: preset, PresetVersion: 1, Plans: make(map[string]fighollow.Plan)}}
+	r := &region{p: planner.NewPlanner(planner.Policy{}), in: planner.Input{Preset: preset, PresetVersion: 1, Plans: make(map[string]fighollow.Plan)}}
 	for _, id := range engines {
 		r.in.Engines = append(r.in.Engines, planner.Engine{ID: id, DataCentre: "hall-a"})
 	}
--- a/internal/planner/runner.go
+++ b/internal/planner/runner.go
@@ -60,8 +60,8 @@
 	at    time.Time
 }
 
-// NewRunner returns a Runner; Run starts it.
-func NewRunner(opts Options, store fighollow.ObjectStore, cat *catalog.Catalog, log zerolog.Logger) *Runner {
+// New returns a Runner; Run starts it.
+func New(opts Options, store fighollow.ObjectStore, cat *catalog.Catalog, log zerolog.Logger) *Runner {
 	setDefault(&opts.Every, time.Second)
 	setDefault(&opts.RenewEvery, 3*time.Second)
 	setDefault(&opts.LeaseAfter, 8*time.Second)
@@ -72,7 +72,7 @@
 		opts:    opts,
 		cat:     cat,
 		log:     log,
-		planner: New(opts.Policy),
+		planner: NewPlanner(opts.Policy),
 		lease:   &lease{holder: opts.Holder, region: opts.Region, renewEvery: opts.RenewEvery, after: opts.LeaseAfter},
 		writer:  newWriter(store, cat, opts.NewID),
 		demand:  demand.NewEstimator(opts.Demand),
--- a/internal/planner/runner_test.go
+++ b/internal/planner/runner_test.go
@@ -108,7 +108,7 @@
 	n := 0
 	cat := catalog.New()
 	opts := planner.Options{Holder: id, Region: "north", NewID: func() string { n++; return fmt.Sprint(id, "-", n) }}
-	return &process{cat: cat, runner: planner.NewRunner(opts, s, cat, zerolog.Nop())}
+	return &process{cat: cat, runner: planner.New(opts, s, cat, zerolog.Nop())}
 }
 
 // step brings the process's copies up to date and makes one planning step.
--- a/internal/policy/choosers_test.go
+++ b/internal/policy/choosers_test.go
@@ -35,7 +35,7 @@
 	return &product{
 		in: planner.Input{Preset: preset, PresetVersion: 1, Plans: make(map[string]fighollow.Plan),
 			Models: map[string]fighollow.Model{large: model, small: model}},
-		planner: planner.New(policy), est: demand.NewEstimator(opts), state: make(map[string]delivery),
+		planner: planner.NewPlanner(policy), est: demand.NewEstimator(opts), state: make(map[string]delivery),
 	}
 }
 
