faults: keys, orders, preset changes, object API and planned stops

Cause: the rest of the fault matrix of docs/design.md section 13. The oracle also demands one answer for a key, plans whose revisions grow by one and whose preset never goes back, and no completion interrupted by a change. Conclusion: not covered: the preset that each process shows, since no process shows it; steps choose and spread, which nothing outside the processes can hold.

--- /dev/null
+++ b/internal/faults/change_test.go
@@ -0,0 +1,283 @@
+package faults_test
+
+import (
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// operator runs an operator command and reports whether it succeeded.
+func (f *fleet) operator(args ...string) bool {
+	args = append(args, "--object-api", f.api, "--by", "test")
+	out, err := exec.CommandContext(f.ctx, filepath.Join(binaries, "fighollow"), args...).CombinedOutput()
+	if err != nil {
+		f.t.Logf("%v: %v: %s", args, err, out)
+	}
+	return err == nil
+}
+
+// state is an engine's report of itself.
+type state struct {
+	Phase      string `json:"phase"`
+	Assignment struct {
+		ModelVersion string `json:"modelVersion"`
+	} `json:"assignment"`
+}
+
+func (u *upstream) serves(version string) bool {
+	var s state
+	return get("http://"+u.addr+"/state", &s) && s.Phase == "ready" && s.Assignment.ModelVersion == version
+}
+
+// traffic sends completions until stop is called.
+func (f *fleet) traffic() (stop func()) {
+	quit := make(chan struct{})
+	var wg sync.WaitGroup
+	for n := range 2 {
+		wg.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-quit:
+					return
+				case <-f.ctx.Done():
+					return
+				default:
+				}
+				q := f.complete(n, "load "+string(rune('a'+n))+" "+time.Now().String())
+				wait(q.done, cellLimit)
+				time.Sleep(20 * time.Millisecond) // keeps the number of requests of a cell small
+			}
+		})
+	}
+	return sync.OnceFunc(func() { close(quit); wg.Wait() })
+}
+
+// changeSteps are the steps of a change of preset up to the order at an engine.
+var changeSteps = []step{
+	{name: "write"}, {"send", "orderReceived", 0}, {"apply", "orderApplied", 0}, {"confirm", "orderReply", 0},
+}
+
+func (f *fleet) apiControl(c object) {
+	if !post("http://"+f.api+"/control", c) {
+		f.t.Error("object API takes no control")
+	}
+}
+
+var apiFaults = []fault{
+	{
+		"object API down",
+		func(f *fleet, _ *upstream) { f.apiControl(object{"down": true}) },
+		func(f *fleet, _ *upstream) { f.apiControl(object{}) },
+	},
+	{
+		"object API slow",
+		func(f *fleet, _ *upstream) { f.apiControl(object{"slowMs": 1500}) },
+		func(f *fleet, _ *upstream) { f.apiControl(object{}) },
+	},
+	{
+		"object API loses answers",
+		func(f *fleet, _ *upstream) { f.apiControl(object{"loseWrites": 4}) },
+		func(f *fleet, _ *upstream) {},
+	},
+}
+
+// changeCell changes the preset under load, holds the change at a step and injects a fault. In the end both engines
+// serve the new version.
+func changeCell(s step, x fault) func(*testing.T, *fleet) {
+	return func(t *testing.T, f *fleet) {
+		send := func(f *fleet, id string) *request { return f.complete(0, id) }
+		f.recover(t, "before", send)
+		stop := f.traffic()
+		defer stop()
+		at := f.engines[0]
+		used := make(chan struct{})
+		use := func() {
+			defer close(used)
+			until(f.ctx, t, "preset p2 is used", func() bool { return f.operator("preset", "use", "p2") })
+		}
+		if s.gate == "" {
+			x.inject(f, at)
+			go use()
+		} else {
+			for _, u := range f.engines {
+				u.gate("hold", s.gate, 0)
+			}
+			go use()
+			until(f.ctx, t, "an order at step "+s.name, func() bool {
+				for _, u := range f.engines {
+					if u.held(s.gate) {
+						at = u
+						return true
+					}
+				}
+				return false
+			})
+			x.inject(f, at)
+		}
+		// The release is withheld for as long as the fault lasts, so that the order is under way all the time.
+		wait(used, pauseTime)
+		time.Sleep(500 * time.Millisecond)
+		x.heal(f, at)
+		for _, u := range f.engines {
+			if s.gate != "" {
+				until(f.ctx, t, "the gate opens", func() bool { return u.gate("release", s.gate, 0) })
+			}
+		}
+		<-used
+		until(f.ctx, t, "both engines serve v2", func() bool { return f.engines[0].serves("v2") && f.engines[1].serves("v2") })
+		stop()
+		if x.name != "kill entry" {
+			f.checkUninterrupted(t)
+		}
+		f.recover(t, "after", send)
+	}
+}
+
+// checkUninterrupted demands that every completion that began was completed.
+func (f *fleet) checkUninterrupted(t *testing.T) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, q := range f.requests {
+		if wait(q.done, 0) && q.status == http.StatusOK && !q.whole {
+			t.Errorf("interrupted by a change: %v", q)
+		}
+	}
+}
+
+func TestChange(t *testing.T) {
+	var cells []cell
+	quick := map[string]bool{"apply/crash engine": true, "send/kill sidecar": true, "write/object API loses answers": true}
+	faults := append([]fault{crashEngine}, ofProcesses[:5]...)
+	for _, s := range changeSteps {
+		for _, x := range append(faults[:len(faults):len(faults)], apiFaults...) {
+			if s.gate == "" && x.name == "crash engine" {
+				continue // no engine takes part in the write
+			}
+			name := s.name + "/" + x.name
+			cells = append(cells, cell{name, quick[name], changeCell(s, x)})
+		}
+	}
+	cells = append(cells,
+		cell{"operators race", true, operatorsRace},
+		cell{"restart without object API", true, restartWithoutAPI},
+		cell{"planned stop of sidecar", true, stopSidecar},
+		cell{"planned stop of entry", true, stopEntry},
+		cell{"drain of engine", false, drainEngine},
+	)
+	runCells(t, cells)
+}
+
+// operatorsRace lets two operators replace the same choice. Exactly one is told that it succeeded.
+func operatorsRace(t *testing.T, f *fleet) {
+	var status struct {
+		Version uint64 `json:"version"`
+	}
+	if !get("http://"+f.api+"/objects/inForce/current", &status) {
+		t.Fatal("no preset in force")
+	}
+	won := make(chan bool, 2)
+	for _, name := range []string{"p2", "p3"} {
+		go func() { won <- f.operator("preset", "use", "--expect", uintText(status.Version), name) }()
+	}
+	if a, b := <-won, <-won; a == b {
+		t.Errorf("operators were told %v and %v", a, b)
+	}
+	var chosen struct {
+		Value struct {
+			Preset struct {
+				Models []struct {
+					ModelVersion string `json:"modelVersion"`
+				} `json:"models"`
+			} `json:"preset"`
+		} `json:"value"`
+	}
+	if !get("http://"+f.api+"/objects/inForce/current", &chosen) {
+		t.Fatal("no preset in force")
+	}
+	version := chosen.Value.Preset.Models[0].ModelVersion
+	until(f.ctx, t, "both engines serve "+version, func() bool {
+		return f.engines[0].serves(version) && f.engines[1].serves(version)
+	})
+}
+
+// restartWithoutAPI replaces an entry and a sidecar during an outage of the object API.
+func restartWithoutAPI(t *testing.T, f *fleet) {
+	send := func(f *fleet, id string) *request { return f.complete(0, id) }
+	f.recover(t, "before", send)
+	f.apiControl(object{"down": true})
+	f.engines[0].sidecar.kill()
+	f.entries[0].kill()
+	f.restart(f.engines[0].sidecar, f.engines[0].admin+"/readyz")
+	f.restart(f.entries[0], f.admins[0]+"/readyz")
+	f.recover(t, "during", send)
+	f.apiControl(object{})
+	f.recover(t, "after", send)
+}
+
+// stopped holds completions mid-stream, stops a process gracefully and demands every answer whole.
+func stopped(t *testing.T, f *fleet, stop func() *process) {
+	send := func(f *fleet, id string) *request { return f.complete(0, id) }
+	f.recover(t, "before", send)
+	s := step{"mid-stream", "token", 7}
+	s.hold(f.engines)
+	var sent []*request
+	for _, id := range []string{"one", "two", "three", "four"} {
+		sent = append(sent, send(f, id))
+	}
+	until(f.ctx, t, "requests at step mid-stream", func() bool {
+		var a, b record
+		return get("http://"+f.engines[0].addr+"/record", &a) && get("http://"+f.engines[1].addr+"/record", &b) &&
+			a.Held[s.gate]+b.Held[s.gate] == len(sent)
+	})
+	p := stop()
+	if p != nil && wait(p.done, time.Second) {
+		t.Errorf("%s ended with open requests", p.name)
+	}
+	for _, u := range f.engines {
+		s.release(u)
+	}
+	for _, q := range sent {
+		until(f.ctx, t, "an answer", func() bool { return wait(q.done, 0) })
+		if !q.whole {
+			t.Errorf("interrupted by a planned stop: %v", q)
+		}
+	}
+	if p != nil {
+		until(f.ctx, t, p.name+" has ended", p.ended)
+	}
+}
+
+func stopSidecar(t *testing.T, f *fleet) {
+	stopped(t, f, func() *process {
+		for _, u := range f.engines {
+			if u.held("token") {
+				u.sidecar.signal(syscall.SIGTERM)
+				return u.sidecar
+			}
+		}
+		return nil
+	})
+	f.recover(t, "after", func(f *fleet, id string) *request { return f.complete(0, id) })
+}
+
+func stopEntry(t *testing.T, f *fleet) {
+	stopped(t, f, func() *process {
+		f.entries[0].signal(syscall.SIGTERM)
+		return f.entries[0]
+	})
+	f.recover(t, "after", func(f *fleet, id string) *request { return f.complete(1, id) })
+}
+
+func drainEngine(t *testing.T, f *fleet) {
+	stopped(t, f, func() *process {
+		if !f.operator("engine", "drain", "engine-1") {
+			t.Error("drain failed")
+		}
+		return nil
+	})
+	f.recover(t, "after", func(f *fleet, id string) *request { return f.complete(0, id) })
+}
--- a/internal/faults/fleet_test.go
+++ b/internal/faults/fleet_test.go
@@ -41,8 +41,11 @@
 	engines   []*upstream
 	service   *upstream
 	entries   []*process
+	toEntries []*proxy // through which the other entry asks for keys
 	http      []string
+	admins    []string // of the entries
 	procs     []*process
+	links     []string // of the sidecars
 	instances []object
 
 	mu       sync.Mutex
@@ -60,14 +63,15 @@
 	var links []string
 	for i := range 2 {
 		links = append(links, freeAddr(t))
-		f.instance(fmt.Sprintf("entry-%d", i+1), "entry", fmt.Sprintf("hall-entry-%d", i+1), links[i], "")
+		f.toEntries = append(f.toEntries, newProxy(t, links[i]))
+		f.instance(fmt.Sprintf("entry-%d", i+1), "entry", fmt.Sprintf("hall-entry-%d", i+1), f.toEntries[i].addr(), "")
 	}
 	f.objects = f.start("objects", "standin", "objects", "--listen", f.api, "--load", f.file("objects.json", f.configuration()))
 	until(ctx, t, "object API answers", func() bool { return get("http://"+f.api+"/counts", nil) })
-	var admins []string
 	for i := range 2 {
-		admins = append(admins, f.startEntry(i, links[i]))
+		f.startEntry(i, links[i])
 	}
+	admins := append([]string(nil), f.admins...)
 	for _, u := range f.upstreams() {
 		u.sidecar.start(t)
 		admins = append(admins, u.admin)
@@ -112,6 +116,8 @@
 	link := freeAddr(f.t)
 	u.proxy = newProxy(f.t, link)
 	settings := f.settings(id, upstreamsDC, link, u.admin)
+	settings["peers"] = append([]string{}, f.links...)
+	f.links = append(f.links, link)
 	up := object{"kind": kind, "address": u.addr}
 	if kind == "service" {
 		up["service"] = "s"
@@ -132,15 +138,15 @@
 	return object{"id": id, "dataCentre": dataCentre, "region": region, "link": link, "admin": admin, "objectApi": f.api}
 }
 
-func (f *fleet) startEntry(i int, link string) (admin string) {
+func (f *fleet) startEntry(i int, link string) {
 	id := fmt.Sprintf("entry-%d", i+1)
-	admin = freeAddr(f.t)
-	http := freeAddr(f.t)
+	http, admin := freeAddr(f.t), freeAddr(f.t)
 	s := f.settings(id, "hall-"+id, link, admin)
 	s["http"] = http
-	f.http = append(f.http, http)
+	// Without the object API, a restarted entry takes the configuration from the upstreams' data centre.
+	s["remotePeers"] = object{upstreamsDC: f.links}
+	f.http, f.admins = append(f.http, http), append(f.admins, admin)
 	f.entries = append(f.entries, f.start(id, "fighollow", "entry", "--settings", f.file(id+".json", s)))
-	return admin
 }
 
 func (f *fleet) instance(id, kind, dataCentre, link, service string) {
@@ -151,11 +157,15 @@
 
 // configuration returns the objects that the platform and the operators have written before the processes start.
 func (f *fleet) configuration() []object {
-	preset := object{
-		"name":   "p",
-		"models": []object{{"model": model, "modelVersion": "v1", "minEngines": 2, "prefillShare": 0, "disaggregated": false}},
-		"policy": object{},
+	preset := func(name, version string) object {
+		return object{
+			"name":   name,
+			"models": []object{{"model": model, "modelVersion": version, "minEngines": 1, "prefillShare": 0, "disaggregated": false}},
+			"policy": object{}, "writeId": "first",
+		}
 	}
+	inForce := preset("p", "v1")
+	delete(inForce, "writeId")
 	assignment := object{"role": "both", "model": model, "modelVersion": "v1", "fence": 1}
 	put := func(kind, name string, value object) object {
 		return object{"kind": kind, "name": name, "value": value}
@@ -166,8 +176,10 @@
 			"name": model, "bytesPerToken": 4, "prefillTokensPerSecond": 200000, "decodeTokensPerSecond": 2000, "loadMs": 200,
 		}),
 		put("service", "s", object{"name": "s"}),
-		put("preset", "p", preset),
-		put("inForce", "current", object{"preset": preset, "chosenBy": "test", "chosenMs": 1, "writeId": "first"}),
+		put("preset", "p", preset("p", "v1")),
+		put("preset", "p2", preset("p2", "v2")),
+		put("preset", "p3", preset("p3", "v3")),
+		put("inForce", "current", object{"preset": inForce, "chosenBy": "test", "chosenMs": 1, "writeId": "first"}),
 		put("plan", upstreamsDC, object{
 			"revision": 1, "preset": "p", "presetVersion": 1, "writeId": "first",
 			"engines": object{"engine-1": assignment, "engine-2": assignment},
--- a/internal/faults/oracle_test.go
+++ b/internal/faults/oracle_test.go
@@ -186,12 +186,20 @@
 		}
 		checkOrders(t, r)
 	}
+	f.checkPlans(t)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	stored := make(map[string]string)
 	for _, q := range f.requests {
 		select {
 		case <-q.done:
 			q.check(t, runs[q.id])
+			if first, ok := stored[q.key]; q.key != "" && q.whole {
+				if ok && first != q.text {
+					t.Errorf("another answer %q to the same key: %v", first, q)
+				}
+				stored[q.key] = q.text
+			}
 		case <-f.ctx.Done():
 			t.Errorf("no answer: request %q", q.id)
 		}
@@ -245,3 +253,31 @@
 		fence, appliedMs = o.Assignment.Fence, o.AppliedMs
 	}
 }
+
+// checkPlans demands that no plan is made for an older preset than the plan before it, and that revisions grow by one.
+func (f *fleet) checkPlans(t *testing.T) {
+	var writes []struct {
+		Kind    string `json:"kind"`
+		Version uint64 `json:"version"`
+		Value   struct {
+			Revision      uint64 `json:"revision"`
+			PresetVersion uint64 `json:"presetVersion"`
+		} `json:"value"`
+	}
+	if f.objects.ended() {
+		return
+	}
+	if !get("http://"+f.api+"/record", &writes) {
+		t.Error("no record of the object API")
+	}
+	revision, preset := uint64(0), uint64(0)
+	for _, w := range writes {
+		if w.Kind != "plan" || w.Version == 0 {
+			continue
+		}
+		if w.Value.Revision != revision+1 || w.Value.PresetVersion < preset {
+			t.Errorf("plan %d for preset version %d follows plan %d for %d", w.Value.Revision, w.Value.PresetVersion, revision, preset)
+		}
+		revision, preset = w.Value.Revision, w.Value.PresetVersion
+	}
+}
--- a/internal/faults/process_test.go
+++ b/internal/faults/process_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -126,3 +127,5 @@
 		}
 	}
 }
+
+func uintText(v uint64) string { return strconv.FormatUint(v, 10) }
