--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -22,13 +22,14 @@
 
 // fleet is an entry with fake sidecars.
 type fleet struct {
-	t     *testing.T
+	t     testing.TB
 	store *memory
 	entry *entry.Entry
 	url   string
 	admin string
 	stop  context.CancelFunc
 	done  chan error
+	keys  *ledger
 	log   *logBuffer
 	wait  func()
 }
@@ -44,6 +45,8 @@
 	return l.b.Write(p)
 }
 
+func (l *logBuffer) note(s string) { _, _ = l.Write([]byte(s + "\n")) }
+
 func (l *logBuffer) String() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -53,7 +56,7 @@
 const secret = "secret-of-acme"
 
 // startFleet runs an entry whose workspace acme has the key secret and whose models are m and once (not idempotent).
-func startFleet(t *testing.T, change ...func(*settings.Entry)) *fleet {
+func startFleet(t testing.TB, change ...func(*settings.Entry)) *fleet {
 	cfg := settings.Entry{
 		Process: settings.Process{
 			ID: "entry-1", DataCentre: "dc", Region: "r", Link: "127.0.0.1:0", Admin: "127.0.0.1:0",
@@ -65,13 +68,20 @@
 		f(&cfg)
 	}
 	f := &fleet{t: t, store: newMemory(), done: make(chan error, 1), log: new(logBuffer)}
+	e, err := entry.New(cfg, f.store, zerolog.New(f.log))
+	qt.Assert(t, err, qt.IsNil)
+	f.store.entry = e
 	f.store.set(fighollow.KindInForce, fighollow.InForceName, fighollow.InForce{})
 	f.store.set(fighollow.KindModel, "m", fighollow.Model{Name: "m"})
 	f.store.set(fighollow.KindModel, "once", fighollow.Model{Name: "once", NonIdempotent: true})
 	f.store.set(fighollow.KindService, "orders", fighollow.Service{Name: "orders"})
 	f.store.set(fighollow.KindWorkspace, "acme", fighollow.Workspace{Name: "acme", Key: secret, Worth: 2, Priority: 7})
-	e, err := entry.New(cfg, f.store, zerolog.New(f.log))
-	qt.Assert(t, err, qt.IsNil)
+	f.keys = &ledger{answers: make(map[string]*fighollow.StoredAnswer), outcomes: make(map[string]fighollow.Outcome)}
+	e.SetKeys(f.keys)
+	e.SetDemandHandler(func(c *link.Conn, topic string, _ []byte) { f.log.note(c.Peer().ID + " tells " + topic) })
+	e.SetLedgerHandler(func(_ context.Context, c *link.Conn, topic string, _ []byte) (any, error) {
+		return c.Peer().ID + " asks " + topic, nil
+	})
 	qt.Assert(t, e.Listen(), qt.IsNil)
 	callers, admin, _ := e.Addrs()
 	f.entry, f.url, f.admin = e, "http://"+callers, "http://"+admin
@@ -112,16 +122,20 @@
 }
 
 func (f *fleet) plan(dc, id, model string) {
-	if model == "" {
-		return
+	if model != "" {
+		f.planRole(dc, id, model, fighollow.RoleBoth)
 	}
+}
+
+func (f *fleet) planRole(dc, id, model string, role fighollow.Role) {
 	var p fighollow.Plan
 	_, _ = f.entry.Catalog().Decode(fighollow.KindPlan, dc, &p)
 	if p.Engines == nil {
 		p.Engines = make(map[string]fighollow.Assignment)
 	}
-	p.Engines[id] = fighollow.Assignment{Role: fighollow.RoleBoth, Model: model}
+	p.Engines[id] = fighollow.Assignment{Role: role, Model: model}
 	f.store.set(fighollow.KindPlan, dc, p)
+	f.settle()
 }
 
 // settle waits until the entry routes by the newest objects.
@@ -141,7 +155,16 @@
 	return res.StatusCode
 }
 
-func eventually(t *testing.T, ok func() bool) {
+func (f *fleet) get(url string) string {
+	res, err := http.Get(url)
+	qt.Assert(f.t, err, qt.IsNil)
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	qt.Assert(f.t, err, qt.IsNil)
+	return string(b)
+}
+
+func eventually(t testing.TB, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
 		if ok() {
@@ -189,7 +212,7 @@
 }
 
 // content returns the text of a chat completion, streamed or not.
-func (a answer) content(t *testing.T) string {
+func (a answer) content(t testing.TB) string {
 	t.Helper()
 	type choice struct {
 		Message, Delta struct{ Content string }
@@ -216,7 +239,7 @@
 }
 
 // refusal returns the error of an answer or of its error event.
-func (a answer) refusal(t *testing.T) (code string, notRun bool) {
+func (a answer) refusal(t testing.TB) (code string, notRun bool) {
 	t.Helper()
 	var v struct {
 		Error struct {
--- a/internal/sidecar/generate.go
+++ b/internal/sidecar/generate.go
@@ -29,6 +29,7 @@
 func (s *Sidecar) generate(a *attempt) {
 	began := time.Now()
 	stream, err := s.engine.Generate(a.ctx, *a.call.Generate)
+	a.call.Generate.Prompt, a.call.Generate.Emitted = "", "" // large, and not needed again
 	for try := 0; ; try++ {
 		if err == nil {
 			before := a.next()
@@ -69,7 +70,7 @@
 			return fighollow.GenerateResult{}, fmt.Errorf("%w: index %d where %d is next", errOrder, t.Index, a.next())
 		}
 		if t.Index == a.firstOffset() {
-			s.metrics.firstToken.Update(time.Since(began))
+			s.metrics.firstToken.Update(time.Since(began).Microseconds())
 			a.setFirst(time.Now())
 		}
 		a.addToken(t.Text)
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -31,8 +31,11 @@
 	// batchDelay lets announcements that arrive on several links at once leave in one message, and drops those that the
 	// receiver has announced itself in the meantime.
 	batchDelay = 30 * time.Millisecond
-	pullEvery  = time.Second
-	syncEvery  = 2 * time.Second
+	// firstAnnounced peers learn of a new object at once, the rest after announceRest.
+	firstAnnounced = 3
+	announceRest   = 300 * time.Millisecond
+	pullEvery      = time.Second
+	syncEvery      = 2 * time.Second
 	// aloneAfter is how long a process tries to reach peers before it watches the object API on its own.
 	aloneAfter      = 3 * time.Second
 	maxBatchBytes   = 256 << 10
@@ -52,14 +55,15 @@
 // Node is the part of a process that takes part in membership and in the distribution of objects. Its methods are safe
 // for concurrent use.
 type Node struct {
-	opts    Options
-	store   fighollow.ObjectStore
-	cat     *catalog.Catalog
-	log     zerolog.Logger
-	hello   link.Hello
-	budget  int // bytes of a reply
-	started time.Time
-	done    chan struct{} // closed when Run ends
+	opts      Options
+	store     fighollow.ObjectStore
+	cat       *catalog.Catalog
+	log       zerolog.Logger
+	hello     link.Hello
+	budget    int // bytes of a reply
+	started   time.Time
+	done      chan struct{} // closed when Run ends
+	heartbeat time.Duration
 
 	mu       sync.Mutex
 	machine  *membership.Machine
@@ -72,6 +76,7 @@
 	lastPull time.Time
 	lastSync time.Time
 	lastSeed time.Time
+	blindAt  time.Time
 	watch    context.CancelFunc // ends this process's watch; nil while it is not a watcher
 	sent     int64              // on links that have ended
 	received int64
@@ -87,8 +92,13 @@
 	if maxFrame == 0 {
 		maxFrame = link.DefaultMaxFrame
 	}
+	heartbeat := opts.Membership.Heartbeat
+	if heartbeat <= 0 {
+		heartbeat = membership.DefaultHeartbeat
+	}
 	return &Node{
-		opts: opts, store: store, cat: cat, log: log,
+		heartbeat: heartbeat,
+		opts:      opts, store: store, cat: cat, log: log,
 		hello: link.Hello{
 			ID: self.ID, Incarnation: int64(self.Incarnation), Kind: self.Kind,
 			DataCentre: self.DataCentre, Region: opts.Region, Link: self.Link,
@@ -109,11 +119,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	defer n.close()
 	go n.bootstrap(ctx)
-	heartbeat := n.opts.Membership.Heartbeat
-	if heartbeat <= 0 {
-		heartbeat = membership.DefaultHeartbeat
-	}
-	t := time.NewTicker(heartbeat / ticksPerHeartbeat)
+	t := time.NewTicker(n.heartbeat / ticksPerHeartbeat)
 	defer t.Stop()
 	for {
 		n.tick(ctx, time.Now())
@@ -133,6 +139,9 @@
 	n.prune(now)
 	n.seed(ctx, now)
 	n.electWatch(ctx, now)
+	if n.machine.Self().Blind && now.Sub(n.blindAt) >= blindRest*n.heartbeat {
+		n.act(ctx, n.machine.Announce(func(m *membership.Member) { m.Blind = false }, now), nil)
+	}
 }
 
 func (n *Node) close() {
@@ -162,7 +171,8 @@
 	n.act(context.Background(), n.machine.Announce(change, time.Now()), nil)
 }
 
-// Members returns the members known, this process and dead ones included, in the order of their ids.
+// Members returns the members known, this process and dead ones included, in the order of their ids. The slice is shared
+// between callers and must not be changed.
 func (n *Node) Members() []membership.Member {
 	n.mu.Lock()
 	defer n.mu.Unlock()
