--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -54,7 +54,7 @@
 	}
 	return &Control{
 		opts: opts, cat: cat, log: log,
-		runner: planner.NewRunner(planner.Options{Holder: opts.Self.ID, Region: opts.Self.Region}, store, cat, log),
+		runner: planner.New(planner.Options{Holder: opts.Self.ID, Region: opts.Self.Region}, store, cat, log),
 		maintainer: &ledger.Maintainer{
 			Store: store, Catalog: cat, Region: opts.Self.Region, Horizon: opts.KeyHorizon, Log: log,
 			Entries: func() []string { return ledger.Entries(cat, opts.Self.Region, opts.Members()) },
