client: a Go package for callers

Cause: callers had to write the handling of Retry-After, unknown outcomes, keys and broken streams themselves, and the load command had a copy of it. Change: pkg/client with completions, streams, plain services, keys and typed errors; it sends again only what was not run, or what has a key. The entry's Hello is shared with the ledger and the region's control. Ruled out: sending again after an unknown outcome without a key.

--- a/cmd/fighollow/entry.go
+++ b/cmd/fighollow/entry.go
@@ -74,10 +74,7 @@
 			return nil, nil, err
 		}
 	}
-	self := link.Hello{
-		ID: cfg.ID, Incarnation: time.Now().UnixMilli(), Kind: fighollow.InstanceEntry,
-		DataCentre: cfg.DataCentre, Region: cfg.Region, Link: cfg.Link,
-	}
+	self := e.Hello()
 	control := region.New(region.Options{
 		Self: self, Link: opts, KeyHorizon: time.Duration(cfg.KeyHorizonMs) * time.Millisecond, Members: e.Node().Members,
 	}, store, e.Catalog(), log)
--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -12,6 +12,7 @@
 
 	"github.com/fighollow/fighollow/internal/engine"
 	"github.com/fighollow/fighollow/internal/standin/load"
+	"github.com/fighollow/fighollow/pkg/client"
 )
 
 // loadCommand sends the same load through an entry and, where --direct names an engine, straight to that engine.
@@ -43,9 +44,11 @@
 		return fmt.Errorf("requests and concurrency must be above 0, shared-bytes not below")
 	}
 	transport := &http.Transport{MaxIdleConnsPerHost: opts.Concurrency}
-	entry := &load.HTTP{
-		URL: "http://" + cmd.String("entry"), Key: cmd.String("key"), Model: cmd.String("model"),
-		Client: &http.Client{Transport: transport},
+	entry := &load.Entry{
+		Model: cmd.String("model"),
+		Client: client.New(client.Options{
+			URL: "http://" + cmd.String("entry"), Key: cmd.String("key"), MaxAttempts: 1, HTTP: &http.Client{Transport: transport},
+		}),
 	}
 	t := tabwriter.NewWriter(cmd.Root().Writer, 0, 4, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "path\tcompleted\tfailed\trequests/s\ttokens/s\tfirst p50 us\tfirst p95 us\tgap p50 us\tgap p95 us\t")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -80,7 +80,7 @@
 	}
 	opts := spread.Options{Peers: cfg.Peers, RemotePeers: cfg.RemotePeers, Link: e.linkOpts, Region: cfg.Region}
 	e.node = spread.New(opts, self, store, e.cat, log)
-	e.links = newPool(e.hello(), &peerHandler{e: e}, e.linkOpts)
+	e.links = newPool(e.Hello(), &peerHandler{e: e}, e.linkOpts)
 	e.balance.router = routing.New(cfg.ID, cfg.DataCentre, routing.Options{})
 	e.balance.limits = admission.NewEntry(cfg.MaxOpenRequests)
 	e.metrics = newMetrics()
@@ -106,7 +106,8 @@
 // Routed returns the highest version of the objects by which new requests are routed.
 func (e *Entry) Routed() uint64 { return e.view.Load().version }
 
-func (e *Entry) hello() link.Hello {
+// Hello returns how the entry identifies itself on links.
+func (e *Entry) Hello() link.Hello {
 	return link.Hello{
 		ID: e.cfg.ID, Incarnation: e.incarnation, Kind: fighollow.InstanceEntry,
 		DataCentre: e.cfg.DataCentre, Region: e.cfg.Region, Link: e.cfg.Link,
@@ -123,7 +124,7 @@
 		e.callers.Close()
 		return fmt.Errorf("entry: listen for admin: %w", err)
 	}
-	if e.peers, err = link.Listen(e.cfg.Link, e.hello(), &peerHandler{e: e}, e.linkOpts, e.linkRefused); err != nil {
+	if e.peers, err = link.Listen(e.cfg.Link, e.Hello(), &peerHandler{e: e}, e.linkOpts, e.linkRefused); err != nil {
 		e.callers.Close()
 		e.admin.Close()
 		return fmt.Errorf("entry: %w", err)
