sidecar: tests of repeated plain calls, contradicting engines and large answers

Cause: two single-line faults put into the code on trial were not noticed: taking a call of an attempt that is still held, and believing an engine's "not run" after a token. Change: a test for each, and one that breaks the link of a 2 MB answer of a plain service and resumes it.

--- a/internal/sidecar/attempt_test.go
+++ b/internal/sidecar/attempt_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -296,3 +298,24 @@
 	qt.Assert(t, len(f.attempts(queued.Attempt)), qt.Equals, 0)
 	f.control(engine.Control{Action: engine.ActionRelease, Step: engine.StepFirstToken})
 }
+
+// Guards against a "not run" for an attempt of which tokens were delivered, whatever the engine says.
+func TestNotRunAfterATokenIsUnknown(t *testing.T) {
+	t.Parallel()
+	var broken atomic.Bool
+	f := startEngine(t, engine.Options{}, func(f *fleet) {
+		f.wrap = func(h http.Handler) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/generate" || !broken.Load() {
+					h.ServeHTTP(w, r)
+					return
+				}
+				_, _ = fmt.Fprint(w, "event: token\ndata: {\"index\":0,\"text\":\"a\"}\n\nevent: error\ndata: {\"code\":\"notRun\"}\n\n")
+			})
+		}
+	})
+	broken.Store(true)
+	r := f.run(f.dial(), generate("contradiction", 5))
+	qt.Assert(t, r.text, qt.Equals, "a")
+	qt.Assert(t, r.finish.Outcome, qt.Equals, fighollow.Unknown)
+}
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"strings"
@@ -34,6 +35,7 @@
 	store   fighollow.ObjectStore
 	engine  *engine.Engine
 	plain   *plain.Service
+	wrap    func(http.Handler) http.Handler // around the engine; may be nil
 	cfg     settings.Sidecar
 	cancel  context.CancelFunc
 	stopped chan error
@@ -103,10 +105,10 @@
 		opts.Change = 20 * time.Millisecond
 	}
 	opts.ChecksFence = true
-	f.attach(opts)
 	for _, c := range change {
 		c(f)
 	}
+	f.attach(opts)
 	f.plan(1, assignment("loom", 1))
 	f.start()
 	f.awaitServing("loom")
@@ -116,7 +118,11 @@
 // attach starts an engine stand-in for the sidecar.
 func (f *fleet) attach(opts engine.Options) {
 	f.engine = engine.New(opts)
-	srv := httptest.NewServer(f.engine)
+	var h http.Handler = f.engine
+	if f.wrap != nil {
+		h = f.wrap(h)
+	}
+	srv := httptest.NewServer(h)
 	f.t.Cleanup(func() {
 		f.engine.Close()
 		srv.Close()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -88,6 +90,48 @@
 	qt.Assert(t, len(f.posts()), qt.Equals, 2)
 }
 
+// Guards against a second run of an attempt whose call arrives twice; a plain service itself knows no attempts.
+func TestRepeatedPlainCallRunsOnce(t *testing.T) {
+	t.Parallel()
+	f := startPlain(t)
+	c := f.dialServing()
+	qt.Assert(t, f.plain.Control(plain.Control{Action: plain.ActionHold, Step: plain.StepHead}), qt.IsNil)
+	call := serviceCall(http.MethodPost)
+	s, err := c.Open(call)
+	qt.Assert(t, err, qt.IsNil)
+	await(t, "first call", func() bool { return len(f.posts()) == 1 })
+	qt.Assert(t, f.run(c, call).refusal.Outcome, qt.Equals, fighollow.Unknown)
+	qt.Assert(t, f.plain.Control(plain.Control{Action: plain.ActionRelease, Step: plain.StepHead}), qt.IsNil)
+	r := f.receive(s, reply{}, func(reply) bool { return false })
+	qt.Assert(t, r.finish.Outcome, qt.Equals, fighollow.Completed)
+	qt.Assert(t, f.run(c, call).refusal.Outcome, qt.Equals, fighollow.Unknown)
+	qt.Assert(t, len(f.posts()), qt.Equals, 1)
+}
+
+// Guards against a part of a large answer that is lost or doubled when its link breaks and is resumed.
+func TestLargePlainAnswerIsResumed(t *testing.T) {
+	t.Parallel()
+	f := startPlain(t)
+	c := f.dialServing()
+	call := serviceCall(http.MethodPost)
+	call.Service.Body = []byte(strings.Repeat("0123456789", 200_000))
+	s, err := c.Open(call)
+	qt.Assert(t, err, qt.IsNil)
+	r := f.receive(s, reply{}, func(r reply) bool { return r.units > 1_500_000 })
+	c.Close()
+	c = f.dial()
+	again := resume(c, call.Attempt, r.units)
+	again.Kind = link.CallService
+	s, err = c.Open(again)
+	qt.Assert(t, err, qt.IsNil)
+	r = f.receive(s, r, func(reply) bool { return false })
+	qt.Assert(t, r.finish.Outcome, qt.Equals, fighollow.Completed)
+	var a plain.Answer
+	qt.Assert(t, json.Unmarshal([]byte(r.text), &a), qt.IsNil)
+	qt.Assert(t, a.Body == string(call.Service.Body), qt.IsTrue)
+	qt.Assert(t, len(f.posts()), qt.Equals, 1)
+}
+
 func serviceCall(method string) link.Call {
 	id := newID()
 	return link.Call{
