--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -78,7 +78,7 @@
 	self := membership.Member{
 		ID: cfg.ID, Incarnation: uint64(e.incarnation), Kind: fighollow.InstanceEntry, DataCentre: cfg.DataCentre, Link: cfg.Link,
 	}
-	opts := spread.Options{Peers: cfg.Peers, RemotePeers: cfg.RemotePeers, Link: e.linkOpts}
+	opts := spread.Options{Peers: cfg.Peers, RemotePeers: cfg.RemotePeers, Link: e.linkOpts, Region: cfg.Region}
 	e.node = spread.New(opts, self, store, e.cat, log)
 	e.links = newPool(e.hello(), &peerHandler{e: e}, e.linkOpts)
 	e.balance.router = routing.New(cfg.ID, cfg.DataCentre, routing.Options{})
@@ -148,6 +148,7 @@
 	var background sync.WaitGroup
 	background.Go(func() { _ = e.node.Run(work) })
 	background.Go(func() { e.followView(work) })
+	background.Go(func() { e.links.closeUnused(work) })
 
 	hs := &http.Server{Handler: e.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	as := &http.Server{Handler: e.adminRoutes(), ReadHeaderTimeout: headerTimeout}
