admission: overflow between roles needs a margin

Cause: in the policy bench the fixed split lost more by overflow in calm times than it saved: work outside its role takes an engine longer and disturbs the role's own requests. Change: OverflowMargin and Overflows: a request goes to the other role only when that is expected to be 2.5 times as fast.

--- a/internal/admission/late.go
+++ b/internal/admission/late.go
@@ -56,3 +56,14 @@
 func IsLate(now, deadline time.Time, b Backlog, promptTokens, outputTokens int) bool {
 	return !deadline.IsZero() && now.Add(ExpectedTime(b, promptTokens, outputTokens)).After(deadline)
 }
+
+// OverflowMargin is by how much an engine of the other role must be expected to be faster for a request to overflow to
+// it. Work outside its role takes an engine longer and disturbs the role's own requests: with a margin of 1 overflow
+// cost the fixed split of the policy bench more of its goodput in calm times than it saved.
+const OverflowMargin = 2.5
+
+// Overflows reports whether a request should go to an engine of the other role, from the expected times on the best
+// engine of each.
+func Overflows(own, other time.Duration) bool {
+	return time.Duration(OverflowMargin*float64(other)) < own
+}
--- a/internal/admission/late_test.go
+++ b/internal/admission/late_test.go
@@ -33,3 +33,9 @@
 	qt.Check(t, admission.IsLate(now, now.Add(5*time.Second), b, 2000, 100), qt.IsFalse)
 	qt.Check(t, admission.IsLate(now, time.Time{}, b, 2000, 100), qt.IsFalse)
 }
+
+// Guards against overflow for a small advantage, which costs both roles time.
+func TestOverflowNeedsAMargin(t *testing.T) {
+	qt.Check(t, admission.Overflows(10*time.Second, 5*time.Second), qt.IsFalse)
+	qt.Check(t, admission.Overflows(10*time.Second, 3*time.Second), qt.IsTrue)
+}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -140,3 +140,36 @@
 	}
 	qt.Assert(t, prefill >= 5 && prefill <= 7, qt.IsTrue, qt.Commentf("%d of 12 prefill", prefill))
 }
+
+// Guards against a preset change that takes the only engine of a model with demand, and one that never comes into force
+// once the demand is gone.
+func TestLastEngineBlocksPresetUntilDemandEnds(t *testing.T) {
+	r := newRegion(oneModel("1"), "a")
+	r.decide(0)
+	r.decide(1)
+	r.in.Preset = oneModel("2")
+	d := r.decide(100)
+	qt.Assert(t, d.Changes, qt.HasLen, 0)
+	qt.Assert(t, d.Blocked, qt.DeepEquals, []string{"memo"})
+	r.in.Demand = map[string]demand.Estimate{"memo": {}}
+	d = r.decide(101)
+	qt.Assert(t, d.Changes, qt.HasLen, 1)
+	qt.Assert(t, d.Blocked, qt.HasLen, 0)
+}
+
+// Guards against a model that stays without an engine in service after operators took its only one out.
+func TestDrainOfLastEngineIsMadeUp(t *testing.T) {
+	r := newRegion(fighollow.Preset{Models: []fighollow.PresetModel{
+		{Model: "memo", ModelVersion: "1", MaxEngines: 1}, {Model: "summary", ModelVersion: "1"}}}, "a", "b", "c")
+	r.decide(0)
+	r.decide(1)
+	i := 0
+	for r.in.Plans["hall-a"].Engines[r.in.Engines[i].ID].Model != "memo" {
+		i++
+	}
+	r.in.Engines[i].Drain = &fighollow.Drain{Action: fighollow.ActionDrain}
+	d := r.decide(100)
+	qt.Assert(t, d.Changes, qt.HasLen, 1)
+	qt.Assert(t, d.Changes[0].To.Model, qt.Equals, "memo")
+	qt.Assert(t, d.Changes[0].Reason, qt.Equals, planner.ReasonMinimum)
+}
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -13,6 +13,7 @@
 	"sync"
 	"testing"
 
+	"github.com/fighollow/fighollow/internal/admission"
 	"github.com/fighollow/fighollow/internal/demand"
 	"github.com/fighollow/fighollow/internal/planner"
 	"github.com/fighollow/fighollow/pkg/fighollow"
@@ -21,7 +22,9 @@
 var (
 	out   = flag.String("policy.csv", "", "run the whole bench and write this file")
 	seeds = flag.Int("policy.seeds", 5, "seeds of the whole bench")
-	only  = flag.String("policy.only", "", "only shapes with this prefix")
+	// margin 1 lets a request overflow to the other role as soon as that is expected to be faster.
+	margin = flag.Float64("policy.margin", admission.OverflowMargin, "by how much the other role must be faster for overflow")
+	only   = flag.String("policy.only", "", "only shapes with this prefix")
 )
 
 // trial is a shape with what goes wrong in it.
@@ -94,8 +97,8 @@
 	return score{r.useful / r.offered, r.late, r.refused, r.changes}
 }
 
-// firstSeed is above the seeds with which the defaults of the policy were chosen.
-const firstSeed = 200
+// firstSeed is above the seeds with which the defaults of the policy and the overflow margin were chosen.
+const firstSeed = 300
 
 // row is the outcome of one policy in one trial over all seeds.
 type row struct {
@@ -203,6 +206,7 @@
 func summarise(u user, rows []row) {
 	var ratios []float64
 	below, runs, changes, every := 0, 0, 0, 0
+	worst := 0.0
 	byKey := make(map[string]row)
 	for _, r := range rows {
 		byKey[r.user+r.trial+r.policy] = r
@@ -217,14 +221,14 @@
 			runs++
 			changes += s.changes
 			every += th.scores[i].changes
-			if s.goodput < base.scores[i].goodput {
-				below++
+			if d := base.scores[i].goodput - s.goodput; d > 0 {
+				below, worst = below+1, max(worst, d)
 			}
 		}
 	}
 	mid, low, _ := median(ratios)
-	fmt.Printf("%s: planner against the best plan in hindsight: median %.3f, lowest %.3f; below the fixed split in %d of %d runs; %d role changes, %.1f%% of every threshold's %d\n",
-		u.name, mid, low, below, runs, changes, 100*float64(changes)/float64(every), every)
+	fmt.Printf("%s: planner against the best plan in hindsight: median %.3f, lowest %.3f; below the fixed split in %d of %d runs, by at most %.3f; %d role changes, %.1f%% of every threshold's %d\n",
+		u.name, mid, low, below, runs, worst, changes, 100*float64(changes)/float64(every), every)
 }
 
 func write(t *testing.T, rows []row) {
--- a/internal/policy/run_test.go
+++ b/internal/policy/run_test.go
@@ -120,7 +120,13 @@
 		b.DecodeTokensPerSecond = decodeRate
 		return admission.ExpectedTime(b, int(q.prompt*(1-cacheHit*e.warm)), int(q.output))
 	}
-	slices.SortStableFunc(candidates, func(a, b *engine) int { return cmp.Compare(expected(a), expected(b)) })
+	preference := func(e *engine) time.Duration {
+		if e.work.Role == fighollow.RolePrefill {
+			return expected(e)
+		}
+		return time.Duration(*margin * float64(expected(e)))
+	}
+	slices.SortStableFunc(candidates, func(a, b *engine) int { return cmp.Compare(preference(a), preference(b)) })
 	for _, e := range candidates[:min(3, len(candidates))] {
 		late := !r.cond.noEarly && clock(now).Add(expected(e)).After(clock(q.deadline))
 		if !late && len(e.prompts) < 64 {
@@ -167,7 +173,7 @@
 		best = targets[0]
 	}
 	for _, e := range targets {
-		if e.room() > best.room() {
+		if best == from && from.work.Role == fighollow.RolePrefill && *margin*e.room() > from.room() || e.room() > best.room() {
 			best = e
 		}
 	}
