faults: one engine of each fleet takes any order at any time

Cause: an engine that refuses orders while requests run hides an order that should not have been sent. Change: engine-2 ignores fencing numbers and lets an order interrupt its work. Conclusion: the order oracle now also covers engines that ignore the number.

--- a/internal/faults/fleet_test.go
+++ b/internal/faults/fleet_test.go
@@ -124,9 +124,15 @@
 		u.standin = f.start(id+"-standin", "standin", "service", "--listen", u.addr)
 		f.instance(id, kind, upstreamsDC, u.proxy.addr(), "s")
 	} else {
-		up["checksFence"] = true
-		u.standin = f.start(id+"-standin", "standin", "engine", "--listen", u.addr, "--checks-fence", "--model", model,
-			"--model-version", "v1")
+		args := []string{"standin", "engine", "--listen", u.addr, "--model", model, "--model-version", "v1"}
+		// The second engine takes any order at any time, so that an order that should not have been sent shows.
+		if len(f.engines) == 0 {
+			up["checksFence"] = true
+			args = append(args, "--checks-fence")
+		} else {
+			args = append(args, "--interrupts-work")
+		}
+		u.standin = f.start(id+"-standin", args...)
 		f.instance(id, kind, upstreamsDC, u.proxy.addr(), "")
 	}
 	settings["upstream"] = up
