admin: health and metrics of all processes in one place

Cause: entry and sidecar served /healthz, /readyz and /metrics with code of their own, as JSON that no scraper reads. Change: package admin serves them, metrics in the Prometheus text format; latencies count every value (HdrHistogram behind the metrics library's Sample). The entry uses it; the sidecar follows. Ruled out: the library's sampled histograms, whose 99th percentile of rare slow requests is often missed. Measured: golden file and the entry's tests pass. Conclusion: one format for both kinds of process.

--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,36 @@
+// Package admin serves the health and the metrics of a process on its admin address.
+package admin
+
+import (
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/rcrowley/go-metrics"
+)
+
+// Options describe a process to its admin server.
+type Options struct {
+	// Ready returns whether the process takes new work, and a word on its state for people.
+	Ready func() (ok bool, state string)
+	// Registry holds the metrics.
+	Registry metrics.Registry
+}
+
+// Handler serves /healthz (200 while the process runs), /readyz (200 while it takes new work, else 503) and /metrics
+// (the Prometheus text format).
+func Handler(opts Options) http.Handler {
+	r := chi.NewRouter()
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok\n")) })
+	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		ok, state := opts.Ready()
+		if !ok {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		w.Write([]byte(state + "\n"))
+	})
+	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		WriteMetrics(w, opts.Registry)
+	})
+	return r
+}
--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,42 @@
+package admin_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/fighollow/fighollow/internal/admin"
+)
+
+// Guards against metrics that a Prometheus scraper cannot read, and quantiles that leave values out.
+func TestMetricsFormat(t *testing.T) {
+	r := metrics.NewRegistry()
+	metrics.NewRegisteredCounter("refusals.notRun.overloaded", r).Inc(3)
+	metrics.NewRegisteredFunctionalGauge("openRequests", r, func() int64 { return 7 })
+	l := admin.NewLatency("firstPartMicros", r)
+	for i := range 1000 {
+		l.Record(time.Duration(i+1) * time.Millisecond)
+	}
+	h := admin.Handler(admin.Options{Registry: r, Ready: func() (bool, string) { return true, "ok" }})
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	goldie.New(t).Assert(t, "metrics", w.Body.Bytes())
+}
+
+// Guards against a balancer that sends requests to a process that takes none.
+func TestReadyFollowsTheProcess(t *testing.T) {
+	ready := false
+	h := admin.Handler(admin.Options{Registry: metrics.NewRegistry(), Ready: func() (bool, string) { return ready, "state" }})
+	for _, status := range []int{503, 200} {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/readyz", nil))
+		qt.Assert(t, w.Code, qt.Equals, status)
+		qt.Assert(t, w.Body.String(), qt.Equals, "state\n")
+		ready = true
+	}
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -230,9 +230,9 @@
 func (a *attempt) timeFlush() {
 	now := time.Now()
 	if a.last.IsZero() {
-		a.e.metrics.firstPart.record(now.Sub(a.q.caller.arrived))
+		a.e.metrics.firstPart.Record(now.Sub(a.q.caller.arrived))
 	} else {
-		a.e.metrics.betweenParts.record(now.Sub(a.last))
+		a.e.metrics.betweenParts.Record(now.Sub(a.last))
 	}
 	a.last = now
 }
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -77,7 +77,7 @@
 			e.metrics.refusal(refusal)
 			writeRefusal(w, refusal)
 		}
-		e.metrics.whole.record(time.Since(c.arrived))
+		e.metrics.whole.Record(time.Since(c.arrived))
 	}
 }
 
--- a/internal/entry/split_test.go
+++ b/internal/entry/split_test.go
@@ -130,15 +130,10 @@
 	qt.Assert(t, reply, qt.Equals, "engine-1 asks ledger.claim")
 	qt.Assert(t, c.Ask(ctx, "other", nil, nil), qt.ErrorIs, link.ErrRemote)
 
-	var m struct {
-		Counters    map[string]int64
-		LatenciesMs map[string]struct{ Count int64 }
-	}
 	a := f.send("GET", "/v1/models", "")
 	qt.Assert(t, a.body, qt.Contains, `"id":"once"`)
 	res := f.get(f.admin + "/metrics")
-	qt.Assert(t, json.Unmarshal([]byte(res), &m), qt.IsNil)
-	qt.Assert(t, m.Counters["requests"], qt.Equals, int64(2))
-	qt.Assert(t, m.Counters["tokens"], qt.Equals, int64(1))
-	qt.Assert(t, m.LatenciesMs["firstPart"].Count, qt.Equals, int64(1))
+	qt.Assert(t, res, qt.Contains, "fighollow_requests_total 2\n")
+	qt.Assert(t, res, qt.Contains, "fighollow_tokens_total 1\n")
+	qt.Assert(t, res, qt.Contains, "fighollow_first_part_micros_count 1\n")
 }
