sidecar, routing: the age of the prefix cache, and shared admin pages

Cause: cache events were not used, so an entry believed in a prefix for as long as its own index kept it; the sidecar logged an invalid object (event 2013) although the object was valid; engine replace never ended, because the command did not say which start it replaces. Change: the sidecar estimates from the engine's late and incomplete cache events how long pieces are kept, tells it with its load, and entries believe in no older block. The admin server is the shared one. The replace command sets the time after which a start is the successor's. No event without an error. Ruled out: passing each event on to the entries, whose number of messages grows with entries times evictions. Conclusion: a lost cache event costs speed only, and old beliefs end by themselves.

--- a/internal/operator/engine.go
+++ b/internal/operator/engine.go
@@ -60,6 +60,9 @@
 		return err
 	}
 	d := fighollow.Drain{Action: action, By: o.by, AtMs: now.UnixMilli(), WriteID: newWriteID()}
+	if action == fighollow.ActionReplace {
+		d.Incarnation = d.AtMs
+	}
 	_, err = o.write(ctx, fighollow.KindDrain, engine, d, version)
 	return o.engineRace(err, engine)
 }
--- a/internal/routing/load.go
+++ b/internal/routing/load.go
@@ -35,6 +35,13 @@
 	s.others = max(0, float64(l.Running+l.Queued-s.open))
 }
 
+// evicts reports whether the upstream will have evicted a block of a prompt that it last got at a time in Unix
+// nanoseconds, as far as its last report tells.
+func (s *estimate) evicts(now time.Time, at int64) bool {
+	age := s.load.CacheAgeMs * int64(time.Millisecond)
+	return age > 0 && now.UnixNano()-at > age
+}
+
 // fresh returns the weight of the last report, from 1 at once to 0 after loadMemory.
 func (s *estimate) fresh(now time.Time) float64 {
 	if s.at.IsZero() {
--- a/internal/routing/prefix.go
+++ b/internal/routing/prefix.go
@@ -96,7 +96,7 @@
 		}
 		known := false
 		for _, h := range x.blocks[at].held {
-			if h.n == nil || h.at < since || h.n.match != depth {
+			if h.n == nil || h.at < since || h.n.match != depth || h.n.load.evicts(now, h.at) {
 				continue
 			}
 			known = true
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -68,6 +68,11 @@
 	r.Accepted(start, holder, fighollow.Load{Slots: 8, Running: 8, Queued: 30, WaitMs: 9000}, nil)
 	d, _ := r.Choose(start, &q)
 	qt.Assert(t, d.Upstream.ID, qt.Not(qt.Equals), holder)
+	r.Accepted(start, holder, fighollow.Load{Slots: 8, Running: 1, CacheAgeMs: 30_000}, q.Blocks)
+	d, _ = r.Choose(start.Add(29*time.Second), &q)
+	qt.Assert(t, d.Cached, qt.Equals, 16000)
+	d, _ = r.Choose(start.Add(31*time.Second), &q)
+	qt.Assert(t, d.Cached, qt.Equals, 0, qt.Commentf("a block is believed beyond the age at which the engine evicts"))
 	d, _ = r.Choose(start.Add(time.Hour), &q)
 	qt.Assert(t, d.Cached, qt.Equals, 0, qt.Commentf("an old block is still believed to be cached"))
 }
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/fighollow/fighollow/internal/admin"
 	"github.com/fighollow/fighollow/internal/admission"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
@@ -23,7 +24,7 @@
 	resumed    metrics.Counter
 	orders     metrics.Counter
 	restarts   metrics.Counter
-	firstToken metrics.Histogram // microseconds
+	firstToken *admin.Latency
 
 	mu sync.Mutex // guards the creation of counters by code and outcome
 }
@@ -36,9 +37,8 @@
 		resumed:    metrics.NewRegisteredCounter("attempts.resumed", r),
 		orders:     metrics.NewRegisteredCounter("engine.orders", r),
 		restarts:   metrics.NewRegisteredCounter("engine.restarts", r),
-		firstToken: metrics.NewHistogram(metrics.NewExpDecaySample(512, 0.015)),
+		firstToken: admin.NewLatency("attempts.firstTokenMicros", r),
 	}
-	_ = r.Register("attempts.firstTokenMicros", g.firstToken) // the name is new in this registry
 	load := func(part func(l fighollow.Load) int) func() int64 {
 		return func() int64 { return int64(part(s.load())) }
 	}
@@ -59,22 +59,13 @@
 }
 
 func (s *Sidecar) adminHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
-		w.Write([]byte("ok\n"))
+	return admin.Handler(admin.Options{
+		Registry: s.metrics.registry,
+		Ready: func() (bool, string) {
+			gate := s.gate()
+			return gate == admission.Open, string(gate)
+		},
 	})
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		gate := s.gate()
-		if gate != admission.Open {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-		w.Write([]byte(string(gate) + "\n"))
-	})
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		metrics.WriteJSONOnce(s.metrics.registry, w)
-	})
-	return mux
 }
 
 func (s *Sidecar) gate() admission.Gate {
--- /dev/null
+++ b/internal/sidecar/cache_test.go
@@ -0,0 +1,32 @@
+package sidecar_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fighollow/fighollow/internal/sidecar"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// Guards against an entry that goes on routing by a prefix that the engine has long evicted: the age reported must
+// follow the evictions, in spite of lost events, and be unknown when nothing is evicted.
+func TestCacheAgeFollowsEvictions(t *testing.T) {
+	c := sidecar.NewCacheAge()
+	now := time.UnixMilli(1_800_000_000_000)
+	qt.Assert(t, c.Ms(now), qt.Equals, int64(0))
+	for i := range uint64(200) {
+		now = now.Add(time.Second)
+		events := []fighollow.CacheEvent{{Seq: 2 * i, Piece: i}}
+		if i >= 30 {
+			events = append(events, fighollow.CacheEvent{Seq: 2*i + 1, Piece: i - 30, Evicted: true})
+		}
+		if i%7 == 3 {
+			events = nil // lost
+		}
+		c.Learn(now, events)
+	}
+	qt.Assert(t, c.Ms(now), qt.Equals, int64(30_000))
+	qt.Assert(t, c.Ms(now.Add(time.Hour)), qt.Equals, int64(0))
+}
--- a/internal/sidecar/fault_test.go
+++ b/internal/sidecar/fault_test.go
@@ -1,11 +1,11 @@
 package sidecar_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -170,11 +170,7 @@
 		if err != nil {
 			return false
 		}
-		var m map[string]struct{ Value int }
-		// Histograms and counters have other fields, which are left out.
-		if err := json.Unmarshal(data, &m); err != nil {
-			return false
-		}
-		return m["slots.running"].Value == 0 && m["queue.length"].Value == 0 && f.engine.State().Running == 0
+		idle := strings.Contains(string(data), "fighollow_slots_running 0\n") && strings.Contains(string(data), "fighollow_queue_length 0\n")
+		return idle && f.engine.State().Running == 0
 	})
 }
--- a/internal/sidecar/generate.go
+++ b/internal/sidecar/generate.go
@@ -70,7 +70,7 @@
 			return fighollow.GenerateResult{}, fmt.Errorf("%w: index %d where %d is next", errOrder, t.Index, a.next())
 		}
 		if t.Index == a.firstOffset() {
-			s.metrics.firstToken.Update(time.Since(began).Microseconds())
+			s.metrics.firstToken.Record(time.Since(began))
 			a.setFirst(time.Now())
 		}
 		a.addToken(t.Text)
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -139,7 +139,7 @@
 }
 
 func (s *Sidecar) objectInvalid(err error) {
-	if !errors.Is(err, catalog.ErrNotKnown) {
+	if err != nil && !errors.Is(err, catalog.ErrNotKnown) {
 		event.ObjectInvalid.Log(&s.log).Err(err).Send()
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -47,6 +47,7 @@
 	fates     *fates
 	pace      *pace
 	counts    *counts
+	cache     *cacheAge
 	conns     map[*link.Conn]struct{}
 	drain     fighollow.DrainAction // "" while in service
 	leaving   bool
@@ -61,7 +62,7 @@
 		cfg: cfg, log: log.With().Str("process", cfg.ID).Logger(), incarnation: now.UnixMilli(),
 		linkOpts: link.Options{MaxFrame: cfg.MaxFrameBytes}, cat: catalog.New(), poke: make(chan struct{}, 1),
 		admission: admission.NewSidecar(cfg.QueueLength), held: make(map[string]*attempt), fates: newFates(now),
-		pace: newPace(), counts: newCounts(), conns: make(map[*link.Conn]struct{}), idle: make(chan struct{}),
+		pace: newPace(), counts: newCounts(), cache: newCacheAge(), conns: make(map[*link.Conn]struct{}), idle: make(chan struct{}),
 	}
 	s.metrics = newGauges(s)
 	if cfg.TLS != nil {
@@ -123,6 +124,7 @@
 	wg.Go(func() { _ = s.node.Run(background) })
 	wg.Go(func() { s.follow(background) })
 	wg.Go(func() { s.report(background) })
+	wg.Go(func() { s.followCache(background) })
 	event.ProcessStarted.Log(&s.log).Str("link", l.Addr()).Str("admin", s.cfg.Admin).Str("upstream", s.cfg.Upstream.Address).Send()
 	<-ctx.Done()
 	s.stop()
@@ -210,7 +212,10 @@
 func (s *Sidecar) load() fighollow.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.admission.Load(time.Now())
+	now := time.Now()
+	l := s.admission.Load(now)
+	l.CacheAgeMs = s.cache.ms(now)
+	return l
 }
 
 // clockTolerance is how far the clock of an entry may be ahead of the one here.
--- a/pkg/fighollow/outcome.go
+++ b/pkg/fighollow/outcome.go
@@ -66,4 +66,6 @@
 	QueuedTokens int `json:"queuedTokens" msgpack:"queuedTokens"`
 	// WaitMs is the expected wait of a new request for a slot, in milliseconds.
 	WaitMs int64 `json:"waitMs" msgpack:"waitMs"`
+	// CacheAgeMs is how long the engine lately kept a piece of a prompt in its prefix cache, in milliseconds; 0: unknown.
+	CacheAgeMs int64 `json:"cacheAgeMs,omitempty" msgpack:"cacheAgeMs,omitempty"`
 }
--- a/pkg/fighollow/preset.go
+++ b/pkg/fighollow/preset.go
@@ -74,7 +74,8 @@
 	By      string      `json:"by"`
 	AtMs    int64       `json:"atMs"`
 	WriteID string      `json:"writeId"`
-	// Incarnation is the engine start (Unix milliseconds) that ActionReplace removes; a later start is in service.
+	// Incarnation ends ActionReplace: an engine that started after this time (Unix milliseconds) is the successor and in
+	// service. Operators' commands set it to the time of the request.
 	Incarnation int64 `json:"incarnation,omitempty"`
 }
 
