membership: leaving members watch the object API when there are no others

Ruled out: announcing a drained engine as alive, which would bring it new work. Change: Watchers falls back to leaving members when all are leaving, and only then. Conclusion: a data centre that is drained as a whole can be restored.

--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -331,3 +331,14 @@
 		{ID: f.ids[0], Incarnation: 1_000_000, DataCentre: "hall-a", State: membership.Dead},
 	}, f.now), qt.HasLen, 0)
 }
+
+// Guards against a data centre in which nobody learns of the end of a drain because every member is drained, and against
+// leaving members that watch while others can.
+func TestLeavingMembersWatchOnlyAlone(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	m := membership.New(membership.Options{}, membership.Member{ID: "self", DataCentre: "hall-a"}, now)
+	m.Announce(func(o *membership.Member) { o.State = membership.Leaving }, now)
+	qt.Assert(t, m.Watchers(2), qt.DeepEquals, []string{"self"})
+	m.Merge([]membership.Member{{ID: "other", DataCentre: "hall-a", State: membership.Alive}}, now)
+	qt.Assert(t, m.Watchers(2), qt.DeepEquals, []string{"other"})
+}
--- a/internal/membership/ring.go
+++ b/internal/membership/ring.go
@@ -55,7 +55,8 @@
 func (m *Machine) Near(id string) bool { return m.near[id] }
 
 // Watchers returns the ids of the n members that watch the object API for the data centre: those first in rendezvous
-// order among the members that are neither dead nor leaving; blind ones come last.
+// order among the members that are neither dead nor leaving; blind ones come last. When all members are leaving, as with
+// every engine of a data centre drained, they watch: otherwise none would learn of the end of a drain.
 func (m *Machine) Watchers(n int) []string {
 	type candidate struct {
 		id     string
@@ -63,11 +64,19 @@
 		blind  bool
 	}
 	var all []candidate
+	var leaving []candidate
 	for _, id := range m.ring {
-		if member, _ := m.Get(id); member.State != Leaving {
-			all = append(all, candidate{id, xxhash.Sum64String("watcher/" + id), member.Blind})
+		member, _ := m.Get(id)
+		c := candidate{id, xxhash.Sum64String("watcher/" + id), member.Blind}
+		if member.State == Leaving {
+			leaving = append(leaving, c)
+		} else {
+			all = append(all, c)
 		}
 	}
+	if len(all) == 0 {
+		all = leaving
+	}
 	sort.Slice(all, func(i, j int) bool {
 		if all[i].blind != all[j].blind {
 			return all[j].blind
