standin/engine: let go of prompts and answers of attempts that ended

Cause: long load runs kept every prompt and answer in memory. Change: an ended attempt can be resumed for 30 s; the record shows the first 4,096 bytes of a prompt.

--- a/internal/standin/engine/attempt.go
+++ b/internal/standin/engine/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sort"
+	"strings"
 	"time"
 
 	protocol "github.com/fighollow/fighollow/internal/engine"
@@ -20,6 +21,8 @@
 	slot    bool
 	tokens  []string // from req.Offset
 	ended   bool
+	endedAt time.Time
+	gone    bool // the answer is no longer kept
 	fault   protocol.Fault
 	result  fighollow.GenerateResult
 	changed chan struct{} // closed and replaced at each change
@@ -30,11 +33,29 @@
 	a.changed = make(chan struct{})
 }
 
+// keepEnded is how long the answer of an attempt that ended can be resumed.
+const keepEnded = 30 * time.Second
+
+// maxRecordedPrompt bounds the part of a prompt that the record shows, in bytes.
+const maxRecordedPrompt = 4096
+
+// prune lets go of old answers and prompts; the ids stay. e.mu is held.
+func (e *Engine) prune(now time.Time) {
+	l := e.life
+	for len(l.ended) > 0 && now.Sub(l.ended[0].endedAt) > keepEnded {
+		a := l.ended[0]
+		a.gone, a.tokens, a.req.Prompt, a.req.Emitted = true, nil, "", ""
+		l.ended[0] = nil
+		l.ended = l.ended[1:]
+	}
+}
+
 // begin registers an attempt and puts it into the batch. Its fault says why it was not taken.
 func (e *Engine) begin(req fighollow.GenerateRequest) (*attempt, *protocol.Fault) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	l := e.life
+	e.prune(time.Now())
 	if _, ok := l.attempts[req.ID]; ok {
 		return nil, &protocol.Fault{Code: protocol.FaultRepeated, Message: "attempt id " + req.ID + " was used before"}
 	}
@@ -43,7 +64,8 @@
 	}
 	a := &attempt{req: req, changed: make(chan struct{}), record: len(e.record.Attempts)}
 	e.record.Attempts = append(e.record.Attempts, AttemptRecord{
-		ID: req.ID, Model: req.Model, Phase: req.Phase, Prompt: req.Prompt, Offset: req.Offset, Priority: req.Priority,
+		ID: req.ID, Model: req.Model, Phase: req.Phase, Offset: req.Offset, Priority: req.Priority,
+		Prompt:    strings.Clone(req.Prompt[:min(len(req.Prompt), maxRecordedPrompt)]),
 		StartedMs: time.Now().UnixMilli(), Outcome: OutcomeRunning,
 	})
 	l.attempts[req.ID] = a
@@ -154,7 +176,8 @@
 	if a.ended {
 		return
 	}
-	a.ended = true
+	a.ended, a.endedAt = true, time.Now()
+	e.life.ended = append(e.life.ended, a)
 	r := &e.record.Attempts[a.record]
 	r.Outcome, r.EndedMs, r.Tokens = outcome, time.Now().UnixMilli(), len(a.tokens)
 	a.result.PromptTokens, a.result.CachedTokens = a.req.PromptTokens, a.cached
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -83,6 +83,7 @@
 	fence     uint64
 	attempts  map[string]*attempt
 	active    []*attempt // waiting and running, in the order of arrival
+	ended     []*attempt // that can still be resumed, in the order of their end
 	cache     *prefixCache
 	exports   map[string]export
 	loads     []loadSample
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -41,7 +41,7 @@
 	defer cancel()
 	e.mu.Lock()
 	a := e.life.attempts[p.ID]
-	known := a != nil && p.Offset >= a.req.Offset
+	known := a != nil && !a.gone && p.Offset >= a.req.Offset
 	e.mu.Unlock()
 	if !known {
 		writeFault(w, http.StatusNotFound, protocol.Fault{Code: protocol.FaultNotFound, Message: "no attempt " + p.ID})
