sidecar: log an unreadable object once, and none that is readable

Cause: each round of the order loop logged objectInvalid without an error while a drain object existed. Change: only an error is logged, once until another one comes. Conclusion: both cases have a test that counts the lines.

--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -40,6 +40,32 @@
 	cancel  context.CancelFunc
 	stopped chan error
 	tells   *tells
+	log     *errorLog
+}
+
+// errorLog keeps the log lines of level error.
+type errorLog struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (l *errorLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, string(p))
+	return len(p), nil
+}
+
+func (l *errorLog) count(name string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, line := range l.lines {
+		if strings.Contains(line, `"`+name+`"`) {
+			n++
+		}
+	}
+	return n
 }
 
 // tells is an entry's handler that records the topics of one-way messages.
@@ -83,7 +109,7 @@
 	api := objects.New(objects.Options{})
 	apiServer := httptest.NewServer(api)
 	t.Cleanup(apiServer.Close)
-	f := &fleet{t: t, tells: &tells{}}
+	f := &fleet{t: t, tells: &tells{}, log: &errorLog{}}
 	f.store = objectapi.New(objectapi.Options{Address: strings.TrimPrefix(apiServer.URL, "http://"), WatchWait: time.Second})
 	f.cfg = settings.Sidecar{
 		Process: settings.Process{
@@ -150,7 +176,7 @@
 }
 
 func (f *fleet) start() {
-	s, err := sidecar.New(f.cfg, f.store, testLog(f.t))
+	s, err := sidecar.New(f.cfg, f.store, zerolog.New(f.log).Level(zerolog.ErrorLevel))
 	qt.Assert(f.t, err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel, f.stopped = cancel, make(chan error, 1)
--- a/internal/sidecar/order_test.go
+++ b/internal/sidecar/order_test.go
@@ -136,6 +136,18 @@
 	qt.Assert(t, err, qt.IsNil)
 	f.awaitServing("loom")
 	qt.Assert(t, f.admin("/readyz"), qt.Equals, http.StatusOK)
+	qt.Assert(t, f.log.count("objectInvalid"), qt.Equals, 0)
+}
+
+// Guards against an unreadable object that is not told, or that fills the log with each round of the order loop.
+func TestUnreadableObjectIsLoggedOnce(t *testing.T) {
+	t.Parallel()
+	f := startEngine(t, engine.Options{})
+	f.put(fighollow.KindDrain, "upstream-1", []int{1})
+	await(t, "log line", func() bool { return f.log.count("objectInvalid") == 1 })
+	f.plan(2, assignment("velvet", 2))
+	f.awaitServing("velvet") // several rounds later
+	qt.Assert(t, f.log.count("objectInvalid"), qt.Equals, 1)
 }
 
 // Guards against a replaced engine whose successor is never used.
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -138,8 +138,12 @@
 	return a, planned, true
 }
 
+// objectInvalid logs the error of an object that is known but cannot be read, once until another error.
 func (s *Sidecar) objectInvalid(err error) {
-	if !errors.Is(err, catalog.ErrNotKnown) {
+	if err == nil || errors.Is(err, catalog.ErrNotKnown) {
+		return
+	}
+	if text := err.Error(); s.invalid.Swap(text) != text {
 		event.ObjectInvalid.Log(&s.log).Err(err).Send()
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -39,6 +40,7 @@
 	service     fighollow.ServiceClient // nil beside an engine
 	metrics     *gauges
 	poke        chan struct{} // capacity 1; asks the order loop for a round
+	invalid     atomic.Value  // string; the error of an object that was logged last
 
 	mu        sync.Mutex
 	admission *admission.Sidecar
