sidecar: an unreadable drain object does not end a drain

Cause: an unreadable object was taken as none, so that a malformed write would have put a drained engine back to work. Change: the last readable wish stands until the object can be read or is deleted. Conclusion: the test of unreadable objects covers it.

--- a/internal/sidecar/leave.go
+++ b/internal/sidecar/leave.go
@@ -56,7 +56,9 @@
 func (s *Sidecar) readDrain() {
 	var d fighollow.Drain
 	_, err := s.cat.Decode(fighollow.KindDrain, s.cfg.ID, &d)
-	s.objectInvalid(err)
+	if s.objectInvalid(err) {
+		return // the last readable wish stands
+	}
 	s.mu.Lock()
 	old, action := s.drain, d.Action
 	if d.Action == fighollow.ActionReplace && d.Incarnation != 0 {
--- a/internal/sidecar/order_test.go
+++ b/internal/sidecar/order_test.go
@@ -139,15 +139,19 @@
 	qt.Assert(t, f.log.count("objectInvalid"), qt.Equals, 0)
 }
 
-// Guards against an unreadable object that is not told, or that fills the log with each round of the order loop.
+// Guards against an unreadable object that ends a drain, is not told, or fills the log with each round of the order loop.
 func TestUnreadableObjectIsLoggedOnce(t *testing.T) {
 	t.Parallel()
 	f := startEngine(t, engine.Options{})
+	f.put(fighollow.KindDrain, "upstream-1", fighollow.Drain{Action: fighollow.ActionDrain})
+	drained := func() bool { return f.admin("/readyz") == http.StatusServiceUnavailable }
+	await(t, "drain", drained)
 	f.put(fighollow.KindDrain, "upstream-1", []int{1})
 	await(t, "log line", func() bool { return f.log.count("objectInvalid") == 1 })
 	f.plan(2, assignment("velvet", 2))
-	f.awaitServing("velvet") // several rounds later
+	await(t, "order some rounds later", func() bool { return f.engine.State().Assignment.Model == "velvet" })
 	qt.Assert(t, f.log.count("objectInvalid"), qt.Equals, 1)
+	qt.Assert(t, drained(), qt.IsTrue)
 }
 
 // Guards against a replaced engine whose successor is never used.
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -138,14 +138,15 @@
 	return a, planned, true
 }
 
-// objectInvalid logs the error of an object that is known but cannot be read, once until another error.
-func (s *Sidecar) objectInvalid(err error) {
+// objectInvalid reports whether err says that an object is known but cannot be read, and logs it once until another one.
+func (s *Sidecar) objectInvalid(err error) bool {
 	if err == nil || errors.Is(err, catalog.ErrNotKnown) {
-		return
+		return false
 	}
 	if text := err.Error(); s.invalid.Swap(text) != text {
 		event.ObjectInvalid.Log(&s.log).Err(err).Send()
 	}
+	return true
 }
 
 func (s *Sidecar) setGate(d order.Decision) {
