--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -138,10 +138,15 @@
 	return a, planned, true
 }
 
-func (s *Sidecar) objectInvalid(err error) {
-	if err != nil && !errors.Is(err, catalog.ErrNotKnown) {
+// objectInvalid reports whether err says that an object is known but cannot be read, and logs it once until another one.
+func (s *Sidecar) objectInvalid(err error) bool {
+	if err == nil || errors.Is(err, catalog.ErrNotKnown) {
+		return false
+	}
+	if text := err.Error(); s.invalid.Swap(text) != text {
 		event.ObjectInvalid.Log(&s.log).Err(err).Send()
 	}
+	return true
 }
 
 func (s *Sidecar) setGate(d order.Decision) {
