membership: test of the loss of half of the members at once

Cause: a rack or switch takes many neighbours of a member at once. Measured: the test. Conclusion: deaths do not spread.

--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -261,6 +261,25 @@
 	f.requireTruth(t)
 }
 
+// Guards against deaths that spread after a rack is lost: half of the members die at once, the others stay alive for all.
+func TestLossOfARackKillsNobodyElse(t *testing.T) {
+	f := newFleet(60)
+	f.advance(10 * time.Second)
+	for _, id := range f.ids[:30] {
+		f.procs[id].m, f.procs[id].downAt = nil, f.now
+	}
+	for range 2 * noticeBound / step {
+		f.advance(step)
+		for _, viewer := range f.ids[30:] {
+			for _, id := range f.ids[30:] {
+				m, _ := f.view(viewer, id)
+				qt.Assert(t, m.State, qt.Equals, membership.Alive, qt.Commentf("%s at %s", id, viewer))
+			}
+		}
+	}
+	f.requireTruth(t)
+}
+
 // Guards against a one-way cut between two members making one of them dead for the others.
 func TestOneWayCutKillsNobody(t *testing.T) {
 	f := newFleet(5)
