--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -40,7 +40,12 @@
 		list = append(list, trial{s.name, s, conditions{lag: 1}})
 	}
 	step := shapes[1]
+	// In the shift between models no overflow helps, so that changes are made in all of its trials.
+	models := shapes[6]
 	return append(list,
+		trial{"models, lag 30 s", models, conditions{lag: 30}},
+		trial{"models, crash in change", models, conditions{lag: 1, crash: true}},
+		trial{"models, no plans for 300 s", models, conditions{lag: 1, outage: true}},
 		trial{"step, lag 30 s", step, conditions{lag: 30}},
 		trial{"swing, lag 30 s", shapes[3], conditions{lag: 30}},
 		trial{"step, crash in change", step, conditions{lag: 1, crash: true}},
@@ -239,11 +244,11 @@
 	defer func() { _ = f.Close() }()
 	w := csv.NewWriter(f)
 	_ = w.Write(header)
-	fmt.Printf("%-12s %-24s %-30s %8s %7s %15s %8s %9s %6s %8s\n", "user", "trial", "policy", "goodput", "ratio", "spread", "changes", "spread", "late", "refused")
+	fmt.Printf("%-12s %-26s %-30s %8s %7s %15s %8s %9s %6s %8s\n", "user", "trial", "policy", "goodput", "ratio", "spread", "changes", "spread", "late", "refused")
 	for _, r := range rows {
 		c := r.record()
 		_ = w.Write(c)
-		fmt.Printf("%-12s %-24s %-30s %8s %7s %7s-%7s %8s %4s-%4s %6s %8s\n", c[0], c[1], c[2], c[3], c[4], c[5], c[6], c[7], c[8], c[9], c[10], c[11])
+		fmt.Printf("%-12s %-26s %-30s %8s %7s %7s-%7s %8s %4s-%4s %6s %8s\n", c[0], c[1], c[2], c[3], c[4], c[5], c[6], c[7], c[8], c[9], c[10], c[11])
 	}
 	w.Flush()
 	if err := w.Error(); err != nil {
