faults: object API faults at each step of a request, and the spread of a choice

Cause: these cells were missing from the table. Change: object API down, slow and losing answers at each step of completions and keyed calls; faults while a stored choice spreads. Key cells first wait until eight keys in a row are granted. Ruled out: a product fault in Key/dispatch/object API slow, which failed once: all four calls were held by an entry that had not yet got the ledger object and rightly answered keyUnknown, so that no call came to the step.

--- a/internal/faults/change_test.go
+++ b/internal/faults/change_test.go
@@ -58,7 +58,7 @@
 
 // changeSteps are the steps of a change of preset up to the order at an engine.
 var changeSteps = []step{
-	{name: "write"}, {"send", "orderReceived", 0}, {"apply", "orderApplied", 0}, {"confirm", "orderReply", 0},
+	{name: "write"}, {name: "spread"}, {"send", "orderReceived", 0}, {"apply", "orderApplied", 0}, {"confirm", "orderReply", 0},
 }
 
 func (f *fleet) apiControl(c object) {
@@ -99,10 +99,15 @@
 			defer close(used)
 			until(f.ctx, t, "preset p2 is used", func() bool { return f.operator("preset", "use", "p2") })
 		}
-		if s.gate == "" {
+		switch s.name {
+		case "write":
 			x.inject(f, at)
 			go use()
-		} else {
+		case "spread":
+			go use()
+			until(f.ctx, t, "the choice is stored", f.choiceStored)
+			x.inject(f, at)
+		default:
 			for _, u := range f.engines {
 				u.gate("hold", s.gate, 0)
 			}
@@ -137,6 +142,16 @@
 	}
 }
 
+// choiceStored reports whether the object API has recorded another choice than the first.
+func (f *fleet) choiceStored() bool {
+	var chosen struct {
+		Value struct {
+			ChosenMs int64 `json:"chosenMs"`
+		} `json:"value"`
+	}
+	return get("http://"+f.api+"/objects/inForce/current", &chosen) && chosen.Value.ChosenMs > 1
+}
+
 // checkUninterrupted demands that every completion that began was completed.
 func (f *fleet) checkUninterrupted(t *testing.T) {
 	f.mu.Lock()
--- a/internal/faults/key_test.go
+++ b/internal/faults/key_test.go
@@ -35,11 +35,26 @@
 	}
 }
 
+// holdersReady waits until eight keys in a row are granted, so that with a chance of 1 in 128 only one entry of the two
+// is not yet sure of its keys.
+func (f *fleet) holdersReady(t *testing.T) {
+	granted := 0
+	until(f.ctx, t, "both entries grant keys", func() bool {
+		q := keyed(f, "ready "+newKey())
+		if wait(q.done, 10*time.Second) && q.whole {
+			granted++
+		} else {
+			granted = 0
+		}
+		return granted == 8
+	})
+}
+
 // keyCell holds calls with keys of both holders at a step, injects a fault, and repeats the keys through both entries
 // during and after it.
 func keyCell(s step, x fault) func(*testing.T, *fleet) {
 	return func(t *testing.T, f *fleet) {
-		f.recover(t, "before", keyed)
+		f.holdersReady(t)
 		const calls = 4
 		at := f.service
 		if !s.hold([]*upstream{at}) {
@@ -80,7 +95,7 @@
 
 // plannedStopCell stops an entry that holds keys. Its successor must give the stored answers.
 func plannedStopCell(t *testing.T, f *fleet) {
-	f.recover(t, "before", keyed)
+	f.holdersReady(t)
 	var keys []string
 	for i := range 8 {
 		key := newKey()
@@ -105,7 +120,7 @@
 	cells := []cell{{"planned stop of holder", true, plannedStopCell}}
 	quick := map[string]bool{"ran/kill other entry": true, "ran/kill entry": true, "ran/cut between entries": true}
 	for _, s := range serviceSteps {
-		for _, x := range keyFaults {
+		for _, x := range append(apiFaults, keyFaults...) {
 			name := s.name + "/" + x.name
 			cells = append(cells, cell{name, quick[name], keyCell(s, x)})
 		}
--- a/internal/faults/request_test.go
+++ b/internal/faults/request_test.go
@@ -195,7 +195,7 @@
 		"dispatch/pause sidecar": true, "first token/cut both ways": true, "mid-stream/cut towards entry": true,
 	}
 	for _, s := range completionSteps {
-		for _, x := range append([]fault{crashEngine}, ofProcesses...) {
+		for _, x := range append(append([]fault{crashEngine}, ofProcesses...), apiFaults...) {
 			name := s.name + "/" + x.name
 			cells = append(cells, cell{name, quick[name], requestCell(s, x,
 				func(f *fleet) []*upstream { return f.engines },
