--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/fighollow/fighollow/internal/demand"
 	"github.com/fighollow/fighollow/internal/planner"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
@@ -17,7 +18,7 @@
 }
 
 func newRegion(preset fighollow.Preset, engines ...string) *region {
-	r := &region{p: planner.New(planner.Policy{}), in: planner.Input{Preset: preset, PresetVersion: 1, Plans: make(map[string]fighollow.Plan)}}
+	r := &region{p: planner.NewPlanner(planner.Policy{}), in: planner.Input{Preset: preset, PresetVersion: 1, Plans: make(map[string]fighollow.Plan)}}
 	for _, id := range engines {
 		r.in.Engines = append(r.in.Engines, planner.Engine{ID: id, DataCentre: "hall-a"})
 	}
@@ -119,3 +120,56 @@
 	r.decide(10)
 	qt.Assert(t, r.in.Plans["hall-a"].Engines["a"].Fence, qt.Equals, uint64(42))
 }
+
+// Guards against an overload in which both roles look equally short, because refused requests count for both, and the
+// split is never balanced: a request needs its prompt and its output.
+func TestOverloadIsBalanced(t *testing.T) {
+	preset := fighollow.Preset{Models: []fighollow.PresetModel{
+		{Model: "memo", ModelVersion: "1", Disaggregated: true, PrefillShare: 0.25}}}
+	r := newRegion(preset, "a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l")
+	w := demand.Work{Prefill: 20 * 8000, Decode: 20 * 2000}
+	r.in.Demand = map[string]demand.Estimate{"memo": {Fast: w, Slow: w}}
+	for second := range 1000 {
+		r.decide(second)
+	}
+	prefill := 0
+	for _, a := range r.in.Plans["hall-a"].Engines {
+		if a.Role == fighollow.RolePrefill {
+			prefill++
+		}
+	}
+	qt.Assert(t, prefill >= 5 && prefill <= 7, qt.IsTrue, qt.Commentf("%d of 12 prefill", prefill))
+}
+
+// Guards against a preset change that takes the only engine of a model with demand, and one that never comes into force
+// once the demand is gone.
+func TestLastEngineBlocksPresetUntilDemandEnds(t *testing.T) {
+	r := newRegion(oneModel("1"), "a")
+	r.decide(0)
+	r.decide(1)
+	r.in.Preset = oneModel("2")
+	d := r.decide(100)
+	qt.Assert(t, d.Changes, qt.HasLen, 0)
+	qt.Assert(t, d.Blocked, qt.DeepEquals, []string{"memo"})
+	r.in.Demand = map[string]demand.Estimate{"memo": {}}
+	d = r.decide(101)
+	qt.Assert(t, d.Changes, qt.HasLen, 1)
+	qt.Assert(t, d.Blocked, qt.HasLen, 0)
+}
+
+// Guards against a model that stays without an engine in service after operators took its only one out.
+func TestDrainOfLastEngineIsMadeUp(t *testing.T) {
+	r := newRegion(fighollow.Preset{Models: []fighollow.PresetModel{
+		{Model: "memo", ModelVersion: "1", MaxEngines: 1}, {Model: "summary", ModelVersion: "1"}}}, "a", "b", "c")
+	r.decide(0)
+	r.decide(1)
+	i := 0
+	for r.in.Plans["hall-a"].Engines[r.in.Engines[i].ID].Model != "memo" {
+		i++
+	}
+	r.in.Engines[i].Drain = &fighollow.Drain{Action: fighollow.ActionDrain}
+	d := r.decide(100)
+	qt.Assert(t, d.Changes, qt.HasLen, 1)
+	qt.Assert(t, d.Changes[0].To.Model, qt.Equals, "memo")
+	qt.Assert(t, d.Changes[0].Reason, qt.Equals, planner.ReasonMinimum)
+}
