routing, entry: overflow with the measured margin, and refused work counted once

Change: the router asks admission.Overflows as well; a later attempt of the same phase is marked, and its refusal is no new demand.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -25,7 +26,8 @@
 	id          string
 	incarnation int64 // of the sidecar that got the call
 	began       time.Time
-	tokens      int // prompt tokens to compute
+	tokens      int  // prompt tokens to compute
+	again       bool // an earlier attempt asked for the same phase
 	accepted    bool
 	headed      bool
 	computed    bool
@@ -65,6 +67,8 @@
 	}
 	a.q.attempts++
 	a.q.sent++
+	a.again = slices.Contains(a.q.phases, a.phase)
+	a.q.phases = append(a.q.phases, a.phase)
 	a.id = a.q.caller.id + "-" + strconv.Itoa(a.q.sent)
 	a.incarnation, a.began = c.Peer().Incarnation, time.Now()
 	a.tokens = max(0, a.q.route.PromptTokens-a.cached)
@@ -108,7 +112,7 @@
 	c := link.Call{
 		Kind: q.kind, Request: q.caller.id, Attempt: a.id, Workspace: q.caller.workspace.Name,
 		Deadline: q.deadline.UnixMilli(), Worth: q.caller.workspace.Worth, Priority: q.caller.workspace.Priority,
-		Idempotent: q.idempotent, Offset: q.offset,
+		Idempotent: q.idempotent, Offset: q.offset, Retry: a.again,
 	}
 	if c.Worth == 0 {
 		c.Worth = 1
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -32,10 +32,11 @@
 
 	attempts int
 	dials    int
-	sent     int                // calls, to number the attempt ids
-	offset   uint64             // tokens or bytes that went to the sink
-	text     []byte             // generate: the output up to offset
-	mayRun   *fighollow.Refusal // the first failure after which work may have happened
+	sent     int                      // calls, to number the attempt ids
+	phases   []fighollow.RequestPhase // of these calls
+	offset   uint64                   // tokens or bytes that went to the sink
+	text     []byte                   // generate: the output up to offset
+	mayRun   *fighollow.Refusal       // the first failure after which work may have happened
 }
 
 // sink takes the parts of an answer in their order.
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -55,15 +55,17 @@
 
 // Call opens a stream for one attempt of a request.
 type Call struct {
-	Stream     uint32   `msgpack:"stream"` // set by Conn.Open
-	Kind       CallKind `msgpack:"kind"`
-	Request    string   `msgpack:"request"` // request id, the same for all attempts
-	Attempt    string   `msgpack:"attempt"` // attempt id, unique for ever
-	Workspace  string   `msgpack:"workspace"`
-	Deadline   int64    `msgpack:"deadline"` // Unix milliseconds
-	Worth      float64  `msgpack:"worth"`
-	Priority   int      `msgpack:"priority"`
-	Idempotent bool     `msgpack:"idempotent"`
+	Stream    uint32   `msgpack:"stream"` // set by Conn.Open
+	Kind      CallKind `msgpack:"kind"`
+	Request   string   `msgpack:"request"` // request id, the same for all attempts
+	Attempt   string   `msgpack:"attempt"` // attempt id, unique for ever
+	Workspace string   `msgpack:"workspace"`
+	Deadline  int64    `msgpack:"deadline"` // Unix milliseconds
+	Worth     float64  `msgpack:"worth"`
+	Priority  int      `msgpack:"priority"`
+	// Retry marks a later attempt of a request. Its refusal is no new demand.
+	Retry      bool `msgpack:"retry,omitempty"`
+	Idempotent bool `msgpack:"idempotent"`
 	// Resume asks for an attempt sent before whose link broke: the sidecar continues it from Offset, or, when it never
 	// accepted the attempt, bars it for ever and refuses with outcome NotRun.
 	Resume bool `msgpack:"resume"`
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fighollow/fighollow/internal/admission"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -115,7 +116,7 @@
 	if second.n != nil && (c.n == nil || second.cost < c.cost) {
 		c = second
 	}
-	if overflow.n != nil && (c.n == nil || overflow.cost < c.cost) {
+	if overflow.n != nil && (c.n == nil || admission.Overflows(milliseconds(c.cost), milliseconds(overflow.cost))) {
 		c, reason = overflow, ReasonOverflow
 	}
 	if c.n == nil {
@@ -132,6 +133,8 @@
 	return Decision{Upstream: c.n.up, Phase: phase, Reason: reason, Cached: cached, CostMs: c.cost}, true
 }
 
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 // best compares a few of the candidates: those that hold the prefix, the one that all entries prefer for it, and some
 // that the seed selects. When none of these may get the request or the best is in another data centre, all are compared.
 func (r *Router) best(now time.Time, q *Request, from []*node, prefill float64) choice {
--- a/internal/sidecar/counts.go
+++ b/internal/sidecar/counts.go
@@ -28,7 +28,12 @@
 	return m
 }
 
+// refused counts a refused attempt as demand, unless an earlier attempt of the request was: each sidecar that refuses it
+// would otherwise add to the demand of a model that is overloaded.
 func (c *counts) refused(call *link.Call) {
+	if call.Retry {
+		return
+	}
 	m := c.model(call)
 	m.RefusedRequests++
 	if g := call.Generate; g != nil {
