sidecar: listen in tests on ports that outgoing connections do not use

Cause: in one of four repeated runs a test's sidecar could not bind its address, because an outgoing connection of a parallel test had taken it; the test then waited for 20 s without naming the reason. Change: addresses come from below the system's range of outgoing ports, and a sidecar that does not start fails its test.

--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,11 +99,22 @@
 	return n
 }
 
+var nextPort atomic.Int64
+
+// freeAddress returns an address to listen on. It is below the range from which the system takes the ports of outgoing
+// connections, one of which would otherwise sometimes take the address before the sidecar does.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer l.Close()
-	return l.Addr().String()
+	const first, ports = 21_000, 9000
+	for range 100 {
+		port := first + (int64(os.Getpid())*37+nextPort.Add(1))%ports
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		if l, err := net.Listen("tcp", addr); err == nil {
+			l.Close()
+			return addr
+		}
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 func newFleet(t *testing.T, kind string) *fleet {
@@ -182,8 +194,12 @@
 	f.cancel, f.stopped = cancel, make(chan error, 1)
 	done := make(chan struct{})
 	go func() {
-		f.stopped <- s.Run(ctx)
-		close(done)
+		defer close(done)
+		err := s.Run(ctx)
+		if err != nil {
+			f.t.Errorf("the sidecar did not start: %v", err)
+		}
+		f.stopped <- err
 	}()
 	f.t.Cleanup(func() {
 		cancel()
