admin: each process shows its own view of the fleet

Cause: nobody could see which preset a process has in force, so a process that lags could not be found, and the fault table could not check that the preset shown never goes back.

--- a/cmd/fighollow/operator.go
+++ b/cmd/fighollow/operator.go
@@ -206,7 +206,10 @@
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name: "status", Usage: "print the preset in force and the fleet",
-		Flags:  operatorFlags(&cli.BoolFlag{Name: "json", Usage: "print JSON"}),
+		Flags: operatorFlags(
+			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+			&cli.StringSliceFlag{Name: "process", Usage: "admin IP:port of a process whose own view is shown too; may be repeated"},
+		),
 		Action: withOperator(0, printStatus),
 	}
 }
@@ -231,7 +234,7 @@
 	for _, in := range s.Instances {
 		fmt.Fprintf(out(c), "%s %s in %s, link %s\n", in.Kind, in.ID, in.DataCentre, in.Link)
 	}
-	return nil
+	return printProcesses(ctx, out(c), c.StringSlice("process"))
 }
 
 func keyCommand() *cli.Command {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -2,6 +2,7 @@
 package admin
 
 import (
+	"encoding/json"
 	"net/http"
 
 	"github.com/go-chi/chi/v5"
@@ -14,10 +15,12 @@
 	Ready func() (ok bool, state string)
 	// Registry holds the metrics.
 	Registry metrics.Registry
+	// Status returns the process's present view of the fleet.
+	Status func() Status
 }
 
-// Handler serves /healthz (200 while the process runs), /readyz (200 while it takes new work, else 503) and /metrics
-// (the Prometheus text format).
+// Handler serves /healthz (200 while the process runs), /readyz (200 while it takes new work, else 503) /metrics (the
+// Prometheus text format) and /status (Status as JSON).
 func Handler(opts Options) http.Handler {
 	r := chi.NewRouter()
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok\n")) })
@@ -32,5 +35,9 @@
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		WriteMetrics(w, opts.Registry)
 	})
+	r.Get("/status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(opts.Status()) // an error means that the reader has left
+	})
 	return r
 }
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -61,6 +61,9 @@
 func (s *Sidecar) adminHandler() http.Handler {
 	return admin.Handler(admin.Options{
 		Registry: s.metrics.registry,
+		Status: func() admin.Status {
+			return admin.NewStatus(s.cfg.Process, string(s.gate()), s.cat, s.node.Members())
+		},
 		Ready: func() (bool, string) {
 			gate := s.gate()
 			return gate == admission.Open, string(gate)
--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -86,7 +86,7 @@
 echo
 
 echo
-bin/fighollow status --object-api "$api"
+bin/fighollow status --object-api "$api" --process "$(field entry-a1 .admin)" --process "$(field engine-b2 .admin)"
 
 if $keep; then
   echo
