--- a/internal/faults/fleet_test.go
+++ b/internal/faults/fleet_test.go
@@ -79,6 +79,7 @@
 	for _, a := range admins {
 		until(ctx, t, a+" is ready", func() bool { return get("http://"+a+"/readyz", nil) })
 	}
+	t.Cleanup(f.watchPresets(admins))
 	return f
 }
 
