spread: processes of tests listen on loopback addresses of their own

Cause: in 10 repetitions under the race detector, with a measurement running beside them, one test failed to listen: the chosen port of 127.0.0.1 had become the source port of a link. Change: each process of a test gets an IP number of its own below 127.0.0.0/8, which no outgoing link uses. Ruled out: trying another port on failure: peers already know the address of a seed. Conclusion: the failure was in the test, not in spread.

--- a/internal/spread/fleet_test.go
+++ b/internal/spread/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -117,8 +118,13 @@
 	p.client.Close()
 }
 
+var loopback atomic.Uint32 // numbers the loopback addresses handed out
+
+// freeAddr returns an address that nobody else binds: each has an IP number of its own. A port of 127.0.0.1 can be taken
+// as source port of a link between its choice and its use.
 func freeAddr(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	i := loopback.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%200, i/250, 1+i%250))
 	qt.Assert(t, err, qt.IsNil)
 	defer l.Close()
 	return l.Addr().String()
