--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -151,5 +150,3 @@
 	}
 	return fighollow.PresetModel{}, false
 }
-
-func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/planner/rollout.go
+++ b/internal/planner/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/fighollow/fighollow/pkg/fighollow"
@@ -27,7 +28,7 @@
 		}
 		f.change(n, work, Change{Reason: ReasonPreset})
 	}
-	for _, name := range sortedKeys(blocked) {
+	for _, name := range slices.Sorted(maps.Keys(blocked)) {
 		if !f.lend(name) {
 			f.blocked = append(f.blocked, name)
 		}
--- a/internal/planner/runner.go
+++ b/internal/planner/runner.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -136,7 +137,7 @@
 		r.blocked = blocked
 		event.PresetBlocked.Log(&r.log).Str("models", blocked).Send()
 	}
-	for _, dc := range sortedKeys(d.Plans) {
+	for _, dc := range slices.Sorted(maps.Keys(d.Plans)) {
 		r.write(ctx, dc, versions[dc], d)
 	}
 }
@@ -144,7 +145,7 @@
 // settlePlans finishes plan writes whose answer was lost and reports whether none is left. Until then nothing is
 // planned, as the limits of changes could not be judged.
 func (r *Runner) settlePlans(ctx context.Context) bool {
-	for _, dc := range sortedKeys(r.unsettled) {
+	for _, dc := range slices.Sorted(maps.Keys(r.unsettled)) {
 		err := r.writer.settle(ctx, fighollow.KindPlan, dc)
 		if errors.Is(err, errPending) {
 			return false
