fighollow: an entry that cannot bind an address exits

Cause: an entry whose address was in use hung: its background work waited for a context that only a signal ended, and the deferred wait ran before the deferred cancel. Found while reading; no test started a process on a taken address. Conclusion: a faulty address is an error at once.

--- a/cmd/fighollow/entry.go
+++ b/cmd/fighollow/entry.go
@@ -55,11 +55,12 @@
 		return err
 	}
 	var wg sync.WaitGroup
-	defer wg.Wait()
 	// A stopping entry plans no more; another takes the lease.
 	wg.Go(func() { control.Run(ctx) })
 	wg.Go(func() { _ = keys.Run(ctx) })
 	err = e.Run(ctx)
+	stop() // ends the background work also when the entry could not start, as with an address in use
+	wg.Wait()
 	stopKeys(keys, log)
 	return err
 }
