ledger: remove a loop that nothing calls

Cause: Maintainer.Run stood beside the loop of region.Control, which calls Step only while the planner lease is held. Change: Run and its interval are gone; the loop in region is the only one. Conclusion: no change of behaviour.

--- a/internal/ledger/maintainer.go
+++ b/internal/ledger/maintainer.go
@@ -12,7 +12,7 @@
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
-// Maintainer keeps the last epoch of a region's ledger ahead of the time. It runs where the planner lease of the region
+// Maintainer keeps the last epoch of a region's ledger ahead of the time. Its Step is called where the planner lease of the region
 // is held; two at once do no harm, because each write is conditional.
 type Maintainer struct {
 	Store   fighollow.ObjectStore
@@ -28,24 +28,6 @@
 // DefaultHorizon is the default of Maintainer.Horizon.
 const DefaultHorizon = 15 * time.Minute
 
-const maintainEvery = time.Second
-
-// Run calls Step every second until ctx ends.
-func (m *Maintainer) Run(ctx context.Context) error {
-	t := time.NewTicker(maintainEvery)
-	defer t.Stop()
-	for {
-		if err := m.Step(ctx, time.Now()); err != nil && ctx.Err() == nil {
-			event.LedgerNotWritten.Log(&m.Log).Str("region", m.Region).Err(err).Send()
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-		}
-	}
-}
-
 // Step writes the ledger object when it is due. It calls the object API only when the copy in the catalog needs a change.
 func (m *Maintainer) Step(ctx context.Context, now time.Time) error {
 	horizon, lifetime := m.Horizon, m.KeyLifetime
