--- /dev/null
+++ b/cmd/fighollow/gateway.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/fighollow/fighollow/internal/admin"
+	"github.com/fighollow/fighollow/internal/event"
+	"github.com/fighollow/fighollow/internal/gateway"
+	"github.com/fighollow/fighollow/internal/placement"
+	"github.com/fighollow/fighollow/internal/upstream"
+	"github.com/fighollow/fighollow/platform"
+)
+
+const (
+	// callerHeaderTimeout and callerIdleTimeout are above what the operator's configuration grants callers.
+	callerHeaderTimeout = 10 * time.Second
+	callerIdleTimeout   = 60 * time.Second
+	// stopMargin is left between the end of the last request and the platform's kill.
+	stopMargin = 700 * time.Millisecond
+	// leaveTime is how long a stopping process goes on taking requests: the balancer needs two missed checks, a second
+	// apart, to send connections elsewhere.
+	leaveTime = 4 * time.Second
+)
+
+// gatewayCommand runs an entry on the users' platform until SIGTERM begins its graceful stop.
+func gatewayCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "gateway",
+		Usage: "serve callers on the platform, straight to its engines and services",
+		Description: "The settings file is the platform's; its path is in the variable " + platform.SettingsVariable + ".\n" +
+			"The process exits with 1 when the settings cannot be used or an address cannot be bound.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Sources: cli.EnvVars(platform.SettingsVariable), Required: true, Usage: "settings `FILE` of the platform"},
+			&cli.StringFlag{Name: "log", Value: "info", Usage: "log `LEVEL`: debug, info, warn or error"},
+			&cli.IntFlag{Name: "metrics-port", Usage: "`PORT` of the metrics server; 0: none"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			level, err := zerolog.ParseLevel(cmd.String("log"))
+			if err != nil {
+				return err
+			}
+			cfg, err := platform.ReadSettings(cmd.String("settings"))
+			if err != nil {
+				return err
+			}
+			log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("process", cfg.Node).Logger()
+			return runGateway(ctx, cfg, cmd.Int("metrics-port"), log)
+		},
+	}
+}
+
+// gatewayProcess is the running process.
+type gatewayProcess struct {
+	cfg      platform.Settings
+	log      zerolog.Logger
+	follower *gateway.Follower
+	stopping atomic.Bool
+	wasReady atomic.Bool
+}
+
+func runGateway(ctx context.Context, cfg platform.Settings, metricsPort int, log zerolog.Logger) error {
+	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	registry := metrics.NewRegistry()
+	store := platform.NewStore(cfg.StoreAddress)
+	pool := upstream.New()
+	defer pool.Close()
+	fleet := placement.New(placement.Options{DataCentre: cfg.DataCentre, Drain: cfg.Bounds.Drain})
+	g := gateway.New(gateway.Options{
+		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: registry,
+	}, fleet, platform.NewDispatcher(pool), log)
+	p := &gatewayProcess{cfg: cfg, log: log}
+	p.follower = gateway.NewFollower(store, gateway.Decoder{Routing: platform.DecodeRouting, Upstream: platform.DecodeUpstream}, g, fleet, log)
+
+	callers, err := net.Listen("tcp", cfg.Ingress)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	checks, err := net.Listen("tcp", cfg.Readiness)
+	if err != nil {
+		return fmt.Errorf("listen for readiness checks: %w", err)
+	}
+	ingress := platform.NewIngress(g, p.stopping.Load)
+	callerServer := &http.Server{
+		Handler: ingress, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
+	}
+	checkServer := &http.Server{Handler: p.readiness(), ReadHeaderTimeout: callerHeaderTimeout}
+	failed := make(chan error, 3)
+	go func() { failed <- callerServer.Serve(callers) }()
+	go func() { failed <- checkServer.Serve(checks) }()
+	if metricsPort > 0 {
+		go func() { failed <- serveMetrics(cfg.Address, metricsPort, registry) }()
+	}
+	work, end := context.WithCancel(context.Background())
+	defer end()
+	var background sync.WaitGroup
+	background.Go(func() { p.follower.Run(work) })
+	event.ProcessStarted.Log(&log).Str("http", cfg.Ingress).Str("readiness", cfg.Readiness).Str("store", cfg.StoreAddress).
+		Str("dataCentre", cfg.DataCentre).Str("version", version).Send()
+	select {
+	case <-ctx.Done():
+		p.stop(callerServer)
+	case err = <-failed:
+	}
+	end()
+	background.Wait()
+	err = errors.Join(err, checkServer.Close())
+	event.ProcessStopped.Log(&log).Send()
+	return err
+}
+
+// stop finishes the open requests within the platform's grace period. Until the balancer has noticed, new requests are
+// served as before; their answers close the connection.
+func (p *gatewayProcess) stop(s *http.Server) {
+	began := time.Now()
+	p.stopping.Store(true)
+	event.ProcessStopping.Log(&p.log).Send()
+	time.Sleep(min(leaveTime, p.cfg.Bounds.Grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(p.cfg.Bounds.Grace-stopMargin))
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		event.StopCut.Log(&p.log).Err(err).Send()
+		s.Close()
+	}
+}
+
+// readiness answers the balancer's checks.
+func (p *gatewayProcess) readiness() http.Handler {
+	r := chi.NewRouter()
+	r.Get(platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
+		ready := !p.stopping.Load() && p.follower.Ready()
+		if p.wasReady.Swap(ready) != ready {
+			event.ReadinessChanged.Log(&p.log).Bool("ready", ready).Bool("stopping", p.stopping.Load()).Send()
+		}
+		if !ready {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return r
+}
+
+func serveMetrics(ip string, port int, registry metrics.Registry) error {
+	r := chi.NewRouter()
+	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		admin.WriteMetrics(w, registry)
+	})
+	s := &http.Server{Addr: fmt.Sprintf("%s:%d", ip, port), Handler: r, ReadHeaderTimeout: callerHeaderTimeout}
+	return s.ListenAndServe()
+}
--- a/cmd/fighollow/main.go
+++ b/cmd/fighollow/main.go
@@ -18,7 +18,7 @@
 		Usage:   "serve language models on a fixed fleet of engines",
 		Version: version,
 		Commands: []*cli.Command{
-			entryCommand(), sidecarCommand(),
+			entryCommand(), sidecarCommand(), gatewayCommand(),
 			presetCommand(), engineCommand(), objectCommand(), statusCommand(), configCommand(), keyCommand(), versionCommand(),
 		},
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -1,7 +1,7 @@
 // Package event defines the numbered log events of the system. docs/events.md is their catalogue.
 //
 // Numbers are never reused: 1000 entry, 2000 sidecar, 3000 membership and spread, 4000 planner, 5000 ledger,
-// 6000 process and settings, 7000 links.
+// 6000 process and settings, 7000 links, 8000 gateway.
 package event
 
 import "github.com/rs/zerolog"
@@ -22,7 +22,7 @@
 // All returns every event in the order of the numbers.
 func All() []Event {
 	var all []Event
-	for _, part := range [][]Event{entryEvents, sidecarEvents, spreadEvents, plannerEvents, ledgerEvents, processEvents, linkEvents} {
+	for _, part := range [][]Event{entryEvents, sidecarEvents, spreadEvents, plannerEvents, ledgerEvents, processEvents, linkEvents, gatewayEvents} {
 		all = append(all, part...)
 	}
 	return all
--- /dev/null
+++ b/internal/event/gateway.go
@@ -0,0 +1,25 @@
+package event
+
+import "github.com/rs/zerolog"
+
+// Events of the gateway: the entry on the users' platform.
+var (
+	AttemptPlaced    = Event{8001, "attemptPlaced", zerolog.InfoLevel, "an upstream was chosen for an attempt; the line has what the choice was based on"}
+	AttemptEnded     = Event{8002, "attemptEnded", zerolog.InfoLevel, "an attempt ended; result says how, and took for how long it lasted"}
+	RequestEnded     = Event{8003, "requestEnded", zerolog.InfoLevel, "the final answer to a request, or why there was none"}
+	RequestRetried   = Event{8004, "requestRetried", zerolog.InfoLevel, "whether another attempt is made after a failed one, and why not"}
+	StreamResumed    = Event{8005, "streamResumed", zerolog.InfoLevel, "a stream broke off and goes on at another engine after the last whole event"}
+	CacheReleased    = Event{8006, "cacheReleased", zerolog.DebugLevel, "the KV cache of a prompt that no engine imports was freed"}
+	RoutingApplied   = Event{8010, "routingApplied", zerolog.InfoLevel, "a version of the routing configuration is in force in this process"}
+	RoutingInvalid   = Event{8011, "routingInvalid", zerolog.ErrorLevel, "the routing configuration could not be decoded; the former one stays in force"}
+	UpstreamChanged  = Event{8012, "upstreamChanged", zerolog.InfoLevel, "the entry of an upstream appeared, changed or went"}
+	UpstreamInvalid  = Event{8013, "upstreamInvalid", zerolog.WarnLevel, "the entry of an upstream could not be decoded; it is not used"}
+	StoreLost        = Event{8014, "storeLost", zerolog.WarnLevel, "the metadata store does not answer; what is known stays in force"}
+	StoreRegained    = Event{8015, "storeRegained", zerolog.InfoLevel, "the metadata store answers again after downMs"}
+	ReadinessChanged = Event{8016, "readinessChanged", zerolog.InfoLevel, "this process tells the balancer that it takes connections, or that it does not"}
+)
+
+var gatewayEvents = []Event{
+	AttemptPlaced, AttemptEnded, RequestEnded, RequestRetried, StreamResumed, CacheReleased, RoutingApplied, RoutingInvalid,
+	UpstreamChanged, UpstreamInvalid, StoreLost, StoreRegained, ReadinessChanged,
+}
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -7,6 +7,7 @@
 	ProcessStarted  = Event{6001, "processStarted", zerolog.InfoLevel, "the process listens on its addresses"}
 	ProcessStopping = Event{6002, "processStopping", zerolog.InfoLevel, "a graceful stop began; work in flight is finished first"}
 	ProcessStopped  = Event{6003, "processStopped", zerolog.InfoLevel, "the graceful stop is complete"}
+	StopCut         = Event{6004, "stopCut", zerolog.WarnLevel, "requests were still open at the end of the grace period and were broken off"}
 )
 
-var processEvents = []Event{ProcessStarted, ProcessStopping, ProcessStopped}
+var processEvents = []Event{ProcessStarted, ProcessStopping, ProcessStopped, StopCut}
--- /dev/null
+++ b/internal/gateway/exchange.go
@@ -0,0 +1,225 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/fighollow/fighollow/internal/event"
+	"github.com/fighollow/fighollow/internal/placement"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// exchange is one request while it is served.
+type exchange struct {
+	g    *Gateway
+	call *fighollow.Call
+	out  fighollow.Responder
+	log  zerolog.Logger
+
+	version  uint64
+	route    *fighollow.Route
+	service  string
+	traits   fighollow.ServiceTraits
+	pool     *placement.Pool
+	budget   *budget
+	seed     uint64
+	deadline time.Time
+
+	sent     int      // attempts sent, a first accepted prefill included
+	counted  int      // attempts that count against the route's limit and the budget
+	freed    bool     // a prefill was accepted and is not counted
+	tried    []string // upstreams that failed the request
+	mayRun   bool     // an attempt of unknown outcome was sent
+	notSent  int      // attempts for which no connection could be made
+	rejected int      // attempts that upstreams refused
+
+	begun       bool   // the answer's status was sent
+	streaming   bool   // an event was sent
+	left        bool   // the caller has left
+	resumeAfter string // id of the last event that the caller has
+	status      int
+	first, last time.Duration // from the arrival to the first byte and to the end of the answer
+}
+
+func (x *exchange) firstMs() int64 { return x.first.Milliseconds() }
+
+// maxUnreachable is how many upstreams without a connection a request tries; each costs a dial's time.
+const maxUnreachable = 3
+
+// mayRepeat reports whether the request may run again although an earlier attempt may have run.
+func (x *exchange) mayRepeat() bool {
+	return x.route.Repeat == fighollow.RepeatAny || x.route.Repeat == fighollow.RepeatResume
+}
+
+// query returns what the placement needs to know.
+func (x *exchange) query(phase fighollow.RequestPhase) placement.Query {
+	return placement.Query{
+		Phase: phase, Prompt: x.call.Prompt, PromptTokens: x.call.PromptTokens, Tried: x.tried, Seed: x.seed + uint64(x.sent),
+	}
+}
+
+// leg is an attempt that was sent to an upstream.
+type leg struct {
+	x       *exchange
+	work    *placement.Work
+	up      fighollow.Upstream
+	phase   fighollow.RequestPhase
+	reply   *fighollow.Reply
+	started bool // its first event was passed on
+	ended   bool
+}
+
+// errNoPlace says that no upstream may get the attempt.
+var errNoPlace = errors.New("gateway: no upstream")
+
+// errNoBudget says that the attempt would exceed the route's attempts or the budget of repeats.
+var errNoBudget = errors.New("gateway: no further attempt allowed")
+
+// claim reports whether another attempt may be sent, and counts it.
+func (x *exchange) claim() error {
+	if x.counted > 0 {
+		if x.counted >= x.route.MaxAttempts || !x.budget.take() {
+			return errNoBudget
+		}
+	}
+	x.counted++
+	return nil
+}
+
+// unclaim takes back an attempt that did not reach its upstream or does not count.
+func (x *exchange) unclaim() {
+	x.counted--
+	if x.counted > 0 {
+		x.budget.giveBack()
+	}
+}
+
+// send places an attempt and sends it. The reply of the leg that it returns has begun. The errors are those of
+// fighollow.Dispatcher, errNoPlace and errNoBudget; a refused attempt is fighollow.ErrNotRun.
+func (x *exchange) send(ctx context.Context, phase fighollow.RequestPhase, kv *fighollow.KVCache) (*leg, error) {
+	q := x.query(phase)
+	now := time.Now()
+	c, ok := x.pool.Choose(now, q)
+	if !ok {
+		return nil, errNoPlace
+	}
+	if err := x.claim(); err != nil {
+		return nil, err
+	}
+	a := &fighollow.Attempt{
+		Call: x.call, Upstream: c.Upstream, Phase: phase, KV: kv, FetchFrom: c.FetchFrom, ResumeAfter: x.resumeAfter,
+		Priority: x.route.Priority, Deadline: x.deadline,
+	}
+	event.AttemptPlaced.Log(&x.log).Str("upstream", c.Upstream.ID).Str("phase", string(phase)).Float64("costMs", c.CostMs).
+		Int("tokens", x.call.PromptTokens).Int("cached", c.Cached).Int("fetched", c.Fetched).Int("pending", c.Pending).
+		Int("running", c.Running).Send()
+	l := &leg{x: x, work: x.pool.Begin(now, c, q), up: c.Upstream, phase: phase}
+	x.sent++
+	var err error
+	l.reply, err = x.g.dispatch.Dispatch(ctx, a)
+	return l, x.judge(ctx, l, err)
+}
+
+// judge notes what the beginning of a reply, or its lack, says about the upstream.
+func (x *exchange) judge(ctx context.Context, l *leg, err error) error {
+	switch {
+	case ctx.Err() != nil && err != nil:
+		// The deadline passed or the caller left; the upstream is not to blame for the latter.
+		if !errors.Is(err, fighollow.ErrNotRun) && l.phase != fighollow.RequestPrefill {
+			x.mayRun = true
+		}
+		l.end(placement.Abandoned, err)
+	case errors.Is(err, fighollow.ErrNotRun):
+		x.unclaim()
+		x.sent--
+		x.notSent++
+		x.tried = append(x.tried, l.up.ID)
+		l.end(placement.Unreachable, err)
+	case err != nil:
+		if l.phase != fighollow.RequestPrefill {
+			x.mayRun = true
+		}
+		x.tried = append(x.tried, l.up.ID)
+		l.end(placement.Failed, err)
+	case l.reply.NotRun:
+		x.rejected++
+		x.tried = append(x.tried, l.up.ID)
+		l.reply.Body.Close()
+		result := placement.Full
+		if l.reply.Misdirected {
+			result = placement.Misdirected
+		}
+		err = fighollow.ErrNotRun
+		l.end(result, err)
+	}
+	return err
+}
+
+// end reports the attempt's end once.
+func (l *leg) end(r placement.Result, err error) {
+	if l.ended {
+		return
+	}
+	l.ended = true
+	now := time.Now()
+	l.x.pool.End(now, l.work, r)
+	line := event.AttemptEnded.Log(&l.x.log).Str("upstream", l.up.ID).Str("phase", string(l.phase)).Str("result", r.String()).
+		Int64("tookMs", now.Sub(l.work.Began).Milliseconds())
+	if l.reply != nil {
+		line.Int("status", l.reply.Status)
+	}
+	if err != nil {
+		line.Err(err)
+	}
+	line.Send()
+}
+
+// again reports whether another attempt is worth making after err.
+func (x *exchange) again(ctx context.Context, err error) bool {
+	switch {
+	case ctx.Err() != nil, errors.Is(err, errNoPlace), errors.Is(err, errNoBudget):
+		return false
+	case x.notSent >= maxUnreachable:
+		return false
+	case errors.Is(err, fighollow.ErrNotRun):
+		return true
+	}
+	return !x.mayRun || x.mayRepeat()
+}
+
+// giveUp returns the refusal for a request that gets no further attempt.
+func (x *exchange) giveUp(ctx context.Context, err error) *fighollow.Refusal {
+	if ctx.Err() != nil {
+		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			x.left = true
+		}
+		if x.mayRun {
+			return unknown(fighollow.CodeDeadline, "the deadline passed before the answer was complete")
+		}
+		return notRun(fighollow.CodeTooLate, "the deadline passed before an upstream took the request")
+	}
+	if x.mayRun {
+		return unknown(fighollow.CodeUpstreamFailed, err.Error())
+	}
+	r := notRun(fighollow.CodeOverloaded, err.Error())
+	if errors.Is(err, errNoPlace) {
+		r.Code = fighollow.CodeNoUpstream
+	}
+	r.RetryAfterMs = x.retryAfter(time.Now()).Milliseconds()
+	return r
+}
+
+const (
+	// retryAfterMin and retryAfterSpread bound when a refused caller is told to come back; the spread keeps callers that
+	// were refused together from returning together.
+	retryAfterMin    = 200 * time.Millisecond
+	retryAfterSpread = 600 * time.Millisecond
+)
+
+// retryAfter returns when asking again can help.
+func (x *exchange) retryAfter(time.Time) time.Duration {
+	return retryAfterMin + time.Duration(x.seed%uint64(retryAfterSpread))
+}
--- /dev/null
+++ b/internal/gateway/follow.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/fighollow/fighollow/internal/event"
+	"github.com/fighollow/fighollow/internal/placement"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+const (
+	// storeRetry and maxStoreRetry bound the pause after a call that the store did not answer. The longest is well below
+	// the time within which a new configuration must be in force.
+	storeRetry    = 60 * time.Millisecond
+	maxStoreRetry = 500 * time.Millisecond
+	// lapseGrace is how long after an outage of the store upstreams without an entry are kept. Entries that lapsed
+	// meanwhile are back within about two seconds.
+	lapseGrace = 2200 * time.Millisecond
+	// outage is how long the store must have been silent for entries to have lapsed meanwhile.
+	outage = 1500 * time.Millisecond
+)
+
+// Decoder translates the platform's objects.
+type Decoder struct {
+	Routing  func(fighollow.Object) (*fighollow.Routing, error)
+	Upstream func(fighollow.Object) (fighollow.Upstream, error)
+}
+
+// Follower keeps a gateway's configuration and upstreams as the store has them.
+type Follower struct {
+	store   fighollow.ObjectStore
+	decode  Decoder
+	gateway *Gateway
+	fleet   *placement.Fleet
+	log     zerolog.Logger
+	listed  atomic.Bool // the upstreams were listed once
+}
+
+// NewFollower returns a Follower; Run starts it.
+func NewFollower(store fighollow.ObjectStore, decode Decoder, g *Gateway, fleet *placement.Fleet, log zerolog.Logger) *Follower {
+	return &Follower{store: store, decode: decode, gateway: g, fleet: fleet, log: log}
+}
+
+// Ready reports whether a configuration and the upstreams are known.
+func (f *Follower) Ready() bool { return f.listed.Load() && f.gateway.Routing() != nil }
+
+// Run follows the store until ctx is done.
+func (f *Follower) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { f.follow(ctx, fighollow.KindRouting, f.takeRouting) })
+	wg.Go(func() { f.follow(ctx, fighollow.KindInstance, f.takeUpstreams) })
+	wg.Wait()
+}
+
+// batch is what one call of the store returned.
+type batch struct {
+	objects []fighollow.Object
+	version uint64
+	whole   bool // objects are all that there are at version
+	lapsed  bool // the store was away, so that entries may be missing that come back
+}
+
+// follow lists a kind and then watches it, for ever. What a list lacks is gone; a watch that has expired lists again.
+func (f *Follower) follow(ctx context.Context, kind fighollow.Kind, take func(time.Time, batch)) {
+	var version uint64
+	var known bool
+	var back time.Time // when the store answered again after an outage
+	heard, pause := time.Now(), storeRetry
+	down := false
+	for ctx.Err() == nil {
+		b := batch{whole: !known}
+		var err error
+		if known {
+			b.objects, b.version, err = f.store.Watch(ctx, kind, version)
+		} else {
+			b.objects, b.version, err = f.store.List(ctx, kind)
+		}
+		now := time.Now()
+		if err != nil {
+			if errors.Is(err, fighollow.ErrWatchExpired) {
+				known = false
+			}
+			if !down && ctx.Err() == nil {
+				down = true
+				event.StoreLost.Log(&f.log).Str("kind", string(kind)).Err(err).Send()
+			}
+			wait(ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, maxStoreRetry)
+			continue
+		}
+		if down {
+			down = false
+			event.StoreRegained.Log(&f.log).Str("kind", string(kind)).Int64("downMs", now.Sub(heard).Milliseconds()).Send()
+		}
+		if now.Sub(heard) > outage+watchAllowance {
+			back = now
+		}
+		heard, pause = now, storeRetry
+		known, version = true, b.version
+		b.lapsed = !back.IsZero() && now.Sub(back) < lapseGrace
+		take(now, b)
+	}
+}
+
+// watchAllowance is how long a watch may wait by itself.
+const watchAllowance = 2 * time.Second
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (f *Follower) takeRouting(_ time.Time, b batch) {
+	for _, o := range b.objects {
+		if o.Name != fighollow.RoutingName || o.Deleted {
+			continue
+		}
+		r, err := f.decode.Routing(o)
+		if err != nil {
+			event.RoutingInvalid.Log(&f.log).Uint64("revision", o.Version).Err(err).Send()
+			continue
+		}
+		if f.gateway.Apply(r) {
+			event.RoutingApplied.Log(&f.log).Uint64("version", r.Version).Uint64("revision", o.Version).Int("routes", len(r.Routes)).
+				Int("services", len(r.Services)).Send()
+		}
+	}
+}
+
+func (f *Follower) takeUpstreams(now time.Time, b batch) {
+	ids := make(map[string]bool, len(b.objects))
+	for _, o := range b.objects {
+		if o.Deleted {
+			event.UpstreamChanged.Log(&f.log).Str("upstream", o.Name).Uint64("revision", o.Version).Str("state", "removed").Send()
+			f.fleet.Remove(now, o.Name, o.Version)
+			continue
+		}
+		u, err := f.decode.Upstream(o)
+		if err != nil {
+			event.UpstreamInvalid.Log(&f.log).Str("upstream", o.Name).Uint64("revision", o.Version).Err(err).Send()
+			f.fleet.Remove(now, o.Name, o.Version)
+			continue
+		}
+		ids[o.Name] = true
+		event.UpstreamChanged.Log(&f.log).Str("upstream", u.ID).Uint64("revision", o.Version).Str("service", u.Service).
+			Bool("draining", u.Draining).Str("role", string(u.Role)).Uint64("orders", u.Orders).Int64("started", u.Started).Send()
+		f.fleet.Put(now, u, o.Version)
+	}
+	if b.whole {
+		f.fleet.Retain(now, ids, b.version)
+		f.listed.Store(true)
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,149 @@
+// Package gateway is the entry's core where callers' requests go straight to engines and plain services: it finds the
+// route, places attempts, decides what may be repeated, relays answers and refuses what cannot be served. It knows no wire
+// format; a fighollow.Dispatcher sends attempts and a fighollow.Responder answers the caller.
+package gateway
+
+import (
+	"context"
+	"hash/maphash"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/fighollow/fighollow/internal/event"
+	"github.com/fighollow/fighollow/internal/placement"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// Options adjust a Gateway.
+type Options struct {
+	RetryRatio float64 // extra dispatches allowed for each request of a service, over all entries
+	RetrySlack int     // extra dispatches allowed beyond that in each window, over all entries
+	Registry   metrics.Registry
+}
+
+// Gateway serves the requests of callers. It is safe for concurrent use.
+type Gateway struct {
+	opts     Options
+	fleet    *placement.Fleet
+	dispatch fighollow.Dispatcher
+	log      zerolog.Logger
+	seed     maphash.Seed
+	table    atomic.Pointer[table]
+	metrics  *gatewayMetrics
+
+	mu      sync.Mutex
+	budgets map[string]*budget
+}
+
+// New returns a Gateway without a configuration: it refuses every request as not ready until Apply was called.
+func New(opts Options, fleet *placement.Fleet, dispatch fighollow.Dispatcher, log zerolog.Logger) *Gateway {
+	return &Gateway{
+		opts: opts, fleet: fleet, dispatch: dispatch, log: log, seed: maphash.MakeSeed(), metrics: newMetrics(opts.Registry),
+		budgets: make(map[string]*budget),
+	}
+}
+
+// Apply puts a configuration in force, unless one with the same or a higher version is. It reports whether it did.
+func (g *Gateway) Apply(r *fighollow.Routing) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t := g.table.Load(); t != nil && t.routing.Version >= r.Version {
+		return false
+	}
+	g.fleet.Configure(r)
+	g.table.Store(newTable(r))
+	return true
+}
+
+// Routing returns the configuration in force; nil when there is none yet.
+func (g *Gateway) Routing() *fighollow.Routing {
+	if t := g.table.Load(); t != nil {
+		return t.routing
+	}
+	return nil
+}
+
+func (g *Gateway) budget(service string) *budget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budgets[service]
+	if b == nil {
+		b = newBudget(g.opts.RetryRatio, g.opts.RetrySlack)
+		g.budgets[service] = b
+	}
+	return b
+}
+
+// Serve answers a request. The end of ctx says that the caller has left.
+func (g *Gateway) Serve(ctx context.Context, call *fighollow.Call, out fighollow.Responder) {
+	x := &exchange{g: g, call: call, out: out}
+	x.log = g.log.With().Str("request", call.ID).Logger()
+	x.finish(x.serve(ctx))
+}
+
+// serve runs the request; a refusal that it returns has not been sent yet.
+func (x *exchange) serve(ctx context.Context) *fighollow.Refusal {
+	t := x.g.table.Load()
+	if t == nil {
+		return notRun(fighollow.CodeNotReady, "no configuration is known yet")
+	}
+	x.version = t.routing.Version
+	if x.route = t.find(x.call.Host, x.call.Target); x.route == nil {
+		return notRun(fighollow.CodeRouteNotFound, "no route has this host and path")
+	}
+	seed := maphash.String(x.g.seed, x.call.ID)
+	service := pickService(x.route, seed)
+	x.pool, x.budget = x.g.fleet.Pool(service), x.g.budget(service)
+	x.service, x.traits = service, t.routing.Services[service]
+	x.budget.add()
+	x.seed = seed
+	x.deadline = x.call.Deadline
+	if limit := x.call.Arrived.Add(x.route.Timeout); x.route.Timeout > 0 && limit.Before(x.deadline) {
+		x.deadline = limit
+	}
+	x.resumeAfter = x.call.ResumeAfter
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	if x.traits.Engine != nil {
+		return x.generate(ctx)
+	}
+	return x.plain(ctx)
+}
+
+// finish sends the refusal, if there is one, and logs how the request ended.
+func (x *exchange) finish(refusal *fighollow.Refusal) {
+	line := event.RequestEnded.Log(&x.log).Uint64("version", x.version).Int("attempts", x.sent)
+	if x.route != nil {
+		line.Str("route", x.route.Name).Str("service", x.service)
+	}
+	line.Int64("tookMs", time.Since(x.call.Arrived).Milliseconds())
+	switch {
+	case x.left:
+		x.g.metrics.outcome("left")
+		line.Str("outcome", "callerLeft").Send()
+	case refusal == nil:
+		x.g.metrics.answered(x)
+		line.Str("outcome", "answered").Int("status", x.status).Int64("firstMs", x.firstMs()).Send()
+	case x.begun:
+		x.g.metrics.outcome("broken")
+		line.Str("outcome", "broken").Str("code", string(refusal.Code)).Str("why", refusal.Message).Send()
+		x.out.Abort()
+	default:
+		x.g.metrics.refusal(refusal)
+		line.Str("outcome", string(refusal.Outcome)).Str("code", string(refusal.Code)).Str("why", refusal.Message).
+			Int64("retryAfterMs", refusal.RetryAfterMs).Send()
+		x.out.Refuse(refusal)
+	}
+}
+
+func notRun(code fighollow.Code, message string) *fighollow.Refusal {
+	return &fighollow.Refusal{Code: code, Message: message, Outcome: fighollow.NotRun}
+}
+
+func unknown(code fighollow.Code, message string) *fighollow.Refusal {
+	return &fighollow.Refusal{Code: code, Message: message, Outcome: fighollow.Unknown}
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/fighollow/fighollow/internal/admin"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+type gatewayMetrics struct {
+	registry  metrics.Registry
+	firstPart *admin.Latency // from the arrival to the first byte of an answer
+	whole     *admin.Latency
+}
+
+func newMetrics(r metrics.Registry) *gatewayMetrics {
+	if r == nil {
+		r = metrics.NewRegistry()
+	}
+	return &gatewayMetrics{
+		registry:  r,
+		firstPart: admin.NewLatency("requests.firstPartMicros", r),
+		whole:     admin.NewLatency("requests.wholeMicros", r),
+	}
+}
+
+func (m *gatewayMetrics) count(name string) {
+	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
+}
+
+func (m *gatewayMetrics) outcome(name string) { m.count("requests." + name) }
+
+func (m *gatewayMetrics) refusal(r *fighollow.Refusal) {
+	m.count("requests." + string(r.Outcome))
+	m.count("refusals." + string(r.Code))
+}
+
+func (m *gatewayMetrics) answered(x *exchange) {
+	m.count("requests.answered")
+	m.firstPart.Record(x.first)
+	m.whole.Record(x.last)
+}
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -81,9 +81,9 @@
 }
 
 // Watch implements fighollow.ObjectStore.
-func (c *Client) Watch(ctx context.Context, after uint64) ([]fighollow.Object, uint64, error) {
+func (c *Client) Watch(ctx context.Context, kind fighollow.Kind, after uint64) ([]fighollow.Object, uint64, error) {
 	var l listing
-	path := fmt.Sprintf("/watch?after=%d&waitMs=%d", after, c.opts.WatchWait.Milliseconds())
+	path := fmt.Sprintf("/watch?kind=%s&after=%d&waitMs=%d", url.QueryEscape(string(kind)), after, c.opts.WatchWait.Milliseconds())
 	if err := c.read(ctx, path, c.opts.WatchWait+c.opts.Timeout, &l); err != nil {
 		return nil, after, err
 	}
--- /dev/null
+++ b/internal/placement/fleet.go
@@ -0,0 +1,104 @@
+package placement
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// Options adjust a Fleet.
+type Options struct {
+	DataCentre string        // of this entry
+	Drain      time.Duration // after which an upstream that is leaving may get no new work
+}
+
+// Fleet holds the upstreams of all services, each service under its own lock. It is safe for concurrent use.
+type Fleet struct {
+	opts Options
+
+	mu     sync.Mutex
+	pools  map[string]*Pool
+	homes  map[string]string // upstream to service
+	listed map[string]uint64 // upstream to the version of its entry
+}
+
+// New returns an empty Fleet.
+func New(opts Options) *Fleet {
+	return &Fleet{opts: opts, pools: make(map[string]*Pool), homes: make(map[string]string), listed: make(map[string]uint64)}
+}
+
+// Pool returns the upstreams of a service.
+func (f *Fleet) Pool(service string) *Pool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pool(service)
+}
+
+func (f *Fleet) pool(service string) *Pool {
+	p := f.pools[service]
+	if p == nil {
+		p = newPool(service, f.opts.DataCentre, f.opts.Drain)
+		f.pools[service] = p
+	}
+	return p
+}
+
+// Configure takes the services of a new configuration.
+func (f *Fleet) Configure(r *fighollow.Routing) {
+	for _, t := range r.Services {
+		f.Pool(t.Name).SetTraits(t)
+	}
+}
+
+// Put takes an upstream's entry, unless a newer one is known.
+func (f *Fleet) Put(now time.Time, u fighollow.Upstream, version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if version < f.listed[u.ID] {
+		return
+	}
+	if home, ok := f.homes[u.ID]; ok && home != u.Service {
+		f.pool(home).remove(now, u.ID)
+	}
+	f.homes[u.ID], f.listed[u.ID] = u.Service, version
+	f.pool(u.Service).put(u, version)
+}
+
+// Remove notes at which version an upstream's entry was removed.
+func (f *Fleet) Remove(now time.Time, id string, version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if home, ok := f.homes[id]; ok && version >= f.listed[id] {
+		f.pool(home).remove(now, id)
+		delete(f.homes, id)
+		delete(f.listed, id)
+	}
+}
+
+// Retain removes the upstreams that are not in ids, which come from a list of the store at a version.
+func (f *Fleet) Retain(now time.Time, ids map[string]bool, version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, home := range f.homes {
+		if !ids[id] && f.listed[id] <= version {
+			f.pool(home).remove(now, id)
+			delete(f.homes, id)
+			delete(f.listed, id)
+		}
+	}
+}
+
+// Upstreams returns all upstreams of a service that have an entry.
+func (f *Fleet) Upstreams(service string) []fighollow.Upstream {
+	p := f.Pool(service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []fighollow.Upstream
+	for _, n := range p.instances {
+		if n.goneAt.IsZero() {
+			out = append(out, n.up)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/placement/instance.go
@@ -0,0 +1,115 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+const (
+	// latencyWeight is the weight of a new measurement in moving averages.
+	latencyWeight = 0.2
+	// failureWeight is the weight of a new outcome in an upstream's share of failures.
+	failureWeight = 0.15
+	// suspectFailures is the share of failures, above that of the service's median upstream, from which an upstream rests.
+	suspectFailures = 0.25
+	// firstRest and maxRest bound how long a failing upstream gets no work before it is tried again.
+	firstRest = 500 * time.Millisecond
+	maxRest   = 4 * time.Second
+	// misdirectedRest is how long an engine that denied its role is not used for it; a change of role takes seconds.
+	misdirectedRest = 500 * time.Millisecond
+	// fullRest is how long an upstream that refused because it is full is left out when there are others.
+	fullRest = 100 * time.Millisecond
+	// defaultPrefillRate, in prompt tokens per millisecond, stands for an engine's rate until it was measured.
+	defaultPrefillRate = 40
+	// minPrefillRate bounds an estimate from below, so that an engine is not ruled out by one slow answer.
+	minPrefillRate = 2
+	// minRateSample is the fewest tokens of a prefill from which a rate is learned; shorter ones are mostly fixed costs.
+	minRateSample = 1500
+	// prefillOverhead is the fixed part of a prefill's time in milliseconds: the engine's step and the network.
+	prefillOverhead = 15
+)
+
+// instance is one upstream with what is known of it.
+type instance struct {
+	up       fighollow.Upstream
+	version  uint64    // of the object that described it
+	goneAt   time.Time // when its entry was removed; zero while it is listed
+	running  int       // attempts of this entry that generate or compute a plain answer
+	prefills int       // prefills of this entry
+	pending  float64   // prompt tokens of this entry's prefills that are not computed yet
+	rate     float64   // prompt tokens per millisecond, as seen by this entry
+	latency  float64   // milliseconds until a plain answer or a stream's first event
+	failures float64   // moving share of failures
+	resting  time.Time // gets no work before
+	rest     time.Duration
+	denied   time.Time // not used for its role before
+	full     time.Time // refused for lack of room; avoided before
+	cache    *prefixCache
+}
+
+func newInstance(u fighollow.Upstream, capacity int) *instance {
+	return &instance{up: u, rate: defaultPrefillRate, cache: newPrefixCache(capacity)}
+}
+
+// update takes the upstream's newest entry. A process that started anew knows nothing of what was sent before.
+func (n *instance) update(u fighollow.Upstream, capacity int) {
+	if u.Started != n.up.Started || u.Address != n.up.Address {
+		n.cache = newPrefixCache(capacity)
+		n.failures, n.rest, n.resting, n.denied = 0, 0, time.Time{}, time.Time{}
+		n.rate = defaultPrefillRate
+	}
+	if u.Role != n.up.Role {
+		n.denied = time.Time{}
+	}
+	n.up = u
+}
+
+// succeeded notes an answer that shows the upstream in order.
+func (n *instance) succeeded() {
+	n.failures -= failureWeight * n.failures
+	if n.failures < suspectFailures/2 {
+		n.rest = 0
+	}
+}
+
+// failed notes an answer or a broken connection that is the upstream's fault. median is the failure share of the
+// service's median upstream.
+func (n *instance) failed(now time.Time, median float64) {
+	n.failures += failureWeight * (1 - n.failures)
+	if n.failures > suspectFailures+median {
+		n.restFrom(now)
+	}
+}
+
+// unreachable notes that no connection could be made.
+func (n *instance) unreachable(now time.Time) {
+	n.failures += failureWeight * (1 - n.failures)
+	n.restFrom(now)
+}
+
+func (n *instance) restFrom(now time.Time) {
+	if now.Before(n.resting) {
+		return
+	}
+	n.rest = min(max(firstRest, 2*n.rest), maxRest)
+	n.resting = now.Add(n.rest)
+}
+
+// prefilled learns the engine's rate from a prefill that took this long behind ahead tokens of this entry.
+func (n *instance) prefilled(took time.Duration, ahead float64) {
+	ms := float64(took)/float64(time.Millisecond) - prefillOverhead
+	if ahead < minRateSample || ms <= 0 {
+		return
+	}
+	n.rate += latencyWeight * (max(minPrefillRate, ahead/ms) - n.rate)
+}
+
+func (n *instance) answered(took time.Duration) {
+	ms := float64(took) / float64(time.Millisecond)
+	if n.latency == 0 {
+		n.latency = ms
+		return
+	}
+	n.latency += latencyWeight * (ms - n.latency)
+}
--- /dev/null
+++ b/internal/placement/outcome.go
@@ -0,0 +1,116 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// Result is how an attempt ended for its upstream.
+type Result int
+
+// Results.
+const (
+	Answered    Result = iota // the upstream did its work
+	Failed                    // it broke off, answered with a failure of its own, or not at all
+	Full                      // it refused for lack of room
+	Misdirected               // another instance has the address, or the engine has another role
+	Unreachable               // no connection could be made
+	Abandoned                 // the entry gave up; nothing is learned about the upstream
+)
+
+var resultNames = [...]string{"answered", "failed", "full", "misdirected", "unreachable", "abandoned"}
+
+// String returns the result's name in logs.
+func (r Result) String() string { return resultNames[r] }
+
+// Work is an attempt that was sent. Each Begin is followed by one End.
+type Work struct {
+	ID     string // of the upstream
+	Phase  fighollow.RequestPhase
+	Began  time.Time
+	Tokens float64 // prompt tokens to compute
+	ahead  float64 // pending at the upstream when it was sent, its own included
+}
+
+// Begin notes that an attempt is sent.
+func (p *Pool) Begin(now time.Time, c Choice, q Query) *Work {
+	w := &Work{ID: c.Upstream.ID, Phase: q.Phase, Began: now}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := p.instances[w.ID]
+	if n == nil {
+		return w
+	}
+	if q.Phase == fighollow.RequestPrefill {
+		w.Tokens = float64(max(0, q.PromptTokens-c.Cached-c.Fetched))
+		n.pending += w.Tokens
+		n.prefills++
+		w.ahead = n.pending
+		// The engine will hold the prompt when it has read it; requests that follow at once wait for the same part.
+		n.cache.add(q.Prompt)
+		return w
+	}
+	n.running++
+	if q.Phase == fighollow.RequestDecode || q.PromptTokens > 0 {
+		n.cache.add(q.Prompt)
+	}
+	return w
+}
+
+// Started notes the first event of a stream.
+func (p *Pool) Started(now time.Time, w *Work) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := p.instances[w.ID]; n != nil {
+		n.answered(now.Sub(w.Began))
+	}
+}
+
+// End notes the end of an attempt.
+func (p *Pool) End(now time.Time, w *Work, r Result) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := p.instances[w.ID]
+	if n == nil {
+		return
+	}
+	if w.Phase == fighollow.RequestPrefill {
+		n.pending = max(0, n.pending-w.Tokens)
+		n.prefills = max(0, n.prefills-1)
+	} else {
+		n.running = max(0, n.running-1)
+	}
+	switch r {
+	case Answered:
+		n.succeeded()
+		switch w.Phase {
+		case fighollow.RequestPrefill:
+			n.prefilled(now.Sub(w.Began), w.ahead)
+		case fighollow.RequestWhole:
+			n.answered(now.Sub(w.Began))
+		}
+	case Failed:
+		n.failed(now, p.medianFailures())
+	case Full:
+		n.full = now.Add(fullRest)
+	case Misdirected:
+		n.denied = now.Add(misdirectedRest)
+	case Unreachable:
+		n.unreachable(now)
+	}
+}
+
+// medianFailures returns the failure share of the median upstream: a plain service may fail some requests by design.
+func (p *Pool) medianFailures() float64 {
+	shares := make([]float64, 0, len(p.instances))
+	for _, n := range p.instances {
+		shares = append(shares, n.failures)
+	}
+	if len(shares) == 0 {
+		return 0
+	}
+	slices.Sort(shares)
+	return shares[(len(shares)-1)/2]
+}
--- a/internal/spread/fleet_test.go
+++ b/internal/spread/fleet_test.go
@@ -79,11 +79,11 @@
 	return s.ObjectStore.List(ctx, kind)
 }
 
-func (s *switchStore) Watch(ctx context.Context, after uint64) ([]fighollow.Object, uint64, error) {
+func (s *switchStore) Watch(ctx context.Context, kind fighollow.Kind, after uint64) ([]fighollow.Object, uint64, error) {
 	if s.cut.Load() {
 		return nil, after, fighollow.ErrUnavailable
 	}
-	objects, next, err := s.ObjectStore.Watch(ctx, after)
+	objects, next, err := s.ObjectStore.Watch(ctx, kind, after)
 	if s.cut.Load() {
 		return nil, after, fighollow.ErrUnavailable
 	}
--- a/internal/spread/watch.go
+++ b/internal/spread/watch.go
@@ -110,7 +110,7 @@
 }
 
 func (n *Node) follow(ctx context.Context, after uint64) (uint64, error) {
-	objects, next, err := n.store.Watch(ctx, after)
+	objects, next, err := n.store.Watch(ctx, "", after)
 	if err != nil {
 		return after, err
 	}
--- a/internal/standin/objects/server.go
+++ b/internal/standin/objects/server.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -288,32 +289,40 @@
 	defer cancel()
 	s.count(&s.counts.Waiting, 1)
 	defer s.count(&s.counts.Waiting, -1)
-	objects, err := s.await(ctx, after)
+	objects, next, err := s.await(ctx, fighollow.Kind(r.URL.Query().Get("kind")), after)
 	if errors.Is(err, errExpired) {
 		fail(w, http.StatusGone, "expired", "the history after that version is gone")
 		return
 	}
-	if len(objects) > 0 {
-		after = objects[len(objects)-1].Version
-	}
-	reply(w, listing{objects, after})
+	reply(w, listing{objects, next})
 }
 
-func (s *Server) await(ctx context.Context, after uint64) ([]fighollow.Object, error) {
+// await waits for writes to objects of a kind (of any kind when it is empty), and returns them with the version to
+// watch from next.
+func (s *Server) await(ctx context.Context, kind fighollow.Kind, after uint64) ([]fighollow.Object, uint64, error) {
 	s.mu.Lock()
 	downed := s.downed
 	s.mu.Unlock()
 	for {
 		objects, changed, err := s.store.since(after)
-		if err != nil || len(objects) > 0 {
-			return objects, err
+		if err != nil {
+			return nil, after, err
+		}
+		if len(objects) > 0 {
+			after = objects[len(objects)-1].Version
+		}
+		if kind != "" {
+			objects = slices.DeleteFunc(objects, func(o fighollow.Object) bool { return o.Kind != kind })
+		}
+		if len(objects) > 0 {
+			return objects, after, nil
 		}
 		select {
 		case <-changed:
 		case <-downed:
 			drop()
 		case <-ctx.Done():
-			return []fighollow.Object{}, nil
+			return []fighollow.Object{}, after, nil
 		}
 	}
 }
--- a/pkg/fighollow/errors.go
+++ b/pkg/fighollow/errors.go
@@ -20,6 +20,8 @@
 	ErrBusy = errors.New("fighollow: engine busy")
 	// ErrNotRun says that an upstream did not start the work; it may be sent elsewhere.
 	ErrNotRun = errors.New("fighollow: not run")
+	// ErrCrossed says that an upstream's reply belongs to another request. The outcome of the request is unknown.
+	ErrCrossed = errors.New("fighollow: reply belongs to another request")
 	// ErrInvalid says that a value does not satisfy the rules of its type.
 	ErrInvalid = errors.New("fighollow: invalid value")
 )
--- a/pkg/fighollow/object.go
+++ b/pkg/fighollow/object.go
@@ -20,11 +20,19 @@
 	KindModel        Kind = "model"        // operator; model name
 	KindService      Kind = "service"      // operator; plain service name
 	KindInstance     Kind = "instance"     // platform; instance id
+	KindRouting      Kind = "routing"      // operator; always RoutingName
+	KindRoleLease    Kind = "roleLease"    // entries; always RoleLeaseName
 )
 
 // InForceName is the name of the only object of KindInForce.
 const InForceName = "current"
 
+// RoutingName is the name of the only object of KindRouting.
+const RoutingName = "main"
+
+// RoleLeaseName is the name of the only object of KindRoleLease.
+const RoleLeaseName = "roles"
+
 // MaxValueBytes is the largest value that the object API stores.
 const MaxValueBytes = 1 << 20
 
@@ -59,8 +67,9 @@
 	// Delete removes an object under the same condition as Put.
 	Delete(ctx context.Context, kind Kind, name string, expected uint64) (uint64, error)
 
-	// Watch waits for writes with a version above after and returns them in order, with the version to pass to the
+	// Watch waits for writes to objects of a kind (all kinds when it is empty, where the API offers that) with a version
+	// above after and returns them in order, with the version to pass to the
 	// next call. It returns no objects when nothing changed within the server's waiting time. It returns
 	// ErrWatchExpired when the history after that version is gone; the caller then starts again with List.
-	Watch(ctx context.Context, after uint64) ([]Object, uint64, error)
+	Watch(ctx context.Context, kind Kind, after uint64) ([]Object, uint64, error)
 }
--- a/pkg/fighollow/outcome.go
+++ b/pkg/fighollow/outcome.go
@@ -20,9 +20,11 @@
 	CodeUnauthorised    Code = "unauthorised"    // 401; no workspace has this key
 	CodeModelNotFound   Code = "modelNotFound"   // 404
 	CodeServiceNotFound Code = "serviceNotFound" // 404
+	CodeRouteNotFound   Code = "routeNotFound"   // 404; no route has this host and path
 	CodeKeyInProgress   Code = "keyInProgress"   // 409; the first request with this key still runs
 	CodeKeyAlreadyRun   Code = "keyAlreadyRun"   // 409; it ended and its answer is not kept
 	CodeTooLarge        Code = "tooLarge"        // 413; body over the limit
+	CodeHeaderTooLarge  Code = "headerTooLarge"  // 431
 	CodeWorkspaceLimit  Code = "workspaceLimit"  // 429; the workspace is over its own limit
 	CodeOverloaded      Code = "overloaded"      // 503; no upstream admits it now
 	CodeTooLate         Code = "tooLate"         // 503; it would miss its deadline
