--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/gateway"
 	"github.com/fighollow/fighollow/internal/placement"
+	"github.com/fighollow/fighollow/internal/roles"
 	"github.com/fighollow/fighollow/internal/upstream"
 	"github.com/fighollow/fighollow/platform"
 )
@@ -80,10 +81,11 @@
 	store := platform.NewStore(cfg.StoreAddress)
 	pool := upstream.New()
 	defer pool.Close()
+	dispatcher := platform.NewDispatcher(pool)
 	fleet := placement.New(placement.Options{DataCentre: cfg.DataCentre, Drain: cfg.Bounds.Drain})
 	g := gateway.New(gateway.Options{
 		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: registry,
-	}, fleet, platform.NewDispatcher(pool), log)
+	}, fleet, dispatcher, log)
 	p := &gatewayProcess{cfg: cfg, log: log}
 	p.follower = gateway.NewFollower(store, gateway.Decoder{Routing: platform.DecodeRouting, Upstream: platform.DecodeUpstream}, g, fleet, log)
 
@@ -110,6 +112,10 @@
 	defer end()
 	var background sync.WaitGroup
 	background.Go(func() { p.follower.Run(work) })
+	planner := roles.New(roles.Options{Self: cfg.Node + "@" + cfg.Address, Lease: cfg.Bounds.Lease}, store, dispatcher,
+		g.Routing, fleet.Upstreams, log)
+	// A stopping entry orders nothing more; another takes the lease.
+	background.Go(func() { planner.Run(ctx) })
 	event.ProcessStarted.Log(&log).Str("http", cfg.Ingress).Str("readiness", cfg.Readiness).Str("store", cfg.StoreAddress).
 		Str("dataCentre", cfg.DataCentre).Str("version", version).Send()
 	select {
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -17,9 +17,15 @@
 	StoreLost        = Event{8014, "storeLost", zerolog.WarnLevel, "the metadata store does not answer; what is known stays in force"}
 	StoreRegained    = Event{8015, "storeRegained", zerolog.InfoLevel, "the metadata store answers again after downMs"}
 	ReadinessChanged = Event{8016, "readinessChanged", zerolog.InfoLevel, "this process tells the balancer that it takes connections, or that it does not"}
+	RoleLeaseTaken   = Event{8020, "roleLeaseTaken", zerolog.InfoLevel, "this process orders the engines' roles from here on; term is its fencing token"}
+	RoleLeaseLost    = Event{8021, "roleLeaseLost", zerolog.WarnLevel, "this process no longer orders roles: another one took the lease, or the outcome of a renewal is not known"}
+	RoleOrdered      = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is to change its role; the line has the reason and the load that decided"}
+	RoleOrderEnded   = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "how the engine answered an order; without an answer it may still carry it out, and gets no other for some time"}
+	ReportMissing    = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
 )
 
 var gatewayEvents = []Event{
 	AttemptPlaced, AttemptEnded, RequestEnded, RequestRetried, StreamResumed, CacheReleased, RoutingApplied, RoutingInvalid,
 	UpstreamChanged, UpstreamInvalid, StoreLost, StoreRegained, ReadinessChanged,
+	RoleLeaseTaken, RoleLeaseLost, RoleOrdered, RoleOrderEnded, ReportMissing,
 }
--- a/internal/placement/instance.go
+++ b/internal/placement/instance.go
@@ -18,8 +18,10 @@
 	maxRest   = 4 * time.Second
 	// misdirectedRest is how long an engine that denied its role is not used for it; a change of role takes seconds.
 	misdirectedRest = 500 * time.Millisecond
-	// fullRest is how long an upstream that refused because it is full is left out when there are others.
-	fullRest = 100 * time.Millisecond
+	// firstFull and maxFull bound how long an upstream that refused for lack of room is left out when there are others. An
+	// engine that changes its role refuses for seconds.
+	firstFull = 100 * time.Millisecond
+	maxFull   = 1600 * time.Millisecond
 	// defaultPrefillRate, in prompt tokens per millisecond, stands for an engine's rate until it was measured.
 	defaultPrefillRate = 40
 	// minPrefillRate bounds an estimate from below, so that an engine is not ruled out by one slow answer.
@@ -27,7 +29,7 @@
 	// minRateSample is the fewest tokens of a prefill from which a rate is learned; shorter ones are mostly fixed costs.
 	minRateSample = 1500
 	// prefillOverhead is the fixed part of a prefill's time in milliseconds: the engine's step and the network.
-	prefillOverhead = 15
+	prefillOverhead = 100
 )
 
 // instance is one upstream with what is known of it.
@@ -45,6 +47,7 @@
 	rest     time.Duration
 	denied   time.Time // not used for its role before
 	full     time.Time // refused for lack of room; avoided before
+	fullFor  time.Duration
 	cache    *prefixCache
 }
 
@@ -68,6 +71,7 @@
 // succeeded notes an answer that shows the upstream in order.
 func (n *instance) succeeded() {
 	n.failures -= failureWeight * n.failures
+	n.fullFor = 0
 	if n.failures < suspectFailures/2 {
 		n.rest = 0
 	}
@@ -88,6 +92,15 @@
 	n.restFrom(now)
 }
 
+// refused notes that the upstream has no room.
+func (n *instance) refused(now time.Time) {
+	if now.Before(n.full) {
+		return
+	}
+	n.fullFor = min(max(firstFull, 2*n.fullFor), maxFull)
+	n.full = now.Add(n.fullFor)
+}
+
 func (n *instance) restFrom(now time.Time) {
 	if now.Before(n.resting) {
 		return
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -31,12 +31,13 @@
 	Phase  fighollow.RequestPhase
 	Began  time.Time
 	Tokens float64 // prompt tokens to compute
+	prompt []fighollow.PromptPart
 	ahead  float64 // pending at the upstream when it was sent, its own included
 }
 
 // Begin notes that an attempt is sent.
 func (p *Pool) Begin(now time.Time, c Choice, q Query) *Work {
-	w := &Work{ID: c.Upstream.ID, Phase: q.Phase, Began: now}
+	w := &Work{ID: c.Upstream.ID, Phase: q.Phase, Began: now, prompt: q.Prompt}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := p.instances[w.ID]
@@ -49,13 +50,11 @@
 		n.prefills++
 		w.ahead = n.pending
 		// The engine will hold the prompt when it has read it; requests that follow at once wait for the same part.
-		n.cache.add(q.Prompt)
+		n.cache.add(now, q.Prompt, false)
 		return w
 	}
 	n.running++
-	if q.Phase == fighollow.RequestDecode || q.PromptTokens > 0 {
-		n.cache.add(q.Prompt)
-	}
+	n.cache.add(now, q.Prompt, false)
 	return w
 }
 
@@ -65,6 +64,7 @@
 	defer p.mu.Unlock()
 	if n := p.instances[w.ID]; n != nil {
 		n.answered(now.Sub(w.Began))
+		n.cache.add(now, w.prompt, true)
 	}
 }
 
@@ -88,13 +88,14 @@
 		switch w.Phase {
 		case fighollow.RequestPrefill:
 			n.prefilled(now.Sub(w.Began), w.ahead)
+			n.cache.add(now, w.prompt, true)
 		case fighollow.RequestWhole:
 			n.answered(now.Sub(w.Began))
 		}
 	case Failed:
 		n.failed(now, p.medianFailures())
 	case Full:
-		n.full = now.Add(fullRest)
+		n.refused(now)
 	case Misdirected:
 		n.denied = now.Add(misdirectedRest)
 	case Unreachable:
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -14,8 +14,17 @@
 	otherCentreMs = 120
 	// runningMs is what one more running request costs the others in the batch.
 	runningMs = 6
-	// fullMs sets back an upstream that has just refused for lack of room.
-	fullMs = 400
+	// tieMs spreads attempts over upstreams that cost nearly the same.
+	tieMs = 2
+	// wholeSlowdown is how much longer a decode engine takes for a prompt than a prefill engine.
+	wholeSlowdown = 2
+	// homeShare is the part of a prompt's shared tokens that its home is expected to hold when nothing else is known.
+	homeShare = 0.7
+	// awayFromHome is the part of these that an attempt elsewhere is expected to compute nevertheless.
+	awayFromHome = 0.5
+	// fetchShare is what a fetched token costs, as a part of computing it. The copy takes little time but displaces other
+	// prefixes from the engine's memory.
+	fetchShare = 0.25
 	// goneShare is the part of the platform's drain time for which an upstream without an entry is used when there is no
 	// other: entries lapse during an outage of the store and come back.
 	goneShare = 0.6
@@ -118,64 +127,91 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expire(now)
-	fetch, fetched := p.longestPrefix(now, q)
+	source := p.prefixSource(now, q)
 	var best Choice
 	cost := math.Inf(1)
-	// Upstreams that rest or lost their entry are used only when there is no other.
+	// Upstreams that rest, are full or lost their entry are used only when there is no other.
 	for _, lastResort := range []bool{false, true} {
 		for _, n := range p.instances {
 			if !p.usable(now, n, q, lastResort) {
 				continue
 			}
-			c := p.assess(now, n, q, fetched)
-			c.CostMs += 2 * float64(hash(q.Seed, n.up.ID)%1024) / 1024
+			c := p.assess(now, n, q, source)
+			c.CostMs += tieMs * float64(hash(q.Seed, n.up.ID)%1024) / 1024
 			if c.CostMs < cost {
 				best, cost = c, c.CostMs
 			}
 		}
 		if !math.IsInf(cost, 1) {
-			break
+			return best, true
 		}
 	}
-	if math.IsInf(cost, 1) {
-		return Choice{}, false
-	}
-	if best.Fetched > 0 {
-		best.FetchFrom = fetch
-	}
-	return best, true
+	return Choice{}, false
 }
 
-// ByAddress returns the upstream at an address.
-func (p *Pool) ByAddress(address string) (fighollow.Upstream, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// prefix is the engine from which another one can fetch the beginning of a prompt.
+type prefix struct {
+	n      *instance // nil when there is none
+	tokens int       // that it is expected to hold
+	home   bool      // it is not known to hold any, but is the one to which all entries send the prompt first
+}
+
+// prefixSource returns the engine that holds most of the prompt. When none is known to hold all that other prompts may
+// share, it is the prompt's home: the engine on which all entries agree without talking.
+func (p *Pool) prefixSource(now time.Time, q Query) prefix {
+	var s prefix
+	if q.Phase == fighollow.RequestDecode || len(q.Prompt) < 2 {
+		return s
+	}
+	shared := sharedTokens(q.Prompt)
 	for _, n := range p.instances {
-		if n.up.Address == address {
-			return n.up, true
+		if !n.goneAt.IsZero() || n.up.Draining || now.Before(n.resting) {
+			continue
+		}
+		if _, read := n.cache.match(now, q.Prompt); read > s.tokens {
+			s.n, s.tokens = n, read
 		}
 	}
-	return fighollow.Upstream{}, false
+	if s.tokens >= shared {
+		return s
+	}
+	if h := p.home(now, q.Prompt[len(q.Prompt)-2].ID); h != nil {
+		if expected := int(homeShare * float64(shared)); expected > s.tokens {
+			return prefix{n: h, tokens: expected, home: true}
+		}
+	}
+	return s
 }
 
-// longestPrefix returns the engine that holds most of the prompt, and how many tokens of it.
-func (p *Pool) longestPrefix(now time.Time, q Query) (address string, tokens int) {
-	if q.Phase == fighollow.RequestDecode || len(q.Prompt) == 0 {
-		return "", 0
+// sharedTokens returns the tokens of a prompt that other prompts may share: all but its last part.
+func sharedTokens(prompt []fighollow.PromptPart) int {
+	n := 0
+	for _, part := range prompt[:len(prompt)-1] {
+		n += part.Tokens
 	}
+	return n
+}
+
+// home returns the prefill engine with the highest rendezvous hash for a part.
+func (p *Pool) home(now time.Time, part uint64) *instance {
+	var best *instance
+	var top uint64
 	for _, n := range p.instances {
-		if m := n.cache.match(q.Prompt); m > tokens && n.goneAt.IsZero() && !now.Before(n.resting) {
-			address, tokens = n.up.Address, m
+		if n.up.Role != fighollow.RolePrefill || n.up.Draining || !n.goneAt.IsZero() || now.Before(n.resting) {
+			continue
+		}
+		if h := hash(part, n.up.ID); best == nil || h > top {
+			best, top = n, h
 		}
 	}
-	return address, tokens
+	return best
 }
 
 func (p *Pool) usable(now time.Time, n *instance, q Query, lastResort bool) bool {
 	if n.up.Draining || !servesPhase(n.up.Role, q.Phase) || now.Before(n.denied) {
 		return false
 	}
-	if !lastResort && (now.Before(n.resting) || !n.goneAt.IsZero()) {
+	if !lastResort && (now.Before(n.resting) || now.Before(n.full) || !n.goneAt.IsZero()) {
 		return false
 	}
 	for _, id := range q.Tried {
@@ -197,34 +233,46 @@
 	return r != fighollow.RolePrefill
 }
 
-// assess estimates what an attempt at n costs. fetched is the longest prefix that any engine holds.
-func (p *Pool) assess(now time.Time, n *instance, q Query, fetched int) Choice {
+// assess estimates what an attempt at n costs.
+func (p *Pool) assess(now time.Time, n *instance, q Query, source prefix) Choice {
 	c := Choice{Upstream: n.up, Pending: int(n.pending), Running: n.running}
 	switch q.Phase {
 	case fighollow.RequestPrefill:
-		c.Cached = min(n.cache.match(q.Prompt), q.PromptTokens)
-		c.Fetched = max(0, min(fetched, q.PromptTokens)-c.Cached)
-		rest := float64(q.PromptTokens - c.Cached - c.Fetched)
-		c.CostMs = prefillOverhead + (n.pending+rest)/n.rate + p.transferMs(c.Fetched)
+		c.CostMs = prefillOverhead + (n.pending+p.toCompute(now, n, q, source, &c))/n.rate + p.transferMs(c.Fetched)
 	case fighollow.RequestDecode:
 		c.CostMs = runningMs*float64(n.running) + n.latency
 	default:
 		c.CostMs = n.latency * (1 + float64(n.running)/float64(max(1, n.up.Slots)))
 		if q.PromptTokens > 0 {
-			c.Cached = min(n.cache.match(q.Prompt), q.PromptTokens)
-			c.Fetched = max(0, min(fetched, q.PromptTokens)-c.Cached)
-			c.CostMs += 2 * float64(q.PromptTokens-c.Cached-c.Fetched) / n.rate
+			c.CostMs += wholeSlowdown * p.toCompute(now, n, q, source, &c) / n.rate
 		}
 	}
 	if n.up.DataCentre != p.dataCentre {
 		c.CostMs += otherCentreMs
 	}
-	if now.Before(n.full) {
-		c.CostMs += fullMs
-	}
 	return c
 }
 
+// toCompute returns the prompt tokens that n computes, and sets where it fetches others from.
+func (p *Pool) toCompute(now time.Time, n *instance, q Query, source prefix, c *Choice) float64 {
+	held, _ := n.cache.match(now, q.Prompt)
+	c.Cached = min(held, q.PromptTokens)
+	if source.n == n {
+		c.Cached = min(max(c.Cached, source.tokens), q.PromptTokens)
+	}
+	if source.n != nil && source.n != n {
+		if c.Fetched = max(0, min(source.tokens, q.PromptTokens)-c.Cached); c.Fetched > 0 {
+			c.FetchFrom = source.n.up.Address
+		}
+	}
+	rest := float64(q.PromptTokens-c.Cached-c.Fetched) + fetchShare*float64(c.Fetched)
+	if source.home && source.n != n && c.Fetched > 0 {
+		// Until the home has read the shared parts, all engines would read them for themselves.
+		rest += awayFromHome * float64(c.Fetched)
+	}
+	return rest
+}
+
 // transferMs returns the time that moving the KV cache of some tokens between engines takes.
 func (p *Pool) transferMs(tokens int) float64 {
 	e := p.traits.Engine
@@ -242,3 +290,15 @@
 	}
 	return h ^ h>>29
 }
+
+// ByAddress returns the upstream at an address.
+func (p *Pool) ByAddress(address string) (fighollow.Upstream, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, n := range p.instances {
+		if n.up.Address == address {
+			return n.up, true
+		}
+	}
+	return fighollow.Upstream{}, false
+}
--- /dev/null
+++ b/internal/roles/plan.go
@@ -0,0 +1,188 @@
+// Package roles keeps the engines' roles in proportion to demand: one entry at a time holds a lease in the store, watches
+// the engines' reports, and orders single engines from one role to the other.
+package roles
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+const (
+	// initialPrefillShare is the share of engines that prefill before any demand was seen. Prompts are computed one after
+	// the other while answers share a batch, so that decode needs fewer engines.
+	initialPrefillShare = 0.67
+	// prefillQueue is the requests waiting at each prefill engine from which prefill counts as short of engines.
+	prefillQueue = 1.5
+	// decodeBusy is the share of decode memory or slots in use, as it would be after a change, up to which decode can
+	// spare an engine.
+	decodeBusy = 0.5
+	// decodeFull is the share from which decode is short of engines.
+	decodeFull = 0.85
+	// prefillIdle is the requests at each prefill engine below which prefill can spare one.
+	prefillIdle = 0.7
+	// reportWeight is the weight of a new report in the moving averages.
+	reportWeight = 0.4
+	// settleTime is the pause after a change before the next one, beyond the time that a change of role takes, so that the
+	// reports show its effect.
+	settleTime = 2 * time.Second
+	// minSamples is how many rounds of reports are seen before demand decides.
+	minSamples = 3
+)
+
+// Engine is what the planner knows of an engine.
+type Engine struct {
+	Upstream fighollow.Upstream
+	Report   fighollow.EngineReport
+	Known    bool           // the report is fresh
+	Wanted   fighollow.Role // of the last order that was sent to it; RoleNone when there was none
+}
+
+// Order is a change of role that the planner wants.
+type Order struct {
+	Engine Engine
+	Role   fighollow.Role
+}
+
+// Planner decides changes of role for one service. It is not safe for concurrent use.
+type Planner struct {
+	traits  fighollow.EngineTraits
+	queue   float64 // requests waiting at a prefill engine, averaged
+	active  float64 // requests at a prefill engine, averaged
+	busy    float64 // share of decode memory or slots in use, averaged
+	samples int
+	began   bool // the initial proportion was ordered
+	changed time.Time
+}
+
+// NewPlanner returns a planner for a service whose engines have these traits.
+func NewPlanner(t fighollow.EngineTraits) *Planner { return &Planner{traits: t} }
+
+// Plan returns the orders to send now, and the reason for them.
+func (p *Planner) Plan(now time.Time, engines []Engine) ([]Order, string) {
+	prefill, decode, changing := split(engines)
+	if len(prefill)+len(decode) < 2 {
+		return nil, "tooFewEngines"
+	}
+	p.observe(prefill, decode)
+	if !p.began {
+		return p.begin(now, prefill, decode)
+	}
+	if changing > 0 || p.samples < minSamples || now.Sub(p.changed) < p.traits.RoleSwitch+settleTime {
+		return nil, "settling"
+	}
+	d := float64(len(decode))
+	switch {
+	case len(decode) > 1 && p.queue > prefillQueue && p.busy*d/(d-1) < decodeBusy:
+		p.changed = now
+		return p.move(decode, prefill, 1, fighollow.RolePrefill), "prefillQueue"
+	case len(prefill) > 1 && p.busy > decodeFull && p.active+p.queue < prefillIdle:
+		p.changed = now
+		return p.move(prefill, decode, 1, fighollow.RoleDecode), "decodeFull"
+	}
+	return nil, "inProportion"
+}
+
+// begin returns the orders towards the initial proportion. Engines that start together become known one after the other,
+// so that it goes on until demand is seen.
+func (p *Planner) begin(now time.Time, prefill, decode []Engine) ([]Order, string) {
+	if p.active+p.queue+p.busy > 0 {
+		p.began = true
+	}
+	want := int(initialPrefillShare*float64(len(prefill)+len(decode)) + 0.5)
+	want = max(1, min(want, len(prefill)+len(decode)-1))
+	idle := func(e Engine) bool { return e.Report.Changing }
+	orders := p.move(slices.DeleteFunc(decode, idle), prefill, want-len(prefill), fighollow.RolePrefill)
+	if len(orders) > 0 {
+		p.changed = now
+	}
+	return orders, "initialShare"
+}
+
+// split returns the engines by role, those that are changing by their new one, and how many are changing.
+func split(engines []Engine) (prefill, decode []Engine, changing int) {
+	for _, e := range engines {
+		if e.Upstream.Draining || !e.Known {
+			continue
+		}
+		role := e.Report.Role
+		if e.Report.Changing {
+			changing++
+			if e.Wanted != fighollow.RoleNone {
+				role = e.Wanted
+			}
+		}
+		switch role {
+		case fighollow.RolePrefill:
+			prefill = append(prefill, e)
+		case fighollow.RoleDecode:
+			decode = append(decode, e)
+		}
+	}
+	return prefill, decode, changing
+}
+
+func (p *Planner) observe(prefill, decode []Engine) {
+	var queue, active, busy float64
+	for _, e := range prefill {
+		queue += float64(e.Report.Queued) / float64(len(prefill))
+		active += float64(e.Report.Running) / float64(len(prefill))
+	}
+	for _, e := range decode {
+		used := float64(e.Report.Running) / float64(max(1, p.traits.Slots))
+		if e.Report.KVTotal > 0 {
+			used = max(used, float64(e.Report.KVUsed)/float64(e.Report.KVTotal))
+		}
+		busy += used / float64(len(decode))
+	}
+	p.queue += reportWeight * (queue - p.queue)
+	p.active += reportWeight * (active - p.active)
+	p.busy += reportWeight * (busy - p.busy)
+	p.samples++
+}
+
+// Load returns the averages on which the last decision was based.
+func (p *Planner) Load() (prefillQueued, decodeUsed float64) { return p.queue, p.busy }
+
+// move picks n engines to change. It keeps the proportion of both roles alike in all data centres, and takes engines with
+// little work.
+func (p *Planner) move(from, to []Engine, n int, role fighollow.Role) []Order {
+	var orders []Order
+	left := make(map[string]int)
+	there := make(map[string]int)
+	for _, e := range from {
+		left[e.Upstream.DataCentre]++
+	}
+	for _, e := range to {
+		there[e.Upstream.DataCentre]++
+	}
+	from = slices.Clone(from)
+	for ; n > 0 && len(from) > 1; n-- {
+		best := slices.MinFunc(from, func(a, b Engine) int {
+			// The data centre with the highest share of the old role gives the next engine.
+			shareA := share(left[a.Upstream.DataCentre], there[a.Upstream.DataCentre])
+			shareB := share(left[b.Upstream.DataCentre], there[b.Upstream.DataCentre])
+			if c := cmp.Compare(shareB, shareA); c != 0 {
+				return c
+			}
+			if c := cmp.Compare(a.Report.Running, b.Report.Running); c != 0 {
+				return c
+			}
+			return cmp.Compare(a.Upstream.ID, b.Upstream.ID)
+		})
+		orders = append(orders, Order{Engine: best, Role: role})
+		left[best.Upstream.DataCentre]--
+		there[best.Upstream.DataCentre]++
+		from = slices.DeleteFunc(from, func(e Engine) bool { return e.Upstream.ID == best.Upstream.ID })
+	}
+	return orders
+}
+
+func share(a, b int) float64 {
+	if a+b == 0 {
+		return 0
+	}
+	return float64(a) / float64(a+b)
+}
