--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -60,7 +60,7 @@
 				return err
 			}
 			log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("process", cfg.Node).Logger()
-			return runGateway(ctx, cfg, cmd.Int("metrics-port"), log)
+			return runGateway(ctx, cmd.String("settings"), cfg, cmd.Int("metrics-port"), log)
 		},
 	}
 }
@@ -74,7 +74,7 @@
 	wasReady atomic.Bool
 }
 
-func runGateway(ctx context.Context, cfg platform.Settings, metricsPort int, log zerolog.Logger) error {
+func runGateway(ctx context.Context, file string, cfg platform.Settings, metricsPort int, log zerolog.Logger) error {
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	registry := metrics.NewRegistry()
@@ -110,6 +110,7 @@
 	}
 	work, end := context.WithCancel(context.Background())
 	defer end()
+	go reloadOnHangup(work, file, g, log)
 	var background sync.WaitGroup
 	background.Go(func() { p.follower.Run(work) })
 	planner := roles.New(roles.Options{Self: cfg.Node + "@" + cfg.Address, Lease: cfg.Bounds.Lease}, store, dispatcher,
@@ -130,6 +131,29 @@
 	return err
 }
 
+// reloadOnHangup reads the settings again at each SIGHUP. The bounds of repeats take effect at once; addresses and names
+// take effect when the process starts again.
+func reloadOnHangup(ctx context.Context, file string, g *gateway.Gateway, log zerolog.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		cfg, err := platform.ReadSettings(file)
+		if err != nil {
+			event.SettingsInvalid.Log(&log).Err(err).Send()
+			continue
+		}
+		g.SetRetries(cfg.Bounds.RetryRatio, cfg.Bounds.RetrySlack)
+		event.SettingsReloaded.Log(&log).Str("file", file).Float64("retryRatio", cfg.Bounds.RetryRatio).
+			Int("retrySlack", cfg.Bounds.RetrySlack).Send()
+	}
+}
+
 // stop finishes the open requests within the platform's grace period. Until the balancer has noticed, new requests are
 // served as before; their answers close the connection.
 func (p *gatewayProcess) stop(s *http.Server) {
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -4,10 +4,12 @@
 
 // Events of processes and settings.
 var (
-	ProcessStarted  = Event{6001, "processStarted", zerolog.InfoLevel, "the process listens on its addresses"}
-	ProcessStopping = Event{6002, "processStopping", zerolog.InfoLevel, "a graceful stop began; work in flight is finished first"}
-	ProcessStopped  = Event{6003, "processStopped", zerolog.InfoLevel, "the graceful stop is complete"}
-	StopCut         = Event{6004, "stopCut", zerolog.WarnLevel, "requests were still open at the end of the grace period and were broken off"}
+	ProcessStarted   = Event{6001, "processStarted", zerolog.InfoLevel, "the process listens on its addresses"}
+	ProcessStopping  = Event{6002, "processStopping", zerolog.InfoLevel, "a graceful stop began; work in flight is finished first"}
+	ProcessStopped   = Event{6003, "processStopped", zerolog.InfoLevel, "the graceful stop is complete"}
+	StopCut          = Event{6004, "stopCut", zerolog.WarnLevel, "requests were still open at the end of the grace period and were broken off"}
+	SettingsReloaded = Event{6005, "settingsReloaded", zerolog.InfoLevel, "the settings file was read again after SIGHUP"}
+	SettingsInvalid  = Event{6006, "settingsInvalid", zerolog.ErrorLevel, "the settings file cannot be used; the former settings stay in force"}
 )
 
-var processEvents = []Event{ProcessStarted, ProcessStopping, ProcessStopped, StopCut}
+var processEvents = []Event{ProcessStarted, ProcessStopping, ProcessStopped, StopCut, SettingsReloaded, SettingsInvalid}
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -22,8 +22,18 @@
 // newBudget returns the budget for one service. ratio is the extra dispatches allowed for each request; slack is how many
 // are allowed beyond that in a window, over all entries.
 func newBudget(ratio float64, slack int) *budget {
-	limit := float64(slack) / budgetEntries
-	return &budget{ratio: budgetShare * ratio, limit: limit, left: limit}
+	b := &budget{}
+	b.set(ratio, slack)
+	b.left = b.limit
+	return b
+}
+
+// set changes the bounds. What was spent stays spent.
+func (b *budget) set(ratio float64, slack int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.limit = budgetShare*ratio, float64(slack)/budgetEntries
+	b.left = min(b.left, b.limit)
 }
 
 // add counts a request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,16 @@
 	return nil
 }
 
+// SetRetries changes the bounds of repeats.
+func (g *Gateway) SetRetries(ratio float64, slack int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.opts.RetryRatio, g.opts.RetrySlack = ratio, slack
+	for _, b := range g.budgets {
+		b.set(ratio, slack)
+	}
+}
+
 func (g *Gateway) budget(service string) *budget {
 	g.mu.Lock()
 	defer g.mu.Unlock()
