--- a/internal/roles/plan.go
+++ b/internal/roles/plan.go
@@ -14,15 +14,16 @@
 	// initialPrefillShare is the share of engines that prefill before any demand was seen. Prompts are computed one after
 	// the other while answers share a batch, so that decode needs fewer engines.
 	initialPrefillShare = 0.67
-	// prefillQueue is the requests waiting at each prefill engine from which prefill counts as short of engines.
-	prefillQueue = 1.5
-	// decodeBusy is the share of decode memory or slots in use, as it would be after a change, up to which decode can
-	// spare an engine.
-	decodeBusy = 0.5
-	// decodeFull is the share from which decode is short of engines.
-	decodeFull = 0.85
-	// prefillIdle is the requests at each prefill engine below which prefill can spare one.
-	prefillIdle = 0.7
+	// prefillQueueGoal is the requests waiting at each prefill engine that are taken as full use of prefill.
+	prefillQueueGoal = 1.5
+	// decodeUseGoal is the share of decode memory or slots in use that is taken as full use of decode. Answers slow down
+	// and are preempted beyond it.
+	decodeUseGoal = 0.5
+	// decodeQueueGoal is the requests waiting at each decode engine that are taken as full use of decode.
+	decodeQueueGoal = 2
+	// moveGain is how much lower the pressure on the shorter role must be for a change, as the engine that changes is away
+	// for seconds.
+	moveGain = 0.8
 	// reportWeight is the weight of a new report in the moving averages.
 	reportWeight = 0.4
 	// settleTime is the pause after a change before the next one, beyond the time that a change of role takes, so that the
@@ -52,6 +53,7 @@
 	queue   float64 // requests waiting at a prefill engine, averaged
 	active  float64 // requests at a prefill engine, averaged
 	busy    float64 // share of decode memory or slots in use, averaged
+	waiting float64 // requests waiting at a decode engine, averaged
 	samples int
 	began   bool // the initial proportion was ordered
 	changed time.Time
@@ -73,18 +75,24 @@
 	if changing > 0 || p.samples < minSamples || now.Sub(p.changed) < p.traits.RoleSwitch+settleTime {
 		return nil, "settling"
 	}
-	d := float64(len(decode))
+	onPrefill, onDecode := p.pressures()
+	n, m := float64(len(prefill)), float64(len(decode))
 	switch {
-	case len(decode) > 1 && p.queue > prefillQueue && p.busy*d/(d-1) < decodeBusy:
+	case len(decode) > 1 && onPrefill > 1 && onDecode*m/(m-1) < moveGain*onPrefill:
 		p.changed = now
-		return p.move(decode, prefill, 1, fighollow.RolePrefill), "prefillQueue"
-	case len(prefill) > 1 && p.busy > decodeFull && p.active+p.queue < prefillIdle:
+		return p.move(decode, prefill, 1, fighollow.RolePrefill), "prefillShort"
+	case len(prefill) > 1 && onDecode > 1 && onPrefill*n/(n-1) < moveGain*onDecode:
 		p.changed = now
-		return p.move(prefill, decode, 1, fighollow.RoleDecode), "decodeFull"
+		return p.move(prefill, decode, 1, fighollow.RoleDecode), "decodeShort"
 	}
 	return nil, "inProportion"
 }
 
+// pressures returns the load on both roles; 1 is full use.
+func (p *Planner) pressures() (onPrefill, onDecode float64) {
+	return p.queue / prefillQueueGoal, p.busy/decodeUseGoal + p.waiting/decodeQueueGoal
+}
+
 // begin returns the orders towards the initial proportion. Engines that start together become known one after the other,
 // so that it goes on until demand is seen.
 func (p *Planner) begin(now time.Time, prefill, decode []Engine) ([]Order, string) {
@@ -125,7 +133,7 @@
 }
 
 func (p *Planner) observe(prefill, decode []Engine) {
-	var queue, active, busy float64
+	var queue, active, busy, waiting float64
 	for _, e := range prefill {
 		queue += float64(e.Report.Queued) / float64(len(prefill))
 		active += float64(e.Report.Running) / float64(len(prefill))
@@ -136,16 +144,15 @@
 			used = max(used, float64(e.Report.KVUsed)/float64(e.Report.KVTotal))
 		}
 		busy += used / float64(len(decode))
+		waiting += float64(e.Report.Queued) / float64(len(decode))
 	}
 	p.queue += reportWeight * (queue - p.queue)
 	p.active += reportWeight * (active - p.active)
 	p.busy += reportWeight * (busy - p.busy)
+	p.waiting += reportWeight * (waiting - p.waiting)
 	p.samples++
 }
 
-// Load returns the averages on which the last decision was based.
-func (p *Planner) Load() (prefillQueued, decodeUsed float64) { return p.queue, p.busy }
-
 // move picks n engines to change. It keeps the proportion of both roles alike in all data centres, and takes engines with
 // little work.
 func (p *Planner) move(from, to []Engine, n int, role fighollow.Role) []Order {
--- a/internal/roles/runner.go
+++ b/internal/roles/runner.go
@@ -168,10 +168,10 @@
 		engines := r.read(ctx, r.engines(s.Name))
 		now := time.Now()
 		orders, reason := p.Plan(now, engines)
-		queued, used := p.Load()
+		onPrefill, onDecode := p.pressures()
 		for _, o := range orders {
 			event.RoleOrdered.Log(&r.log).Str("service", s.Name).Str("upstream", o.Engine.Upstream.ID).Str("role", string(o.Role)).
-				Str("reason", reason).Float64("prefillQueued", queued).Float64("decodeUsed", used).
+				Str("reason", reason).Float64("onPrefill", onPrefill).Float64("onDecode", onDecode).
 				Uint64("orders", o.Engine.Report.Orders).Send()
 		}
 		r.send(ctx, orders)
