--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -66,7 +66,7 @@
 	return 0, fighollow.ErrUnavailable
 }
 
-func (m *memory) Watch(ctx context.Context, after uint64) ([]fighollow.Object, uint64, error) {
+func (m *memory) Watch(ctx context.Context, _ fighollow.Kind, after uint64) ([]fighollow.Object, uint64, error) {
 	m.mu.Lock()
 	changed := m.changed
 	m.mu.Unlock()
--- /dev/null
+++ b/internal/upstream/pool_test.go
@@ -0,0 +1,304 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fighollow/fighollow/internal/upstream"
+)
+
+// peer is an upstream whose connections are handled by a script, one call for each connection.
+type peer struct {
+	addr   string
+	conns  atomic.Int64
+	served atomic.Int64 // requests that were read whole
+}
+
+func newPeer(t *testing.T, script func(p *peer, n int64, c net.Conn, r *bufio.Reader)) *peer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { l.Close() })
+	p := &peer{addr: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n := p.conns.Add(1)
+			go func() {
+				defer c.Close()
+				script(p, n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return p
+}
+
+// read reads one request whole and returns its id; empty at the end of the connection.
+func (p *peer) read(r *bufio.Reader) string {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return ""
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return ""
+	}
+	p.served.Add(1)
+	return req.Header.Get("Id")
+}
+
+func answer(id, body, extra string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n%s\r\n%s", id, len(body), extra, body)
+}
+
+func request(method, id, body string) *http.Request {
+	req := &http.Request{
+		Method: method, URL: &url.URL{Scheme: "http", Host: "h", Opaque: "/x"}, Host: "h", Header: http.Header{"Id": {id}},
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(body)),
+	}
+	if body != "" {
+		req.Body = io.NopCloser(strings.NewReader(body))
+	}
+	return req
+}
+
+// do sends a request and returns the whole body of its answer.
+func do(p *upstream.Pool, addr, method, id, body string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	resp, err := p.Do(ctx, addr, request(method, id, body), func(r *http.Response) bool { return r.Header.Get("Id") == id })
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return string(b), err
+}
+
+func TestConnectionIsReused(t *testing.T) {
+	peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
+		for id := p.read(r); id != ""; id = p.read(r) {
+			io.WriteString(c, answer(id, "body of "+id, ""))
+		}
+	})
+	pool := upstream.New()
+	defer pool.Close()
+	for _, id := range []string{"a", "b", "c"} {
+		got, err := do(pool, peer.addr, "POST", id, "x")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got, qt.Equals, "body of "+id)
+	}
+	qt.Assert(t, peer.conns.Load(), qt.Equals, int64(1))
+}
+
+// Guards against a request that is sent twice because a reused connection broke: it may have run.
+func TestBrokenConnectionIsNotRepeated(t *testing.T) {
+	for _, method := range []string{"POST", "GET"} {
+		t.Run(method, func(t *testing.T) {
+			peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
+				id := p.read(r)
+				io.WriteString(c, answer(id, "ok", ""))
+				p.read(r) // the second request is read and its connection closed
+			})
+			pool := upstream.New()
+			defer pool.Close()
+			_, err := do(pool, peer.addr, method, "a", "")
+			qt.Assert(t, err, qt.IsNil)
+			_, err = do(pool, peer.addr, method, "b", "")
+			qt.Assert(t, err, qt.ErrorIs, upstream.ErrBroken)
+			qt.Assert(t, peer.served.Load(), qt.Equals, int64(2))
+		})
+	}
+}
+
+// Guards against a request being lost on a connection that its peer closed while it was idle.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	closed := make(chan struct{})
+	peer := newPeer(t, func(p *peer, n int64, c net.Conn, r *bufio.Reader) {
+		id := p.read(r)
+		io.WriteString(c, answer(id, "ok", ""))
+		if n == 1 {
+			c.Close()
+			close(closed)
+			return
+		}
+		p.read(r)
+	})
+	pool := upstream.New()
+	defer pool.Close()
+	_, err := do(pool, peer.addr, "POST", "a", "x")
+	qt.Assert(t, err, qt.IsNil)
+	<-closed
+	time.Sleep(20 * time.Millisecond) // the close must arrive
+	_, err = do(pool, peer.addr, "POST", "b", "x")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, peer.conns.Load(), qt.Equals, int64(2))
+}
+
+// Guards against bytes that follow a whole answer being taken for the next answer.
+func TestExtraBytesCostTheConnection(t *testing.T) {
+	peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
+		for id := p.read(r); id != ""; id = p.read(r) {
+			io.WriteString(c, answer(id, "ok", "")+answer(id, "again", ""))
+		}
+	})
+	pool := upstream.New()
+	defer pool.Close()
+	for _, id := range []string{"a", "b"} {
+		got, err := do(pool, peer.addr, "POST", id, "x")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got, qt.Equals, "ok")
+	}
+	qt.Assert(t, peer.conns.Load(), qt.Equals, int64(2))
+}
+
+// Guards against a late answer to an earlier request being given to the next one.
+func TestForeignAnswerIsSkipped(t *testing.T) {
+	peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
+		io.WriteString(c, answer(p.read(r), "first", ""))
+		id := p.read(r)
+		io.WriteString(c, answer("a", "late", "")+answer(id, "second", ""))
+	})
+	pool := upstream.New()
+	defer pool.Close()
+	_, err := do(pool, peer.addr, "POST", "a", "x")
+	qt.Assert(t, err, qt.IsNil)
+	got, err := do(pool, peer.addr, "POST", "b", "x")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got, qt.Equals, "second")
+}
+
+func TestOnlyForeignAnswers(t *testing.T) {
+	peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
+		p.read(r)
+		for range 5 {
+			io.WriteString(c, answer("other", "late", ""))
+		}
+	})
+	pool := upstream.New()
+	defer pool.Close()
+	_, err := do(pool, peer.addr, "POST", "a", "x")
+	qt.Assert(t, err, qt.ErrorIs, upstream.ErrForeign)
+}
+
+func TestUnreachableIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	addr := l.Addr().String()
+	l.Close()
+	pool := upstream.New()
+	defer pool.Close()
+	_, err = do(pool, addr, "POST", "a", "x")
+	qt.Assert(t, err, qt.ErrorIs, upstream.ErrNotSent)
+}
+
+// Guards against the end of a connection being taken for the end of a body without length.
+func TestResetBodyIsNotWhole(t *testing.T) {
+	peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
+		id := p.read(r)
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\npart")
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	pool := upstream.New()
+	defer pool.Close()
+	got, err := do(pool, peer.addr, "POST", "a", "x")
+	qt.Assert(t, err, qt.IsNotNil, qt.Commentf("body %q", got))
+}
+
+func TestBodyEndsWithConnection(t *testing.T) {
+	peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+p.read(r)+"\r\n\r\nwhole")
+	})
+	pool := upstream.New()
+	defer pool.Close()
+	got, err := do(pool, peer.addr, "POST", "a", "x")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got, qt.Equals, "whole")
+}
+
+// Guards against the rest of a long body reaching an upstream as a request of its own after it has answered early.
+func TestEarlyAnswerCostsTheConnection(t *testing.T) {
+	peer := newPeer(t, func(p *peer, n int64, c net.Conn, r *bufio.Reader) {
+		if n > 1 {
+			io.WriteString(c, answer(p.read(r), "ok", ""))
+			return
+		}
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		io.WriteString(c, answer(req.Header.Get("Id"), "early", ""))
+		time.Sleep(200 * time.Millisecond) // the rest of the body is not read meanwhile
+	})
+	pool := upstream.New()
+	defer pool.Close()
+	got, err := do(pool, peer.addr, "POST", "a", strings.Repeat("x", 16<<20))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got, qt.Equals, "early")
+	got, err = do(pool, peer.addr, "POST", "b", "x")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got, qt.Equals, "ok")
+	qt.Assert(t, peer.conns.Load(), qt.Equals, int64(2))
+}
+
+// Guards against an upstream working on for a caller that has left.
+func TestEndOfContextClosesConnection(t *testing.T) {
+	gone := make(chan error, 1)
+	peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
+		p.read(r)
+		_, err := r.ReadByte()
+		gone <- err
+	})
+	pool := upstream.New()
+	defer pool.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := pool.Do(ctx, peer.addr, request("POST", "a", "x"), func(*http.Response) bool { return true })
+	qt.Assert(t, err, qt.ErrorIs, context.Canceled)
+	select {
+	case err := <-gone:
+		qt.Assert(t, err, qt.IsNotNil)
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the upstream still has its connection")
+	}
+}
+
+func TestIdleTimeoutOfThePeer(t *testing.T) {
+	peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
+		for id := p.read(r); id != ""; id = p.read(r) {
+			io.WriteString(c, answer(id, "ok", "Keep-Alive: timeout=0\r\n"))
+		}
+	})
+	pool := upstream.New()
+	defer pool.Close()
+	for _, id := range []string{"a", "b"} {
+		_, err := do(pool, peer.addr, "POST", id, "x")
+		qt.Assert(t, err, qt.IsNil)
+	}
+	qt.Assert(t, peer.conns.Load(), qt.Equals, int64(2))
+}
+
+func TestGarbageIsNoAnswer(t *testing.T) {
+	peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
+		p.read(r)
+		io.WriteString(c, "no answer at all\r\n\r\n")
+	})
+	pool := upstream.New()
+	defer pool.Close()
+	_, err := do(pool, peer.addr, "POST", "a", "x")
+	qt.Assert(t, errors.Is(err, upstream.ErrBroken), qt.IsTrue)
+}
