placement: homes in the own data centre, pending work by urgency, bytes to other data centres

Cause: a third of the tokens that were read were shared parts read again, and requests of a low urgency counted as a wait for the most urgent.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -57,10 +57,35 @@
 // query returns what the placement needs to know.
 func (x *exchange) query(phase fighollow.RequestPhase) placement.Query {
 	return placement.Query{
-		Phase: phase, Prompt: x.call.Prompt, PromptTokens: x.call.PromptTokens, Tried: x.tried, Seed: x.seed + uint64(x.sent),
+		Phase: phase, Prompt: x.call.Prompt, PromptTokens: x.call.PromptTokens, Bytes: len(x.call.Body), Tried: x.tried,
+		Urgency: urgency(x.route.Priority, false), Seed: x.seed + uint64(x.sent),
 	}
 }
 
+// urgency returns the order in which engines take a request: by the route's priority, and within it those that can still
+// meet the route's latency target before those that cannot.
+func urgency(priority int, late bool) int {
+	u := 2 * min(max(priority, 0), 4)
+	if late {
+		u++
+	}
+	return u
+}
+
+// place chooses the upstream for the next attempt.
+func (x *exchange) place(now time.Time, phase fighollow.RequestPhase) (placement.Choice, placement.Query, bool) {
+	q := x.query(phase)
+	c, ok := x.pool.Choose(now, q)
+	if !ok || phase == fighollow.RequestDecode || x.route.TargetLatency == 0 {
+		return c, q, ok
+	}
+	expected := now.Sub(x.call.Arrived) + time.Duration(c.CostMs*float64(time.Millisecond))
+	if expected > x.route.TargetLatency {
+		q.Urgency = urgency(x.route.Priority, true)
+	}
+	return c, q, true
+}
+
 // leg is an attempt that was sent to an upstream.
 type leg struct {
 	x       *exchange
@@ -100,9 +125,8 @@
 // send places an attempt and sends it. The reply of the leg that it returns has begun. The errors are those of
 // fighollow.Dispatcher, errNoPlace and errNoBudget; a refused attempt is fighollow.ErrNotRun.
 func (x *exchange) send(ctx context.Context, phase fighollow.RequestPhase, kv *fighollow.KVCache) (*leg, error) {
-	q := x.query(phase)
 	now := time.Now()
-	c, ok := x.pool.Choose(now, q)
+	c, q, ok := x.place(now, phase)
 	if !ok {
 		return nil, errNoPlace
 	}
@@ -111,7 +135,7 @@
 	}
 	a := &fighollow.Attempt{
 		Call: x.call, Upstream: c.Upstream, Phase: phase, KV: kv, FetchFrom: c.FetchFrom, ResumeAfter: x.resumeAfter,
-		Priority: x.route.Priority, Deadline: x.deadline,
+		Urgency: q.Urgency, Deadline: x.deadline,
 	}
 	event.AttemptPlaced.Log(&x.log).Str("upstream", c.Upstream.ID).Str("phase", string(phase)).Float64("costMs", c.CostMs).
 		Int("tokens", x.call.PromptTokens).Int("cached", c.Cached).Int("fetched", c.Fetched).Int("pending", c.Pending).
--- a/internal/placement/instance.go
+++ b/internal/placement/instance.go
@@ -35,15 +35,15 @@
 // instance is one upstream with what is known of it.
 type instance struct {
 	up       fighollow.Upstream
-	version  uint64    // of the object that described it
-	goneAt   time.Time // when its entry was removed; zero while it is listed
-	running  int       // attempts of this entry that generate or compute a plain answer
-	prefills int       // prefills of this entry
-	pending  float64   // prompt tokens of this entry's prefills that are not computed yet
-	rate     float64   // prompt tokens per millisecond, as seen by this entry
-	latency  float64   // milliseconds until a plain answer or a stream's first event
-	failures float64   // moving share of failures
-	resting  time.Time // gets no work before
+	version  uint64                  // of the object that described it
+	goneAt   time.Time               // when its entry was removed; zero while it is listed
+	running  int                     // attempts of this entry that generate or compute a plain answer
+	prefills int                     // prefills of this entry
+	pending  [maxUrgency + 1]float64 // prompt tokens of this entry's prefills that are not computed yet, by urgency
+	rate     float64                 // prompt tokens per millisecond, as seen by this entry
+	latency  float64                 // milliseconds until a plain answer or a stream's first event
+	failures float64                 // moving share of failures
+	resting  time.Time               // gets no work before
 	rest     time.Duration
 	denied   time.Time // not used for its role before
 	full     time.Time // refused for lack of room; avoided before
@@ -68,6 +68,15 @@
 	n.up = u
 }
 
+// ahead returns the prompt tokens of this entry that the engine computes before those of a new request.
+func (n *instance) ahead(urgency int) float64 {
+	var tokens float64
+	for _, t := range n.pending[:urgency+1] {
+		tokens += t
+	}
+	return tokens
+}
+
 // succeeded notes an answer that shows the upstream in order.
 func (n *instance) succeeded() {
 	n.failures -= failureWeight * n.failures
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -27,17 +27,18 @@
 
 // Work is an attempt that was sent. Each Begin is followed by one End.
 type Work struct {
-	ID     string // of the upstream
-	Phase  fighollow.RequestPhase
-	Began  time.Time
-	Tokens float64 // prompt tokens to compute
-	prompt []fighollow.PromptPart
-	ahead  float64 // pending at the upstream when it was sent, its own included
+	ID      string // of the upstream
+	Phase   fighollow.RequestPhase
+	Began   time.Time
+	Tokens  float64 // prompt tokens to compute
+	prompt  []fighollow.PromptPart
+	urgency int
+	ahead   float64 // pending at the upstream when it was sent, its own included
 }
 
 // Begin notes that an attempt is sent.
 func (p *Pool) Begin(now time.Time, c Choice, q Query) *Work {
-	w := &Work{ID: c.Upstream.ID, Phase: q.Phase, Began: now, prompt: q.Prompt}
+	w := &Work{ID: c.Upstream.ID, Phase: q.Phase, Began: now, prompt: q.Prompt, urgency: q.Urgency}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := p.instances[w.ID]
@@ -46,9 +47,9 @@
 	}
 	if q.Phase == fighollow.RequestPrefill {
 		w.Tokens = float64(max(0, q.PromptTokens-c.Cached-c.Fetched))
-		n.pending += w.Tokens
+		n.pending[q.Urgency] += w.Tokens
 		n.prefills++
-		w.ahead = n.pending
+		w.ahead = n.ahead(q.Urgency)
 		// The engine will hold the prompt when it has read it; requests that follow at once wait for the same part.
 		n.cache.add(now, q.Prompt, false)
 		return w
@@ -77,7 +78,7 @@
 		return
 	}
 	if w.Phase == fighollow.RequestPrefill {
-		n.pending = max(0, n.pending-w.Tokens)
+		n.pending[w.urgency] = max(0, n.pending[w.urgency]-w.Tokens)
 		n.prefills = max(0, n.prefills-1)
 	} else {
 		n.running = max(0, n.running-1)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -10,8 +10,10 @@
 
 // Costs in milliseconds that weigh against the expected time of an attempt.
 const (
-	// otherCentreMs is what sending a request to another data centre costs, for the bytes between them.
-	otherCentreMs = 120
+	// otherCentreMs and otherCentreMsPerKB are what sending a request to another data centre costs, for its latency and its
+	// bytes.
+	otherCentreMs      = 15
+	otherCentreMsPerKB = 3
 	// runningMs is what one more running request costs the others in the batch.
 	runningMs = 6
 	// tieMs spreads attempts over upstreams that cost nearly the same.
@@ -20,11 +22,12 @@
 	wholeSlowdown = 2
 	// homeShare is the part of a prompt's shared tokens that its home is expected to hold when nothing else is known.
 	homeShare = 0.7
-	// awayFromHome is the part of these that an attempt elsewhere is expected to compute nevertheless.
-	awayFromHome = 0.5
+	// awayFromHome is what a shared token costs that an engine other than the home of this data centre comes to hold, as a
+	// part of computing it: copies displace other prefixes, and the source may not hold it.
+	awayFromHome = 0.7
 	// fetchShare is what a fetched token costs, as a part of computing it. The copy takes little time but displaces other
 	// prefixes from the engine's memory.
-	fetchShare = 0.25
+	fetchShare = 0.5
 	// goneShare is the part of the platform's drain time for which an upstream without an entry is used when there is no
 	// other: entries lapse during an outage of the store and come back.
 	goneShare = 0.6
@@ -35,10 +38,15 @@
 	Phase        fighollow.RequestPhase
 	Prompt       []fighollow.PromptPart
 	PromptTokens int
+	Bytes        int      // of the request
+	Urgency      int      // as sent to the engine, up to maxUrgency; 0 goes first
 	Tried        []string // ids of upstreams that may not be chosen
 	Seed         uint64   // breaks ties
 }
 
+// maxUrgency is the least urgent value that engines know.
+const maxUrgency = 9
+
 // Choice is where an attempt goes and what the decision was based on.
 type Choice struct {
 	Upstream  fighollow.Upstream
@@ -127,7 +135,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expire(now)
-	source := p.prefixSource(now, q)
+	found := p.findPrefix(now, q)
 	var best Choice
 	cost := math.Inf(1)
 	// Upstreams that rest, are full or lost their entry are used only when there is no other.
@@ -136,7 +144,7 @@
 			if !p.usable(now, n, q, lastResort) {
 				continue
 			}
-			c := p.assess(now, n, q, source)
+			c := p.assess(now, n, q, found)
 			c.CostMs += tieMs * float64(hash(q.Seed, n.up.ID)%1024) / 1024
 			if c.CostMs < cost {
 				best, cost = c, c.CostMs
@@ -149,35 +157,39 @@
 	return Choice{}, false
 }
 
-// prefix is the engine from which another one can fetch the beginning of a prompt.
+// prefix is where the beginning of a prompt is, as far as this entry can tell.
 type prefix struct {
-	n      *instance // nil when there is none
-	tokens int       // that it is expected to hold
-	home   bool      // it is not known to hold any, but is the one to which all entries send the prompt first
+	source *instance // from which engines fetch it; nil when there is none
+	tokens int       // that it holds, or is expected to hold
+	known  bool      // this entry has seen it read there
+	home   *instance // of this data centre, to which its entries send the prompt first; nil when there is none
+	shared int       // tokens that other prompts may share
 }
 
-// prefixSource returns the engine that holds most of the prompt. When none is known to hold all that other prompts may
-// share, it is the prompt's home: the engine on which all entries agree without talking.
-func (p *Pool) prefixSource(now time.Time, q Query) prefix {
+// findPrefix returns where the beginning of a prompt is. When no engine is known to hold all that other prompts may share,
+// the source is the engine on which all entries agree without talking.
+func (p *Pool) findPrefix(now time.Time, q Query) prefix {
 	var s prefix
 	if q.Phase == fighollow.RequestDecode || len(q.Prompt) < 2 {
 		return s
 	}
-	shared := sharedTokens(q.Prompt)
+	s.shared = sharedTokens(q.Prompt)
+	part := q.Prompt[len(q.Prompt)-2].ID
+	s.home = p.home(now, part, p.dataCentre)
 	for _, n := range p.instances {
 		if !n.goneAt.IsZero() || n.up.Draining || now.Before(n.resting) {
 			continue
 		}
 		if _, read := n.cache.match(now, q.Prompt); read > s.tokens {
-			s.n, s.tokens = n, read
+			s.source, s.tokens, s.known = n, read, true
 		}
 	}
-	if s.tokens >= shared {
+	if s.tokens >= s.shared {
 		return s
 	}
-	if h := p.home(now, q.Prompt[len(q.Prompt)-2].ID); h != nil {
-		if expected := int(homeShare * float64(shared)); expected > s.tokens {
-			return prefix{n: h, tokens: expected, home: true}
+	if h := p.home(now, part, ""); h != nil {
+		if expected := int(homeShare * float64(s.shared)); expected > s.tokens {
+			s.source, s.tokens, s.known = h, expected, false
 		}
 	}
 	return s
@@ -192,14 +204,17 @@
 	return n
 }
 
-// home returns the prefill engine with the highest rendezvous hash for a part.
-func (p *Pool) home(now time.Time, part uint64) *instance {
+// home returns the prefill engine with the highest rendezvous hash for a part, in one data centre or in any.
+func (p *Pool) home(now time.Time, part uint64, dataCentre string) *instance {
 	var best *instance
 	var top uint64
 	for _, n := range p.instances {
 		if n.up.Role != fighollow.RolePrefill || n.up.Draining || !n.goneAt.IsZero() || now.Before(n.resting) {
 			continue
 		}
+		if dataCentre != "" && n.up.DataCentre != dataCentre {
+			continue
+		}
 		if h := hash(part, n.up.ID); best == nil || h > top {
 			best, top = n, h
 		}
@@ -234,41 +249,40 @@
 }
 
 // assess estimates what an attempt at n costs.
-func (p *Pool) assess(now time.Time, n *instance, q Query, source prefix) Choice {
-	c := Choice{Upstream: n.up, Pending: int(n.pending), Running: n.running}
+func (p *Pool) assess(now time.Time, n *instance, q Query, found prefix) Choice {
+	ahead := n.ahead(q.Urgency)
+	c := Choice{Upstream: n.up, Pending: int(ahead), Running: n.running}
 	switch q.Phase {
 	case fighollow.RequestPrefill:
-		c.CostMs = prefillOverhead + (n.pending+p.toCompute(now, n, q, source, &c))/n.rate + p.transferMs(c.Fetched)
+		c.CostMs = prefillOverhead + (ahead+p.toCompute(now, n, q, found, &c))/n.rate + p.transferMs(c.Fetched)
 	case fighollow.RequestDecode:
 		c.CostMs = runningMs*float64(n.running) + n.latency
 	default:
 		c.CostMs = n.latency * (1 + float64(n.running)/float64(max(1, n.up.Slots)))
 		if q.PromptTokens > 0 {
-			c.CostMs += wholeSlowdown * p.toCompute(now, n, q, source, &c) / n.rate
+			c.CostMs += wholeSlowdown * p.toCompute(now, n, q, found, &c) / n.rate
 		}
 	}
 	if n.up.DataCentre != p.dataCentre {
-		c.CostMs += otherCentreMs
+		c.CostMs += otherCentreMs + otherCentreMsPerKB*float64(q.Bytes)/1024
 	}
 	return c
 }
 
 // toCompute returns the prompt tokens that n computes, and sets where it fetches others from.
-func (p *Pool) toCompute(now time.Time, n *instance, q Query, source prefix, c *Choice) float64 {
+func (p *Pool) toCompute(now time.Time, n *instance, q Query, found prefix, c *Choice) float64 {
 	held, _ := n.cache.match(now, q.Prompt)
 	c.Cached = min(held, q.PromptTokens)
-	if source.n == n {
-		c.Cached = min(max(c.Cached, source.tokens), q.PromptTokens)
-	}
-	if source.n != nil && source.n != n {
-		if c.Fetched = max(0, min(source.tokens, q.PromptTokens)-c.Cached); c.Fetched > 0 {
-			c.FetchFrom = source.n.up.Address
+	if found.source == n {
+		c.Cached = min(max(c.Cached, found.tokens), q.PromptTokens)
+	} else if found.source != nil {
+		if c.Fetched = max(0, min(found.tokens, q.PromptTokens)-c.Cached); c.Fetched > 0 {
+			c.FetchFrom = found.source.up.Address
 		}
 	}
 	rest := float64(q.PromptTokens-c.Cached-c.Fetched) + fetchShare*float64(c.Fetched)
-	if source.home && source.n != n && c.Fetched > 0 {
-		// Until the home has read the shared parts, all engines would read them for themselves.
-		rest += awayFromHome * float64(c.Fetched)
+	if found.home != nil && found.home != n && c.Cached < found.shared {
+		rest += awayFromHome * float64(found.shared-c.Cached)
 	}
 	return rest
 }
--- a/pkg/fighollow/attempt.go
+++ b/pkg/fighollow/attempt.go
@@ -52,7 +52,7 @@
 	FetchFrom string
 	// ResumeAfter replaces the call's own.
 	ResumeAfter string
-	Priority    int // 0 is the most urgent
+	Urgency     int // from 0, which goes first, to 9
 	Deadline    time.Time
 }
 
