--- a/internal/roles/plan.go
+++ b/internal/roles/plan.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -18,14 +19,17 @@
 	prefillQueueGoal = 1.5
 	// decodeUseGoal is the share of decode memory or slots in use that is taken as full use of decode. Answers slow down
 	// and are preempted beyond it.
-	decodeUseGoal = 0.5
+	decodeUseGoal = 0.35
 	// decodeQueueGoal is the requests waiting at each decode engine that are taken as full use of decode.
 	decodeQueueGoal = 2
-	// moveGain is how much lower the pressure on the shorter role must be for a change, as the engine that changes is away
-	// for seconds.
-	moveGain = 0.8
+	// moveGain is how much lower the pressure on the role that gives an engine must be afterwards than that on the other
+	// role is now, as the engine that changes is away for seconds and the mix may shift back.
+	moveGain = 0.5
 	// reportWeight is the weight of a new report in the moving averages.
 	reportWeight = 0.4
+	// peakDecay is what is left of a peak of the load from one round to the next. A role that was loaded some seconds ago
+	// spares no engine.
+	peakDecay = 0.88
 	// settleTime is the pause after a change before the next one, beyond the time that a change of role takes, so that the
 	// reports show its effect.
 	settleTime = 2 * time.Second
@@ -55,6 +59,9 @@
 	busy    float64 // share of decode memory or slots in use, averaged
 	waiting float64 // requests waiting at a decode engine, averaged
 	samples int
+	// peaks of the pressures, decaying
+	peakPrefill, peakDecode float64
+
 	began   bool // the initial proportion was ordered
 	changed time.Time
 }
@@ -72,22 +79,31 @@
 	if !p.began {
 		return p.begin(now, prefill, decode)
 	}
+	onPrefill, onDecode := p.pressures()
+	p.peakPrefill = max(onPrefill, peakDecay*p.peakPrefill)
+	p.peakDecode = max(onDecode, peakDecay*p.peakDecode)
 	if changing > 0 || p.samples < minSamples || now.Sub(p.changed) < p.traits.RoleSwitch+settleTime {
 		return nil, "settling"
 	}
-	onPrefill, onDecode := p.pressures()
-	n, m := float64(len(prefill)), float64(len(decode))
 	switch {
-	case len(decode) > 1 && onPrefill > 1 && onDecode*m/(m-1) < moveGain*onPrefill:
+	case onPrefill > 1 && afterMove(p.peakDecode, len(decode)) < moveGain*onPrefill:
 		p.changed = now
 		return p.move(decode, prefill, 1, fighollow.RolePrefill), "prefillShort"
-	case len(prefill) > 1 && onDecode > 1 && onPrefill*n/(n-1) < moveGain*onDecode:
+	case onDecode > 1 && afterMove(p.peakPrefill, len(prefill)) < moveGain*onDecode:
 		p.changed = now
 		return p.move(prefill, decode, 1, fighollow.RoleDecode), "decodeShort"
 	}
 	return nil, "inProportion"
 }
 
+// afterMove returns the pressure on a role with n engines after it has given one.
+func afterMove(pressure float64, n int) float64 {
+	if n < 2 {
+		return math.Inf(1)
+	}
+	return pressure * float64(n) / float64(n-1)
+}
+
 // pressures returns the load on both roles; 1 is full use.
 func (p *Planner) pressures() (onPrefill, onDecode float64) {
 	return p.queue / prefillQueueGoal, p.busy/decodeUseGoal + p.waiting/decodeQueueGoal
