logging, gateway: bounded logs that never block, metrics on the deploy file's address

Every decision of a request has its line: place, attempt's end, retry or not and why, upstream's rest, final answer.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/fighollow/fighollow/internal/admin"
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/gateway"
+	"github.com/fighollow/fighollow/internal/logging"
 	"github.com/fighollow/fighollow/internal/placement"
 	"github.com/fighollow/fighollow/internal/roles"
 	"github.com/fighollow/fighollow/internal/upstream"
@@ -59,8 +60,10 @@
 			if err != nil {
 				return err
 			}
-			log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("process", cfg.Node).Logger()
-			return runGateway(ctx, cmd.String("settings"), cfg, cmd.Int("metrics-port"), log)
+			sink := logging.New(os.Stdout, logging.Options{})
+			defer sink.Close()
+			log := zerolog.New(sink).Level(level).With().Timestamp().Str("process", cfg.Node).Logger()
+			return runGateway(ctx, cmd.String("settings"), cfg, cmd.Int("metrics-port"), sink, log)
 		},
 	}
 }
@@ -69,12 +72,15 @@
 type gatewayProcess struct {
 	cfg      platform.Settings
 	log      zerolog.Logger
+	gateway  *gateway.Gateway
 	follower *gateway.Follower
 	stopping atomic.Bool
 	wasReady atomic.Bool
 }
 
-func runGateway(ctx context.Context, file string, cfg platform.Settings, metricsPort int, log zerolog.Logger) error {
+func runGateway(ctx context.Context, file string, cfg platform.Settings, metricsPort int, sink *logging.Sink,
+	log zerolog.Logger,
+) error {
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	registry := metrics.NewRegistry()
@@ -86,7 +92,7 @@
 	g := gateway.New(gateway.Options{
 		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: registry,
 	}, fleet, dispatcher, log)
-	p := &gatewayProcess{cfg: cfg, log: log}
+	p := &gatewayProcess{cfg: cfg, log: log, gateway: g}
 	p.follower = gateway.NewFollower(store, gateway.Decoder{Routing: platform.DecodeRouting, Upstream: platform.DecodeUpstream}, g, fleet, log)
 
 	callers, err := net.Listen("tcp", cfg.Ingress)
@@ -106,6 +112,7 @@
 	go func() { failed <- callerServer.Serve(callers) }()
 	go func() { failed <- checkServer.Serve(checks) }()
 	if metricsPort > 0 {
+		registerGauges(registry, store, pool, sink, p)
 		go func() { failed <- serveMetrics(cfg.Address, metricsPort, registry) }()
 	}
 	work, end := context.WithCancel(context.Background())
@@ -118,7 +125,9 @@
 	// A stopping entry orders nothing more; another takes the lease.
 	background.Go(func() { planner.Run(ctx) })
 	event.ProcessStarted.Log(&log).Str("http", cfg.Ingress).Str("readiness", cfg.Readiness).Str("store", cfg.StoreAddress).
-		Str("dataCentre", cfg.DataCentre).Str("version", version).Send()
+		Str("dataCentre", cfg.DataCentre).Str("version", version).Dur("drainMs", cfg.Bounds.Drain).Dur("graceMs", cfg.Bounds.Grace).
+		Dur("leaseMs", cfg.Bounds.Lease).Float64("retryRatio", cfg.Bounds.RetryRatio).Int("retrySlack", cfg.Bounds.RetrySlack).
+		Bool("fencesChecked", cfg.Bounds.FencesCheck).Int("metricsPort", metricsPort).Send()
 	select {
 	case <-ctx.Done():
 		p.stop(callerServer)
@@ -169,11 +178,14 @@
 	}
 }
 
+// isReady reports whether the process takes new connections.
+func (p *gatewayProcess) isReady() bool { return !p.stopping.Load() && p.follower.Ready() }
+
 // readiness answers the balancer's checks.
 func (p *gatewayProcess) readiness() http.Handler {
 	r := chi.NewRouter()
 	r.Get(platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
-		ready := !p.stopping.Load() && p.follower.Ready()
+		ready := p.isReady()
 		if p.wasReady.Swap(ready) != ready {
 			event.ReadinessChanged.Log(&p.log).Bool("ready", ready).Bool("stopping", p.stopping.Load()).Send()
 		}
@@ -184,6 +196,31 @@
 	return r
 }
 
+// registerGauges adds what parts of the process count by themselves.
+func registerGauges(r metrics.Registry, store *platform.Store, pool *upstream.Pool, sink *logging.Sink, p *gatewayProcess) {
+	gauge := func(name string, value func() int64) {
+		_ = r.Register(name, metrics.NewFunctionalGauge(value)) // each name is registered once
+	}
+	gauge("store.answered", func() int64 { done, _, _ := store.Calls(); return done })
+	gauge("store.refused", func() int64 { _, refused, _ := store.Calls(); return refused })
+	gauge("store.failed", func() int64 { _, _, failed := store.Calls(); return failed })
+	gauge("store.silentMs", func() int64 { return p.follower.Silent(time.Now()).Milliseconds() })
+	gauge("upstreams.dialed", pool.Dialed)
+	gauge("log.dropped", sink.Dropped)
+	gauge("routing.version", func() int64 {
+		if routing := p.gateway.Routing(); routing != nil {
+			return int64(routing.Version)
+		}
+		return 0
+	})
+	gauge("ready", func() int64 {
+		if p.isReady() {
+			return 1
+		}
+		return 0
+	})
+}
+
 func serveMetrics(ip string, port int, registry metrics.Registry) error {
 	r := chi.NewRouter()
 	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -17,6 +17,7 @@
 	StoreLost        = Event{8014, "storeLost", zerolog.WarnLevel, "the metadata store does not answer; what is known stays in force"}
 	StoreRegained    = Event{8015, "storeRegained", zerolog.InfoLevel, "the metadata store answers again after downMs"}
 	ReadinessChanged = Event{8016, "readinessChanged", zerolog.InfoLevel, "this process tells the balancer that it takes connections, or that it does not"}
+	UpstreamRests    = Event{8017, "upstreamRests", zerolog.InfoLevel, "an upstream gets no further work for restMs because of how an attempt ended"}
 	RoleLeaseTaken   = Event{8020, "roleLeaseTaken", zerolog.InfoLevel, "this process orders the engines' roles from here on; term is its fencing token"}
 	RoleLeaseLost    = Event{8021, "roleLeaseLost", zerolog.WarnLevel, "this process no longer orders roles: another one took the lease, or the outcome of a renewal is not known"}
 	RoleOrdered      = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is to change its role; the line has the reason and the load that decided"}
@@ -26,6 +27,6 @@
 
 var gatewayEvents = []Event{
 	AttemptPlaced, AttemptEnded, RequestEnded, RequestRetried, StreamResumed, CacheReleased, RoutingApplied, RoutingInvalid,
-	UpstreamChanged, UpstreamInvalid, StoreLost, StoreRegained, ReadinessChanged,
+	UpstreamChanged, UpstreamInvalid, StoreLost, StoreRegained, ReadinessChanged, UpstreamRests,
 	RoleLeaseTaken, RoleLeaseLost, RoleOrdered, RoleOrderEnded, ReportMissing,
 }
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -10,6 +10,7 @@
 	StopCut          = Event{6004, "stopCut", zerolog.WarnLevel, "requests were still open at the end of the grace period and were broken off"}
 	SettingsReloaded = Event{6005, "settingsReloaded", zerolog.InfoLevel, "the settings file was read again after SIGHUP"}
 	SettingsInvalid  = Event{6006, "settingsInvalid", zerolog.ErrorLevel, "the settings file cannot be used; the former settings stay in force"}
+	LinesDropped     = Event{6007, "linesDropped", zerolog.WarnLevel, "log lines were dropped: more than the rate allows, or the output did not take them"}
 )
 
-var processEvents = []Event{ProcessStarted, ProcessStopping, ProcessStopped, StopCut, SettingsReloaded, SettingsInvalid}
+var processEvents = []Event{ProcessStarted, ProcessStopping, ProcessStopped, StopCut, SettingsReloaded, SettingsInvalid, LinesDropped}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -210,7 +210,9 @@
 	}
 	l.ended = true
 	now := time.Now()
-	l.x.pool.End(now, l.work, r)
+	if rest := l.x.pool.End(now, l.work, r); rest > 0 {
+		event.UpstreamRests.Log(&l.x.log).Str("upstream", l.up.ID).Str("result", r.String()).Int64("restMs", rest.Milliseconds()).Send()
+	}
 	line := event.AttemptEnded.Log(&l.x.log).Str("upstream", l.up.ID).Str("phase", string(l.phase)).Str("result", r.String()).
 		Int64("tookMs", now.Sub(l.work.Began).Milliseconds())
 	if l.started {
@@ -225,17 +227,34 @@
 	line.Send()
 }
 
-// again reports whether another attempt is worth making after err.
+// again reports whether another attempt is worth making after err, and logs why.
 func (x *exchange) again(ctx context.Context, err error) bool {
+	again, reason := x.mayTryAgain(ctx, err)
+	event.RequestRetried.Log(&x.log).Bool("again", again).Str("reason", reason).Int("sent", x.sent).Int("counted", x.counted).
+		Bool("mayHaveRun", x.mayRun).Send()
+	return again
+}
+
+func (x *exchange) mayTryAgain(ctx context.Context, err error) (again bool, reason string) {
 	switch {
-	case ctx.Err() != nil, errors.Is(err, errNoPlace), errors.Is(err, errNoBudget), errors.Is(err, errTooLate):
-		return false
+	case ctx.Err() != nil:
+		return false, "timeUp"
+	case errors.Is(err, errNoPlace):
+		return false, "noUpstream"
+	case errors.Is(err, errNoBudget):
+		return false, "noBudget"
+	case errors.Is(err, errTooLate):
+		return false, "tooLate"
 	case x.notSent >= maxUnreachable:
-		return false
+		return false, "unreachable"
 	case errors.Is(err, fighollow.ErrNotRun):
-		return true
+		return true, "notRun"
+	case !x.mayRun:
+		return true, "promptOnly"
+	case x.mayRepeat():
+		return true, "mayRepeat"
 	}
-	return !x.mayRun || x.mayRepeat()
+	return false, "mayHaveRun"
 }
 
 // giveUp returns the refusal for a request that gets no further attempt.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -40,17 +40,25 @@
 	gateway *Gateway
 	fleet   *placement.Fleet
 	log     zerolog.Logger
-	listed  atomic.Bool // the upstreams were listed once
+	listed  atomic.Bool  // the upstreams were listed once
+	heard   atomic.Int64 // Unix milliseconds of the last answer about the upstreams
 }
 
 // NewFollower returns a Follower; Run starts it.
 func NewFollower(store fighollow.ObjectStore, decode Decoder, g *Gateway, fleet *placement.Fleet, log zerolog.Logger) *Follower {
-	return &Follower{store: store, decode: decode, gateway: g, fleet: fleet, log: log}
+	f := &Follower{store: store, decode: decode, gateway: g, fleet: fleet, log: log}
+	f.heard.Store(time.Now().UnixMilli())
+	return f
 }
 
 // Ready reports whether a configuration and the upstreams are known.
 func (f *Follower) Ready() bool { return f.listed.Load() && f.gateway.Routing() != nil }
 
+// Silent returns for how long the store has not answered about the upstreams.
+func (f *Follower) Silent(now time.Time) time.Duration {
+	return now.Sub(time.UnixMilli(f.heard.Load()))
+}
+
 // Run follows the store until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -139,6 +147,7 @@
 }
 
 func (f *Follower) takeUpstreams(now time.Time, b batch) {
+	f.heard.Store(now.UnixMilli())
 	ids := make(map[string]bool, len(b.objects))
 	for _, o := range b.objects {
 		if o.Deleted {
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,84 @@
+package logging_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/fighollow/fighollow/internal/logging"
+)
+
+// stuck takes no bytes until it is released.
+type stuck struct{ release chan struct{} }
+
+func (w *stuck) Write(p []byte) (int, error) {
+	<-w.release
+	return len(p), nil
+}
+
+// Guards against requests that wait for a full pipe.
+func TestReaderThatStopsReading(t *testing.T) {
+	w := &stuck{release: make(chan struct{})}
+	s := logging.New(w, logging.Options{LinesPerS: 1_000_000, Buffer: 100})
+	log := zerolog.New(s)
+	began := time.Now()
+	for i := range 20_000 {
+		log.Warn().Int("i", i).Send()
+	}
+	qt.Assert(t, time.Since(began) < 2*time.Second, qt.IsTrue)
+	close(w.release)
+	qt.Assert(t, s.Close(), qt.IsNil)
+	qt.Assert(t, s.Dropped() > 10_000, qt.IsTrue, qt.Commentf("%d", s.Dropped()))
+}
+
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (w *buffer) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.b.Write(p)
+}
+
+func (w *buffer) String() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.b.String()
+}
+
+// Guards against an unbounded volume, and against a drop that nobody learns of or that hits warnings.
+func TestRateIsBoundedAndCounted(t *testing.T) {
+	w := &buffer{}
+	s := logging.New(w, logging.Options{LinesPerS: 50, Buffer: 1000})
+	log := zerolog.New(s)
+	for range 500 {
+		log.Info().Str("kind", "info").Send()
+	}
+	for range 100 {
+		log.Warn().Str("kind", "warn").Send()
+	}
+	qt.Assert(t, s.Close(), qt.IsNil)
+	out := w.String()
+	qt.Assert(t, strings.Count(out, `"kind":"info"`) <= 60, qt.IsTrue)
+	qt.Assert(t, strings.Count(out, `"kind":"warn"`), qt.Equals, 100)
+	qt.Assert(t, strings.Contains(out, "linesDropped"), qt.IsTrue)
+	qt.Assert(t, s.Dropped() >= 440, qt.IsTrue)
+}
+
+// A line of an attempt costs a few microseconds.
+func BenchmarkLine(b *testing.B) {
+	s := logging.New(io.Discard, logging.Options{LinesPerS: 1_000_000_000})
+	log := zerolog.New(s).With().Str("request", "9c41d07be2a35f68").Logger()
+	b.ReportAllocs()
+	for b.Loop() {
+		log.Info().Int("event", 8001).Str("upstream", "i-7f3a91c2").Float64("costMs", 12.5).Int("tokens", 1460).Send()
+	}
+}
--- a/internal/placement/instance.go
+++ b/internal/placement/instance.go
@@ -101,6 +101,17 @@
 	n.restFrom(now)
 }
 
+// away returns until when the upstream gets no work, or none of its role.
+func (n *instance) away() time.Time {
+	until := n.resting
+	for _, t := range []time.Time{n.full, n.denied} {
+		if t.After(until) {
+			until = t
+		}
+	}
+	return until
+}
+
 // refused notes that the upstream has no room.
 func (n *instance) refused(now time.Time) {
 	if now.Before(n.full) {
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -69,14 +69,15 @@
 	}
 }
 
-// End notes the end of an attempt.
-func (p *Pool) End(now time.Time, w *Work, r Result) {
+// End notes the end of an attempt. It returns for how long the upstream gets no further work because of it.
+func (p *Pool) End(now time.Time, w *Work, r Result) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := p.instances[w.ID]
 	if n == nil {
-		return
+		return 0
 	}
+	before := n.away()
 	if w.Phase == fighollow.RequestPrefill {
 		n.pending[w.urgency] = max(0, n.pending[w.urgency]-w.Tokens)
 		n.prefills = max(0, n.prefills-1)
@@ -102,6 +103,10 @@
 	case Unreachable:
 		n.unreachable(now)
 	}
+	if after := n.away(); after.After(before) {
+		return after.Sub(now)
+	}
+	return 0
 }
 
 // medianFailures returns the failure share of the median upstream: a plain service may fail some requests by design.
