--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -61,7 +61,7 @@
 				return err
 			}
 			sink := logging.New(os.Stdout, logging.Options{})
-			defer sink.Close()
+			defer func() { _ = sink.Close() }() // nothing can be done when the output takes no more
 			log := zerolog.New(sink).Level(level).With().Timestamp().Str("process", cfg.Node).Logger()
 			return runGateway(ctx, cmd.String("settings"), cfg, cmd.Int("metrics-port"), sink, log)
 		},
@@ -174,7 +174,7 @@
 	defer cancel()
 	if err := s.Shutdown(ctx); err != nil {
 		event.StopCut.Log(&p.log).Err(err).Send()
-		s.Close()
+		_ = s.Close() // the process ends
 	}
 }
 
@@ -205,7 +205,7 @@
 	gauge("store.refused", func() int64 { _, refused, _ := store.Calls(); return refused })
 	gauge("store.failed", func() int64 { _, _, failed := store.Calls(); return failed })
 	gauge("store.silentMs", func() int64 { return p.follower.Silent(time.Now()).Milliseconds() })
-	gauge("upstreams.dialed", pool.Dialed)
+	gauge("upstreams.connections", pool.Made)
 	gauge("log.dropped", sink.Dropped)
 	gauge("routing.version", func() int64 {
 		if routing := p.gateway.Routing(); routing != nil {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -203,6 +204,18 @@
 	return err
 }
 
+// brokeOff notes that an answer ended before its end. The upstream is not to blame when the time was up.
+func (x *exchange) brokeOff(ctx context.Context, l *leg, err error) error {
+	x.mayRun = true
+	x.tried = append(x.tried, l.up.ID)
+	result := placement.Failed
+	if ctx.Err() != nil {
+		result = placement.Abandoned
+	}
+	l.end(result, err)
+	return fmt.Errorf("%w: %w", fighollow.ErrUnknownOutcome, err)
+}
+
 // end reports the attempt's end once.
 func (l *leg) end(r placement.Result, err error) {
 	if l.ended {
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -41,7 +41,7 @@
 	}
 	l, err := x.send(ctx, phase, kv)
 	if err == nil {
-		return x.relay(l)
+		return x.relay(ctx, l)
 	}
 	if kv != nil && !x.mayRun {
 		x.release(kv)
@@ -50,23 +50,31 @@
 }
 
 // prefill has the prompt computed. It returns no cache when a decode engine is to compute it: there is no prefill engine,
-// or the stream is being resumed, where a second prefill would count as one more attempt.
+// or the route allows no further call. The first call that an engine accepts does not count as an attempt.
 func (x *exchange) prefill(ctx context.Context) (*fighollow.KVCache, error) {
-	for !x.freed {
+	if x.begun {
+		return nil, nil // a resumed stream's prompt is fetched where it is cached
+	}
+	for x.kvAllowed() {
 		l, err := x.send(ctx, fighollow.RequestPrefill, nil)
 		switch {
 		case errors.Is(err, errNoPlace) && x.rejected == 0:
 			return nil, nil
 		case err == nil && l.reply.KV != nil:
 			l.end(placement.Answered, nil)
-			x.freed = true
-			x.unclaim()
+			x.free()
 			return l.reply.KV, nil
 		case err == nil:
 			l.reply.Body.Close()
 			err = fmt.Errorf("%w: prefill answered with status %d", fighollow.ErrNotRun, l.reply.Status)
 			x.tried = append(x.tried, l.up.ID)
 			l.end(placement.Failed, err)
+		case errors.Is(err, fighollow.ErrUnknownOutcome) && ctx.Err() == nil:
+			// The call arrived and its answer was lost; the budget is charged, as the engine may have refused it.
+			if x.freed || !x.budget.take() {
+				break
+			}
+			x.free()
 		}
 		if !x.again(ctx, err) {
 			return nil, err
@@ -75,6 +83,23 @@
 	return nil, nil
 }
 
+// kvAllowed reports whether the route allows a prefill and the decode that follows it.
+func (x *exchange) kvAllowed() bool {
+	calls := 1
+	if x.freed {
+		calls = 2
+	}
+	return x.counted+calls <= x.route.MaxAttempts || x.sent == 0
+}
+
+// free takes the one prefill that an engine accepted out of the attempts that count.
+func (x *exchange) free() {
+	if !x.freed {
+		x.freed = true
+		x.unclaim()
+	}
+}
+
 // releaseTimeout bounds the call that frees a KV cache; the engine frees it by itself after some seconds.
 const releaseTimeout = time.Second
 
@@ -93,10 +118,10 @@
 }
 
 // relay passes an engine's answer on.
-func (x *exchange) relay(l *leg) error {
+func (x *exchange) relay(ctx context.Context, l *leg) error {
 	defer l.reply.Body.Close()
 	if l.reply.Status != http.StatusOK {
-		return x.relayFailure(l)
+		return x.relayFailure(ctx, l)
 	}
 	if !x.begun {
 		if err := x.begin(l.reply, -1); err != nil {
@@ -111,10 +136,7 @@
 		l.end(placement.Abandoned, err)
 		return nil
 	case err != nil:
-		x.mayRun = true
-		x.tried = append(x.tried, l.up.ID)
-		l.end(placement.Failed, err)
-		return fmt.Errorf("%w: %w", fighollow.ErrUnknownOutcome, err)
+		return x.brokeOff(ctx, l, err)
 	}
 	x.last = time.Since(x.call.Arrived)
 	l.end(placement.Answered, nil)
@@ -122,7 +144,7 @@
 }
 
 // relayFailure passes an engine's own failure on, or has another engine asked.
-func (x *exchange) relayFailure(l *leg) error {
+func (x *exchange) relayFailure(ctx context.Context, l *leg) error {
 	if x.begun {
 		x.mayRun = true
 		x.tried = append(x.tried, l.up.ID)
@@ -135,7 +157,7 @@
 		l.end(placement.Failed, err)
 		return err
 	}
-	done, err := x.passPlain(l)
+	done, err := x.passPlain(ctx, l)
 	if done {
 		return nil
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -21,7 +21,7 @@
 		l, err := x.send(ctx, fighollow.RequestWhole, nil)
 		if err == nil {
 			var done bool
-			if done, err = x.passPlain(l); done {
+			if done, err = x.passPlain(ctx, l); done {
 				return nil
 			}
 			if x.begun {
@@ -35,14 +35,11 @@
 }
 
 // passPlain passes an answer on. It reports false when the answer is not used, with the reason.
-func (x *exchange) passPlain(l *leg) (bool, error) {
+func (x *exchange) passPlain(ctx context.Context, l *leg) (bool, error) {
 	defer l.reply.Body.Close()
 	held, err := io.ReadAll(io.LimitReader(l.reply.Body, maxHeld+1))
 	if err != nil {
-		x.mayRun = true
-		x.tried = append(x.tried, l.up.ID)
-		l.end(placement.Failed, err)
-		return false, fmt.Errorf("%w: %w", fighollow.ErrUnknownOutcome, err)
+		return false, x.brokeOff(ctx, l, err)
 	}
 	failed := l.reply.Status >= http.StatusInternalServerError
 	result := placement.Answered
@@ -60,15 +57,8 @@
 	if x.call.Method == http.MethodHead {
 		length = l.reply.Length
 	}
-	if err := x.begin(l.reply, length); err != nil {
-		x.left = true
-		return true, nil
-	}
-	if err := x.out.Write(held); err != nil {
-		x.left = true
-		return true, nil
-	}
-	if len(held) <= maxHeld {
+	x.left = x.begin(l.reply, length) != nil || x.out.Write(held) != nil
+	if x.left || len(held) <= maxHeld {
 		x.last = time.Since(x.call.Arrived)
 		return true, nil
 	}
@@ -80,13 +70,10 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := l.reply.Body.Read(buf)
-		if n > 0 {
-			if werr := x.out.Write(buf[:n]); werr != nil {
-				x.left = true
-				return true, nil
-			}
+		if n > 0 && x.out.Write(buf[:n]) != nil {
+			x.left = true
 		}
-		if err == io.EOF {
+		if x.left || err == io.EOF {
 			x.last = time.Since(x.call.Arrived)
 			return true, nil
 		}
--- a/internal/roles/lease_test.go
+++ b/internal/roles/lease_test.go
@@ -12,9 +12,8 @@
 
 // rival is one entry that wants the lease.
 type rival struct {
-	l       lease
-	asleep  time.Duration // until then it is frozen
-	pending []orderOnWay
+	l      lease
+	asleep time.Duration // until then it is frozen
 }
 
 type orderOnWay struct {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -29,7 +29,7 @@
 
 const (
 	// dialTimeout is short because a request waits for it; a new connection takes a few milliseconds between data centres.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 200 * time.Millisecond
 	// unackedTimeout ends a connection whose peer acknowledges nothing. It covers several retransmissions on a lossy link.
 	unackedTimeout = 1500 * time.Millisecond
 	// defaultIdle is how long an idle connection is kept when the upstream names no timeout.
@@ -53,7 +53,7 @@
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
-	dialed int64
+	made   int64 // connections
 	closed bool
 }
 
@@ -72,11 +72,11 @@
 	}
 }
 
-// Dialed returns how many connections were made.
-func (p *Pool) Dialed() int64 {
+// Made returns how many connections were made.
+func (p *Pool) Made() int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.dialed
+	return p.made
 }
 
 // Do sends req to the address and returns its answer, whose body the caller closes. Closing the body before its end, or
@@ -131,7 +131,7 @@
 		return nil, err
 	}
 	p.mu.Lock()
-	p.dialed++
+	p.made++
 	p.mu.Unlock()
 	return newConn(p, address, nc), nil
 }
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -91,7 +91,7 @@
 func TestConnectionIsReused(t *testing.T) {
 	peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
 		for id := p.read(r); id != ""; id = p.read(r) {
-			io.WriteString(c, answer(id, "body of "+id, ""))
+			_, _ = io.WriteString(c, answer(id, "body of "+id, ""))
 		}
 	})
 	pool := upstream.New()
@@ -110,7 +110,7 @@
 		t.Run(method, func(t *testing.T) {
 			peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
 				id := p.read(r)
-				io.WriteString(c, answer(id, "ok", ""))
+				_, _ = io.WriteString(c, answer(id, "ok", ""))
 				p.read(r) // the second request is read and its connection closed
 			})
 			pool := upstream.New()
@@ -129,7 +129,7 @@
 	closed := make(chan struct{})
 	peer := newPeer(t, func(p *peer, n int64, c net.Conn, r *bufio.Reader) {
 		id := p.read(r)
-		io.WriteString(c, answer(id, "ok", ""))
+		_, _ = io.WriteString(c, answer(id, "ok", ""))
 		if n == 1 {
 			c.Close()
 			close(closed)
@@ -152,7 +152,7 @@
 func TestExtraBytesCostTheConnection(t *testing.T) {
 	peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
 		for id := p.read(r); id != ""; id = p.read(r) {
-			io.WriteString(c, answer(id, "ok", "")+answer(id, "again", ""))
+			_, _ = io.WriteString(c, answer(id, "ok", "")+answer(id, "again", ""))
 		}
 	})
 	pool := upstream.New()
@@ -168,9 +168,9 @@
 // Guards against a late answer to an earlier request being given to the next one.
 func TestForeignAnswerIsSkipped(t *testing.T) {
 	peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
-		io.WriteString(c, answer(p.read(r), "first", ""))
+		_, _ = io.WriteString(c, answer(p.read(r), "first", ""))
 		id := p.read(r)
-		io.WriteString(c, answer("a", "late", "")+answer(id, "second", ""))
+		_, _ = io.WriteString(c, answer("a", "late", "")+answer(id, "second", ""))
 	})
 	pool := upstream.New()
 	defer pool.Close()
@@ -185,7 +185,7 @@
 	peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
 		p.read(r)
 		for range 5 {
-			io.WriteString(c, answer("other", "late", ""))
+			_, _ = io.WriteString(c, answer("other", "late", ""))
 		}
 	})
 	pool := upstream.New()
@@ -209,7 +209,7 @@
 func TestResetBodyIsNotWhole(t *testing.T) {
 	peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
 		id := p.read(r)
-		io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\npart")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\npart")
 		time.Sleep(20 * time.Millisecond)
 		_ = c.(*net.TCPConn).SetLinger(0)
 	})
@@ -221,7 +221,7 @@
 
 func TestBodyEndsWithConnection(t *testing.T) {
 	peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
-		io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+p.read(r)+"\r\n\r\nwhole")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+p.read(r)+"\r\n\r\nwhole")
 	})
 	pool := upstream.New()
 	defer pool.Close()
@@ -234,14 +234,14 @@
 func TestEarlyAnswerCostsTheConnection(t *testing.T) {
 	peer := newPeer(t, func(p *peer, n int64, c net.Conn, r *bufio.Reader) {
 		if n > 1 {
-			io.WriteString(c, answer(p.read(r), "ok", ""))
+			_, _ = io.WriteString(c, answer(p.read(r), "ok", ""))
 			return
 		}
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
 		}
-		io.WriteString(c, answer(req.Header.Get("Id"), "early", ""))
+		_, _ = io.WriteString(c, answer(req.Header.Get("Id"), "early", ""))
 		time.Sleep(200 * time.Millisecond) // the rest of the body is not read meanwhile
 	})
 	pool := upstream.New()
@@ -267,7 +267,7 @@
 	defer pool.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(50*time.Millisecond, cancel)
-	_, err := pool.Do(ctx, peer.addr, request("POST", "a", "x"), func(*http.Response) bool { return true })
+	_, err := pool.Do(ctx, peer.addr, request("POST", "a", "x"), func(*http.Response) bool { return true }) //nolint:bodyclose // there is no answer
 	qt.Assert(t, err, qt.ErrorIs, context.Canceled)
 	select {
 	case err := <-gone:
@@ -280,7 +280,7 @@
 func TestIdleTimeoutOfThePeer(t *testing.T) {
 	peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
 		for id := p.read(r); id != ""; id = p.read(r) {
-			io.WriteString(c, answer(id, "ok", "Keep-Alive: timeout=0\r\n"))
+			_, _ = io.WriteString(c, answer(id, "ok", "Keep-Alive: timeout=0\r\n"))
 		}
 	})
 	pool := upstream.New()
@@ -295,7 +295,7 @@
 func TestGarbageIsNoAnswer(t *testing.T) {
 	peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
 		p.read(r)
-		io.WriteString(c, "no answer at all\r\n\r\n")
+		_, _ = io.WriteString(c, "no answer at all\r\n\r\n")
 	})
 	pool := upstream.New()
 	defer pool.Close()
