--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -51,7 +51,7 @@
 // prompt is a request's prompt: a part shared by all requests of a kind, and one of its own.
 func prompt(shared, own uint64) placement.Query {
 	return placement.Query{
-		Phase: fighollow.RequestPrefill, PromptTokens: 14_000, Seed: own,
+		Phase: fighollow.RequestPrefill, PromptTokens: 14_000, Bytes: 17_000, Seed: own,
 		Prompt: []fighollow.PromptPart{{ID: shared, Tokens: 10_000}, {ID: own, Tokens: 4000}},
 	}
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -13,7 +13,7 @@
 	// otherCentreMs and otherCentreMsPerKB are what sending a request to another data centre costs, for its latency and its
 	// bytes.
 	otherCentreMs      = 15
-	otherCentreMsPerKB = 3
+	otherCentreMsPerKB = 5
 	// runningMs is what one more running request costs the others in the batch.
 	runningMs = 6
 	// tieMs spreads attempts over upstreams that cost nearly the same.
@@ -28,6 +28,8 @@
 	// fetchShare is what a fetched token costs, as a part of computing it. The copy takes little time but displaces other
 	// prefixes from the engine's memory.
 	fetchShare = 0.5
+	// homeFetchShare is the same at the prompt's home, where the copy serves the requests that follow.
+	homeFetchShare = 0.1
 	// goneShare is the part of the platform's drain time for which an upstream without an entry is used when there is no
 	// other: entries lapse during an outage of the store and come back.
 	goneShare = 0.6
@@ -279,8 +281,12 @@
 			c.FetchFrom = found.source.up.Address
 		}
 	}
-	rest := float64(q.PromptTokens-c.Cached-c.Fetched) + fetchShare*float64(c.Fetched)
-	if found.home != nil && found.home != n && c.Cached < found.shared {
+	rest := float64(q.PromptTokens - c.Cached - c.Fetched)
+	if found.home == nil || found.home == n {
+		return rest + homeFetchShare*float64(c.Fetched)
+	}
+	rest += fetchShare * float64(c.Fetched)
+	if c.Cached < found.shared {
 		rest += awayFromHome * float64(found.shared-c.Cached)
 	}
 	return rest
