gateway: a stopping process refuses what cannot end in time

From 2.5 s after SIGTERM on, a request whose deadline lies beyond the end is refused as not run, with a short Retry-After.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -34,9 +34,8 @@
 	callerIdleTimeout   = 60 * time.Second
 	// stopMargin is left between the end of the last request and the platform's kill.
 	stopMargin = 700 * time.Millisecond
-	// leaveTime is how long a stopping process goes on taking requests: the balancer needs two missed checks, a second
-	// apart, to send connections elsewhere.
-	leaveTime = 4 * time.Second
+	// acceptTime is how long a stopping process goes on accepting connections, until the balancer sends none any more.
+	acceptTime = 4 * time.Second
 )
 
 // gatewayCommand runs an entry on the users' platform until SIGTERM begins its graceful stop.
@@ -164,13 +163,15 @@
 }
 
 // stop finishes the open requests within the platform's grace period. Until the balancer has noticed, new requests are
-// served as before; their answers close the connection.
+// served as before, and later those that end in time; their answers close the connection.
 func (p *gatewayProcess) stop(s *http.Server) {
 	began := time.Now()
 	p.stopping.Store(true)
-	event.ProcessStopping.Log(&p.log).Send()
-	time.Sleep(min(leaveTime, p.cfg.Bounds.Grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(p.cfg.Bounds.Grace-stopMargin))
+	cut := began.Add(p.cfg.Bounds.Grace - stopMargin)
+	p.gateway.Stop(began, cut)
+	event.ProcessStopping.Log(&p.log).Dur("graceMs", p.cfg.Bounds.Grace).Send()
+	time.Sleep(min(acceptTime, p.cfg.Bounds.Grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), cut)
 	defer cancel()
 	if err := s.Shutdown(ctx); err != nil {
 		event.StopCut.Log(&p.log).Err(err).Send()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,7 @@
 	seed     maphash.Seed
 	table    atomic.Pointer[table]
 	metrics  *gatewayMetrics
+	stopping atomic.Pointer[stop]
 
 	mu      sync.Mutex
 	budgets map[string]*budget
@@ -47,6 +48,26 @@
 	}
 }
 
+// stop is the end of the process, once it is known.
+type stop struct {
+	since time.Time
+	cut   time.Time // open requests are broken off then
+}
+
+// leaveTime is how long a stopping process goes on taking requests of any length: the balancer needs two missed checks, a
+// second apart, to send connections elsewhere.
+const leaveTime = 2500 * time.Millisecond
+
+// Stop says that the process ends, and when it breaks off the requests that are still open. A request that arrives late and
+// may take longer than that is refused.
+func (g *Gateway) Stop(now, cut time.Time) { g.stopping.Store(&stop{since: now, cut: cut}) }
+
+// mayEndInTime reports whether a request is done before the process ends, as far as its deadline tells.
+func (g *Gateway) mayEndInTime(arrived, deadline time.Time) bool {
+	s := g.stopping.Load()
+	return s == nil || arrived.Sub(s.since) < leaveTime || deadline.Before(s.cut)
+}
+
 // Apply puts a configuration in force, unless one with the same or a higher version is. It reports whether it did.
 func (g *Gateway) Apply(r *fighollow.Routing) bool {
 	g.mu.Lock()
@@ -114,6 +135,11 @@
 	if limit := x.call.Arrived.Add(x.route.Timeout); x.route.Timeout > 0 && limit.Before(x.deadline) {
 		x.deadline = limit
 	}
+	if !x.g.mayEndInTime(x.call.Arrived, x.deadline) {
+		r := notRun(fighollow.CodeStopping, "the process is stopping")
+		r.RetryAfterMs = (retryAfterMin / 2).Milliseconds() // other entries take the request at once
+		return r
+	}
 	x.resumeAfter = x.call.ResumeAfter
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
