--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -59,6 +59,7 @@
 			if err != nil {
 				return err
 			}
+			zerolog.TimeFieldFormat = logging.TimeFormat
 			sink := logging.New(os.Stdout, logging.Options{})
 			defer func() { _ = sink.Close() }() // nothing can be done when the output takes no more
 			log := zerolog.New(sink).Level(level).With().Timestamp().Str("process", cfg.Node).Logger()
