placement, roles: single attempts avoid engines that refused; a lapsed lease is taken over sooner

The holder now orders for 0.6 of a lease after a renewal, so that a follower may take over after 5.5 s in place of 7.5 s.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -60,7 +60,7 @@
 func (x *exchange) query(phase fighollow.RequestPhase) placement.Query {
 	return placement.Query{
 		Phase: phase, Prompt: x.call.Prompt, PromptTokens: x.call.PromptTokens, Bytes: len(x.call.Body), Tried: x.tried,
-		Urgency: urgency(x.route.Priority, false), Seed: x.seed + uint64(x.sent),
+		Urgency: urgency(x.route.Priority, false), Single: x.route.MaxAttempts <= max(1, x.counted+1), Seed: x.seed + uint64(x.sent),
 	}
 }
 
--- a/internal/placement/instance.go
+++ b/internal/placement/instance.go
@@ -20,7 +20,7 @@
 	misdirectedRest = 500 * time.Millisecond
 	// firstFull and maxFull bound how long an upstream that refused for lack of room is left out when there are others. An
 	// engine that changes its role refuses for seconds.
-	firstFull = 100 * time.Millisecond
+	firstFull = 200 * time.Millisecond
 	maxFull   = 1600 * time.Millisecond
 	// defaultPrefillRate, in prompt tokens per millisecond, stands for an engine's rate until it was measured.
 	defaultPrefillRate = 40
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -264,6 +264,31 @@
 	qt.Assert(t, refused < 12, qt.IsTrue, qt.Commentf("%d refusals in 5 s", refused))
 }
 
+// Guards against the only attempt of a request being spent on an engine that is known to refuse. Seen in the incident at
+// tenterbrook-uw: prompts were computed and their requests refused.
+func TestSingleAttemptAvoidsAnEngineThatRefused(t *testing.T) {
+	f := newFleet("d-a-1", "d-b-1")
+	p := f.Pool(models)
+	q := placement.Query{Phase: fighollow.RequestDecode, Bytes: 17_000}
+	c, _ := p.Choose(start, q)
+	qt.Assert(t, c.Upstream.ID, qt.Equals, "d-a-1")
+	p.End(start, p.Begin(start, c, q), placement.Full)
+	later := start.Add(10 * time.Second)
+	c, _ = p.Choose(later, q)
+	qt.Assert(t, c.Upstream.ID, qt.Equals, "d-a-1")
+	q.Single = true
+	c, _ = p.Choose(later, q)
+	qt.Assert(t, c.Upstream.ID, qt.Equals, "d-b-1")
+	// It is used again once it has answered, or when there is no other.
+	q.Tried = []string{"d-b-1"}
+	c, ok := p.Choose(later, q)
+	qt.Assert(t, ok, qt.IsTrue)
+	p.End(later, p.Begin(later, c, q), placement.Answered)
+	q.Tried = nil
+	c, _ = p.Choose(later, q)
+	qt.Assert(t, c.Upstream.ID, qt.Equals, "d-a-1")
+}
+
 // Guards against an engine that denies its role being asked again and again before its entry changes.
 func TestMisdirectedEngineIsLeftOut(t *testing.T) {
 	f := newFleet("p-a-1", "p-a-2")
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -43,6 +43,7 @@
 	Bytes        int      // of the request
 	Urgency      int      // as sent to the engine, up to maxUrgency; 0 goes first
 	Tried        []string // ids of upstreams that may not be chosen
+	Single       bool     // the request gets no second attempt: upstreams that refused lately are a last resort
 	Seed         uint64   // breaks ties
 }
 
@@ -227,7 +228,7 @@
 	if n.up.Draining || !servesPhase(n.up.Role, q.Phase) || now.Before(n.denied) {
 		return false
 	}
-	if !lastResort && (now.Before(n.resting) || now.Before(n.full) || !n.goneAt.IsZero()) {
+	if !lastResort && (now.Before(n.resting) || now.Before(n.full) || !n.goneAt.IsZero() || q.Single && n.fullFor > 0) {
 		return false
 	}
 	for _, id := range q.Tried {
--- a/internal/roles/lease.go
+++ b/internal/roles/lease.go
@@ -3,11 +3,10 @@
 import "time"
 
 const (
-	// takeoverLeases is how many lease times an unchanged lease must be seen before another entry takes it: one in which
-	// its holder may still send orders, and one in which no other may.
-	takeoverLeases = 2
+	// holdShare is the part of the lease time for which its holder orders after a renewal. It orders right after one.
+	holdShare = 0.6
 	// takeoverMargin covers orders on their way and the store's answer times.
-	takeoverMargin = 1500 * time.Millisecond
+	takeoverMargin = 700 * time.Millisecond
 )
 
 // lease decides when this entry may order engines. Its times come from a clock that goes on while the machine is
@@ -48,7 +47,8 @@
 	if l.version == 0 || l.holder == l.self {
 		return true
 	}
-	return now-l.since > takeoverLeases*l.duration+takeoverMargin
+	// Its holder may still order for one span, and no other may for another.
+	return now-l.since > l.hold()+l.duration+takeoverMargin
 }
 
 // written notes that this entry's claim or renewal, sent at a time, was stored as version.
@@ -66,5 +66,8 @@
 
 // fence returns the fencing token for an order that is sent now; it reports false when this entry may send none.
 func (l *lease) fence(now time.Duration) (uint64, bool) {
-	return l.term, l.term != 0 && now-l.renewed < l.duration
+	return l.term, l.term != 0 && now-l.renewed < l.hold()
 }
+
+// hold returns how long after a renewal the holder may send orders.
+func (l *lease) hold() time.Duration { return time.Duration(holdShare * float64(l.duration)) }
--- a/internal/roles/lease_test.go
+++ b/internal/roles/lease_test.go
@@ -108,10 +108,10 @@
 func TestLeaseIsTakenOverOnlyWhenUnchanged(t *testing.T) {
 	l := lease{self: "b", duration: leaseTime}
 	l.observed(0, 5, "a")
-	qt.Assert(t, l.mayClaim(7*time.Second), qt.IsFalse)
-	l.observed(7*time.Second, 6, "a")
-	qt.Assert(t, l.mayClaim(14*time.Second), qt.IsFalse)
-	qt.Assert(t, l.mayClaim(15*time.Second), qt.IsTrue)
+	qt.Assert(t, l.mayClaim(5*time.Second), qt.IsFalse)
+	l.observed(5*time.Second, 6, "a")
+	qt.Assert(t, l.mayClaim(10*time.Second), qt.IsFalse)
+	qt.Assert(t, l.mayClaim(11*time.Second), qt.IsTrue)
 }
 
 // Guards against orders by an entry that slept through its lease.
@@ -120,9 +120,9 @@
 	l.observed(0, 0, "")
 	qt.Assert(t, l.mayClaim(0), qt.IsTrue)
 	l.written(0, 1)
-	_, ok := l.fence(2 * time.Second)
+	_, ok := l.fence(time.Second)
 	qt.Assert(t, ok, qt.IsTrue)
-	_, ok = l.fence(3 * time.Second)
+	_, ok = l.fence(2 * time.Second)
 	qt.Assert(t, ok, qt.IsFalse)
 	l.written(4*time.Second, 2)
 	fence, ok := l.fence(5 * time.Second)
