--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -27,13 +27,13 @@
 
 // Work is an attempt that was sent. Each Begin is followed by one End.
 type Work struct {
-	ID     string // of the upstream
-	Phase  fighollow.RequestPhase
-	Began  time.Time
-	Tokens float64 // prompt tokens to compute
-	prompt   []fighollow.PromptPart
-	urgency  int
-	ahead    float64 // pending at the upstream when it was sent, its own included
+	ID      string // of the upstream
+	Phase   fighollow.RequestPhase
+	Began   time.Time
+	Tokens  float64 // prompt tokens to compute
+	prompt  []fighollow.PromptPart
+	urgency int
+	ahead   float64 // pending at the upstream when it was sent, its own included
 }
 
 // Begin notes that an attempt is sent.
