--- a/cmd/fighollow/logs.go
+++ b/cmd/fighollow/logs.go
@@ -41,7 +41,7 @@
 			if err != nil {
 				return fmt.Errorf("logs explain: %w", err)
 			}
-			defer f.Close()
+			defer func() { _ = f.Close() }() // it was only read
 			parts = append(parts, f)
 		}
 		logs = io.MultiReader(parts...)
