--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -84,7 +84,7 @@
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	registry := metrics.NewRegistry()
-	store := platform.NewStore(cfg.StoreAddress)
+	store := platform.NewStore(cfg.StoreAddress, cfg.Bounds.Stable)
 	pool := upstream.New()
 	defer pool.Close()
 	dispatcher := platform.NewDispatcher(pool)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -20,11 +20,6 @@
 	// the time within which a new configuration must be in force.
 	storeRetry    = 60 * time.Millisecond
 	maxStoreRetry = 500 * time.Millisecond
-	// lapseGrace is how long after an outage of the store upstreams without an entry are kept. Entries that lapsed
-	// meanwhile are back within about two seconds.
-	lapseGrace = 2200 * time.Millisecond
-	// outage is how long the store must have been silent for entries to have lapsed meanwhile.
-	outage = 1500 * time.Millisecond
 )
 
 // Decoder translates the platform's objects.
@@ -72,14 +67,12 @@
 	objects []fighollow.Object
 	version uint64
 	whole   bool // objects are all that there are at version
-	lapsed  bool // the store was away, so that entries may be missing that come back
 }
 
 // follow lists a kind and then watches it, for ever. What a list lacks is gone; a watch that has expired lists again.
 func (f *Follower) follow(ctx context.Context, kind fighollow.Kind, take func(time.Time, batch)) {
 	var version uint64
 	var known bool
-	var back time.Time // when the store answered again after an outage
 	heard, pause := time.Now(), storeRetry
 	down := false
 	for ctx.Err() == nil {
@@ -107,19 +100,12 @@
 			down = false
 			event.StoreRegained.Log(&f.log).Str("kind", string(kind)).Int64("downMs", now.Sub(heard).Milliseconds()).Send()
 		}
-		if now.Sub(heard) > outage+watchAllowance {
-			back = now
-		}
 		heard, pause = now, storeRetry
 		known, version = true, b.version
-		b.lapsed = !back.IsZero() && now.Sub(back) < lapseGrace
 		take(now, b)
 	}
 }
 
-// watchAllowance is how long a watch may wait by itself.
-const watchAllowance = 2 * time.Second
-
 func wait(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/roles/runner.go
+++ b/internal/roles/runner.go
@@ -136,7 +136,12 @@
 
 // look reads the lease; it reports false when the store does not answer.
 func (r *Runner) look(ctx context.Context) bool {
-	o, err := r.store.Get(ctx, fighollow.KindRoleLease, fighollow.RoleLeaseName)
+	// An old answer only delays a claim, which is conditional on the version that it has.
+	get := r.store.Get
+	if s, ok := r.store.(fighollow.StaleReader); ok {
+		get = s.GetStale
+	}
+	o, err := get(ctx, fighollow.KindRoleLease, fighollow.RoleLeaseName)
 	now := bootTime()
 	if errors.Is(err, fighollow.ErrNotFound) {
 		r.lease.observed(now, 0, "")
--- a/pkg/fighollow/object.go
+++ b/pkg/fighollow/object.go
@@ -73,3 +73,9 @@
 	// ErrWatchExpired when the history after that version is gone; the caller then starts again with List.
 	Watch(ctx context.Context, kind Kind, after uint64) ([]Object, uint64, error)
 }
+
+// StaleReader is an ObjectStore that can also read cheaply.
+type StaleReader interface {
+	// GetStale returns an object as it was at some time in the last seconds, at a lower price than Get.
+	GetStale(ctx context.Context, kind Kind, name string) (Object, error)
+}
