roles: few changes before demand, bounded reports

At most 16 orders are sent before demand was seen, and 64 reports are read in a round, the oldest first.

--- a/internal/roles/plan.go
+++ b/internal/roles/plan.go
@@ -15,6 +15,8 @@
 	// initialPrefillShare is the share of engines that prefill before any demand was seen. Prompts are computed one after
 	// the other while answers share a batch, so that decode needs fewer engines.
 	initialPrefillShare = 0.67
+	// maxFirstOrders bounds the changes before demand was seen: a fleet that is large for its demand needs none.
+	maxFirstOrders = 16
 	// prefillQueueGoal is the requests waiting at each prefill engine that are taken as full use of prefill.
 	prefillQueueGoal = 1.5
 	// decodeUseGoal is the share of decode memory or slots in use that is taken as full use of decode. Answers slow down
@@ -62,7 +64,8 @@
 	// peaks of the pressures, decaying
 	peakPrefill, peakDecode float64
 
-	began   bool // the initial proportion was ordered
+	began   bool // demand was seen
+	first   int  // orders sent before
 	changed time.Time
 }
 
@@ -117,10 +120,12 @@
 	}
 	want := int(initialPrefillShare*float64(len(prefill)+len(decode)) + 0.5)
 	want = max(1, min(want, len(prefill)+len(decode)-1))
-	idle := func(e Engine) bool { return e.Report.Changing }
-	orders := p.move(slices.DeleteFunc(decode, idle), prefill, want-len(prefill), fighollow.RolePrefill)
+	changing := func(e Engine) bool { return e.Report.Changing }
+	n := min(want-len(prefill), maxFirstOrders-p.first)
+	orders := p.move(slices.DeleteFunc(decode, changing), prefill, n, fighollow.RolePrefill)
 	if len(orders) > 0 {
 		p.changed = now
+		p.first += len(orders)
 	}
 	return orders, "initialShare"
 }
--- a/internal/roles/plan_test.go
+++ b/internal/roles/plan_test.go
@@ -95,6 +95,16 @@
 	qt.Assert(t, perCentre, qt.DeepEquals, map[string]int{"dc0": 2, "dc1": 2, "dc2": 2})
 }
 
+// Guards against a large fleet that is rearranged for no demand. Seen in the sweep at tenterbrook-uw: 279 orders at 300
+// machines.
+func TestFewChangesBeforeDemand(t *testing.T) {
+	f := newTestFleet(300, 700)
+	for range 20 {
+		f.round(nil)
+	}
+	qt.Assert(t, f.orders, qt.Equals, maxFirstOrders)
+}
+
 // Engines that start together become known one after the other.
 func TestProportionWhileEnginesAppear(t *testing.T) {
 	f := newTestFleet(7, 11)
--- a/internal/roles/runner.go
+++ b/internal/roles/runner.go
@@ -1,10 +1,12 @@
 package roles
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +23,10 @@
 	holderStep = time.Second
 	// followerStep is the pause between two looks at the lease by other entries.
 	followerStep = 2 * time.Second
+	// maxReports bounds the reports that the holder reads in a round; in a larger fleet it reads those that are oldest.
+	maxReports = 64
+	// maxReportAge is how old a report may be for a plan.
+	maxReportAge = 10 * time.Second
 	// reportTimeout bounds reading one engine's report; engines answer in milliseconds.
 	reportTimeout = 500 * time.Millisecond
 	// orderTimeout bounds one order. It is well below the lease, as an order may arrive until then.
@@ -47,6 +53,13 @@
 	planners map[string]*Planner
 	paused   map[string]time.Time      // engines whose orders are unsettled
 	wanted   map[string]fighollow.Role // by the last order that was sent to an engine
+	reports  map[string]report         // newest of each engine
+}
+
+// report is an engine's report and when it was read.
+type report struct {
+	fighollow.EngineReport
+	at time.Time
 }
 
 // New returns a Runner. routing and engines return what is known at present.
@@ -57,7 +70,7 @@
 		opts: opts, store: store, control: control, routing: routing, engines: engines, log: log,
 		lease:    lease{self: opts.Self, duration: opts.Lease},
 		planners: make(map[string]*Planner), paused: make(map[string]time.Time),
-		wanted: make(map[string]fighollow.Role),
+		wanted: make(map[string]fighollow.Role), reports: make(map[string]report),
 	}
 }
 
@@ -170,8 +183,8 @@
 			p = NewPlanner(*s.Engine)
 			r.planners[s.Name] = p
 		}
-		engines := r.read(ctx, r.engines(s.Name))
 		now := time.Now()
+		engines := r.read(ctx, now, r.engines(s.Name))
 		orders, reason := p.Plan(now, engines)
 		onPrefill, onDecode := p.pressures()
 		for _, o := range orders {
@@ -183,12 +196,17 @@
 	}
 }
 
-// read returns the engines with their reports.
-func (r *Runner) read(ctx context.Context, ups []fighollow.Upstream) []Engine {
-	engines := make([]Engine, len(ups))
+// read returns the engines with their reports, of which it renews those that are oldest.
+func (r *Runner) read(ctx context.Context, now time.Time, ups []fighollow.Upstream) []Engine {
+	slices.SortFunc(ups, func(a, b fighollow.Upstream) int {
+		if c := r.reports[a.ID].at.Compare(r.reports[b.ID].at); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+	read := make([]*fighollow.EngineReport, min(len(ups), maxReports))
 	var wg sync.WaitGroup
-	for i, u := range ups {
-		engines[i].Upstream, engines[i].Wanted = u, r.wanted[u.ID]
+	for i, u := range ups[:len(read)] {
 		wg.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 			defer cancel()
@@ -197,10 +215,21 @@
 				event.ReportMissing.Log(&r.log).Str("upstream", u.ID).Err(err).Send()
 				return
 			}
-			engines[i].Report, engines[i].Known = rep, true
+			read[i] = &rep
 		})
 	}
 	wg.Wait()
+	for i, rep := range read {
+		delete(r.reports, ups[i].ID)
+		if rep != nil {
+			r.reports[ups[i].ID] = report{*rep, now}
+		}
+	}
+	engines := make([]Engine, len(ups))
+	for i, u := range ups {
+		rep, ok := r.reports[u.ID]
+		engines[i] = Engine{Upstream: u, Report: rep.EngineReport, Known: ok && now.Sub(rep.at) <= maxReportAge, Wanted: r.wanted[u.ID]}
+	}
 	return engines
 }
 
--- /dev/null
+++ b/internal/roles/runner_test.go
@@ -0,0 +1,127 @@
+package roles
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// fakeStore holds the lease.
+type fakeStore struct {
+	fighollow.ObjectStore
+	mu      sync.Mutex
+	version uint64
+	value   json.RawMessage
+	lose    bool // the answer to the next write
+}
+
+func (s *fakeStore) Get(context.Context, fighollow.Kind, string) (fighollow.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.version == 0 {
+		return fighollow.Object{}, fighollow.ErrNotFound
+	}
+	return fighollow.Object{Version: s.version, Value: s.value}, nil
+}
+
+func (s *fakeStore) Put(_ context.Context, o fighollow.Object, expected uint64) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if expected != s.version {
+		return 0, fighollow.ErrConflict
+	}
+	s.version++
+	s.value = o.Value
+	if s.lose {
+		s.lose = false
+		return 0, fighollow.ErrUnknownOutcome
+	}
+	return s.version, nil
+}
+
+// fakeControl takes orders; lost says which engines do not answer them.
+type fakeControl struct {
+	mu      sync.Mutex
+	roles   map[string]fighollow.Role
+	lost    map[string]bool
+	orders  map[string]int
+	reports int
+}
+
+func (c *fakeControl) Report(_ context.Context, u fighollow.Upstream) (fighollow.EngineReport, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reports++
+	return fighollow.EngineReport{Role: c.roles[u.ID]}, nil
+}
+
+func (c *fakeControl) Order(_ context.Context, u fighollow.Upstream, o fighollow.RoleOrder) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.orders[u.ID]++
+	if c.lost[u.ID] {
+		return fighollow.ErrUnknownOutcome
+	}
+	c.roles[u.ID] = o.Role
+	return nil
+}
+
+func newTestRunner(engines int) (*Runner, *fakeStore, *fakeControl) {
+	store := &fakeStore{}
+	control := &fakeControl{roles: make(map[string]fighollow.Role), lost: make(map[string]bool), orders: make(map[string]int)}
+	var ups []fighollow.Upstream
+	for i := range engines {
+		u := fighollow.Upstream{ID: fmt.Sprintf("e%03d", i), DataCentre: "a"}
+		control.roles[u.ID] = fighollow.RoleDecode
+		ups = append(ups, u)
+	}
+	routing := &fighollow.Routing{Services: map[string]fighollow.ServiceTraits{"m": {Name: "m", Engine: &traits}}}
+	r := New(Options{Self: "n1", Lease: 3 * time.Second}, store, control, func() *fighollow.Routing { return routing },
+		func(string) []fighollow.Upstream { return append([]fighollow.Upstream(nil), ups...) }, zerolog.Nop())
+	return r, store, control
+}
+
+// Guards against an engine that gets another order while one of unknown fate may still be carried out.
+func TestOrderWithoutAnswerIsNotRepeated(t *testing.T) {
+	r, _, control := newTestRunner(6)
+	for id := range control.roles {
+		control.lost[id] = true
+	}
+	for range 5 {
+		qt.Assert(t, r.hold(context.Background()), qt.IsTrue)
+		r.round(context.Background())
+	}
+	for id, n := range control.orders {
+		qt.Assert(t, n, qt.Equals, 1, qt.Commentf("%s", id))
+	}
+	qt.Assert(t, len(control.orders) > 0, qt.IsTrue)
+}
+
+// Guards against orders by an entry that does not know whether it still holds the lease.
+func TestLostRenewalEndsTheTerm(t *testing.T) {
+	r, store, _ := newTestRunner(2)
+	qt.Assert(t, r.hold(context.Background()), qt.IsTrue)
+	store.lose = true
+	qt.Assert(t, r.hold(context.Background()), qt.IsFalse)
+	// The write took effect, which the next look shows.
+	qt.Assert(t, r.hold(context.Background()), qt.IsTrue)
+	qt.Assert(t, r.lease.term, qt.Equals, uint64(3))
+}
+
+// Guards against control that costs more than a node may spend in a large fleet.
+func TestReportsOfALargeFleetAreBounded(t *testing.T) {
+	r, _, control := newTestRunner(300)
+	for round := 1; round <= 5; round++ {
+		r.round(context.Background())
+		qt.Assert(t, control.reports, qt.Equals, round*maxReports)
+	}
+	qt.Assert(t, len(r.reports), qt.Equals, 300)
+}
