--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -160,7 +160,8 @@
 		Call: x.call, Upstream: c.Upstream, Phase: phase, KV: kv, FetchFrom: c.FetchFrom, ResumeAfter: x.resumeAfter,
 		Urgency: q.Urgency, Deadline: x.deadline,
 	}
-	event.AttemptPlaced.Log(&x.log).Str("upstream", c.Upstream.ID).Str("phase", string(phase)).Float64("costMs", c.CostMs).
+	event.AttemptPlaced.Log(&x.log).Str("upstream", c.Upstream.ID).Str("dataCentre", c.Upstream.DataCentre).
+		Str("phase", string(phase)).Float64("costMs", c.CostMs).
 		Int("tokens", x.call.PromptTokens).Int("cached", c.Cached).Int("fetched", c.Fetched).Int("pending", c.Pending).
 		Int("running", c.Running).Send()
 	l := &leg{x: x, work: x.pool.Begin(now, c, q), up: c.Upstream, phase: phase}
