--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -162,10 +162,10 @@
 
 // prefix is where the beginning of a prompt is, as far as this entry can tell.
 type prefix struct {
-	source *instance // from which engines fetch it; nil when there is none
-	tokens int       // that it holds, or is expected to hold
-	home   *instance // to which entries send the prompt first; nil when there is none
-	shared int       // tokens that other prompts may share
+	source *instance    // from which engines fetch it; nil when there is none
+	tokens int          // that it holds, or is expected to hold
+	homes  [2]*instance // to which entries send the prompt first; nil where there is none
+	shared int          // tokens that other prompts may share
 }
 
 // findPrefix returns where the beginning of a prompt is. An engine of this data centre is its home once another engine is
@@ -186,13 +186,14 @@
 		}
 	}
 	if s.tokens >= s.shared {
-		s.home = p.home(now, part, p.dataCentre)
+		s.homes = p.homesOf(now, part, p.dataCentre)
 		return s
 	}
 	// The first to see a part sends it where all entries do, so that each data centre need not compute it.
-	s.home = p.home(now, part, "")
-	if expected := int(homeShare * float64(s.shared)); s.home != nil && expected > s.tokens {
-		s.source, s.tokens = s.home, expected
+	first := p.homesOf(now, part, "")[0]
+	s.homes[0] = first
+	if expected := int(homeShare * float64(s.shared)); first != nil && expected > s.tokens {
+		s.source, s.tokens = first, expected
 	}
 	return s
 }
@@ -206,10 +207,11 @@
 	return n
 }
 
-// home returns the prefill engine with the highest rendezvous hash for a part, in one data centre or in any.
-func (p *Pool) home(now time.Time, part uint64, dataCentre string) *instance {
-	var best *instance
-	var top uint64
+// homesOf returns the two prefill engines with the highest rendezvous hashes for a part, in one data centre or in any. With
+// two of them, a part in demand does not fill one engine while others are idle.
+func (p *Pool) homesOf(now time.Time, part uint64, dataCentre string) [2]*instance {
+	var best [2]*instance
+	var top [2]uint64
 	for _, n := range p.instances {
 		if n.up.Role != fighollow.RolePrefill || n.up.Draining || !n.goneAt.IsZero() || now.Before(n.resting) {
 			continue
@@ -217,8 +219,12 @@
 		if dataCentre != "" && n.up.DataCentre != dataCentre {
 			continue
 		}
-		if h := hash(part, n.up.ID); best == nil || h > top {
-			best, top = n, h
+		switch h := hash(part, n.up.ID); {
+		case best[0] == nil || h > top[0]:
+			best[1], top[1] = best[0], top[0]
+			best[0], top[0] = n, h
+		case best[1] == nil || h > top[1]:
+			best[1], top[1] = n, h
 		}
 	}
 	return best
@@ -283,7 +289,7 @@
 		}
 	}
 	rest := float64(q.PromptTokens - c.Cached - c.Fetched)
-	if found.home == nil || found.home == n {
+	if found.homes[0] == nil || found.homes[0] == n || found.homes[1] == n {
 		return rest + homeFetchShare*float64(c.Fetched)
 	}
 	rest += fetchShare * float64(c.Fetched)
