--- /dev/null
+++ b/internal/objectapi/call.go
@@ -0,0 +1,61 @@
+package objectapi
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// Caller sends single calls to an object API of any layout. It is safe for concurrent use.
+type Caller struct {
+	HTTP      *http.Client
+	MaxAnswer int64 // bytes
+}
+
+// Call sends one request and reads its whole answer. connected reports whether a connection was there, so that bytes may
+// have been sent.
+func (c *Caller) Call(ctx context.Context, method, url string, header http.Header, value []byte) (status int, body []byte, connected bool, err error) {
+	var got atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { got.Store(true) }})
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(value))
+	if err != nil {
+		return 0, nil, false, err
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return 0, nil, got.Load(), err
+	}
+	defer resp.Body.Close()
+	body, err = io.ReadAll(io.LimitReader(resp.Body, c.MaxAnswer+1))
+	if err == nil && int64(len(body)) > c.MaxAnswer {
+		err = fmt.Errorf("answer above %d bytes", c.MaxAnswer)
+	}
+	return resp.StatusCode, body, true, err
+}
+
+// StatusError maps the status of an answer to an error. Statuses that do not prove that nothing happened give ambiguous.
+func StatusError(ambiguous error, method, path string, status int, body []byte) error {
+	err := ambiguous
+	switch status {
+	case http.StatusNotFound:
+		err = fighollow.ErrNotFound
+	case http.StatusConflict:
+		err = fighollow.ErrConflict
+	case http.StatusGone:
+		err = fighollow.ErrWatchExpired
+	case http.StatusTooManyRequests:
+		err = fighollow.ErrUnavailable
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		err = fighollow.ErrInvalid
+	}
+	return fmt.Errorf("%w: object API: %s %s: status %d: %.200s", err, method, path, status, bytes.TrimSpace(body))
+}
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -2,17 +2,13 @@
 package objectapi
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/fighollow/fighollow/pkg/fighollow"
@@ -36,8 +32,8 @@
 
 // Client is a fighollow.ObjectStore over HTTP. It is safe for concurrent use.
 type Client struct {
-	opts Options
-	http *http.Client
+	opts   Options
+	caller Caller
 }
 
 var _ fighollow.ObjectStore = (*Client)(nil)
@@ -55,11 +51,11 @@
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     time.Minute,
 	}
-	return &Client{opts: opts, http: &http.Client{Transport: t}}
+	return &Client{opts: opts, caller: Caller{HTTP: &http.Client{Transport: t}, MaxAnswer: maxAnswerBytes}}
 }
 
 // Close drops idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() { c.caller.HTTP.CloseIdleConnections() }
 
 // Get implements fighollow.ObjectStore.
 func (c *Client) Get(ctx context.Context, kind fighollow.Kind, name string) (fighollow.Object, error) {
@@ -121,7 +117,7 @@
 		}
 		return nil
 	}
-	return answerError(fighollow.ErrUnavailable, http.MethodGet, path, status, body)
+	return StatusError(fighollow.ErrUnavailable, http.MethodGet, path, status, body)
 }
 
 // write performs a conditional write. A failure is ErrUnavailable only while nothing can have been sent.
@@ -136,7 +132,7 @@
 	case err != nil:
 		return 0, fmt.Errorf("%w: objectapi: %s %s: %w", fighollow.ErrUnknownOutcome, method, path, err)
 	case status != http.StatusOK:
-		return 0, answerError(fighollow.ErrUnknownOutcome, method, path, status, body)
+		return 0, StatusError(fighollow.ErrUnknownOutcome, method, path, status, body)
 	}
 	var answer struct {
 		Version uint64 `json:"version"`
@@ -147,43 +143,11 @@
 	return answer.Version, nil
 }
 
-// answerError maps a status to an error. Statuses that do not prove that nothing happened give ambiguous.
-func answerError(ambiguous error, method, path string, status int, body []byte) error {
-	err := ambiguous
-	switch status {
-	case http.StatusNotFound:
-		err = fighollow.ErrNotFound
-	case http.StatusConflict:
-		err = fighollow.ErrConflict
-	case http.StatusGone:
-		err = fighollow.ErrWatchExpired
-	case http.StatusTooManyRequests:
-		err = fighollow.ErrUnavailable
-	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
-		err = fighollow.ErrInvalid
-	}
-	return fmt.Errorf("%w: objectapi: %s %s: status %d: %.200s", err, method, path, status, bytes.TrimSpace(body))
-}
-
-// do sends one request. connected reports whether a connection was there, so that bytes may have been sent.
+// do sends one call.
 func (c *Client) do(ctx context.Context, method, path string, value []byte) (status int, body []byte, connected bool, err error) {
-	var got atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { got.Store(true) }})
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.opts.Address+path, bytes.NewReader(value))
-	if err != nil {
-		return 0, nil, false, err
-	}
+	header := http.Header{}
 	if c.opts.Writer != "" {
-		req.Header.Set("X-Writer", c.opts.Writer)
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return 0, nil, got.Load(), err
-	}
-	defer resp.Body.Close()
-	body, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = fmt.Errorf("answer above %d bytes", maxAnswerBytes)
+		header.Set("X-Writer", c.opts.Writer)
 	}
-	return resp.StatusCode, body, true, err
+	return c.caller.Call(ctx, method, "http://"+c.opts.Address+path, header, value)
 }
