gateway, platform: no empty answer to a caller that stopped sending; nothing decoded that nothing reads

The connection breaks now. The memory of the machine sets the collector's limit, and errors of the HTTP server are logged as lines.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -32,6 +34,8 @@
 	// callerHeaderTimeout and callerIdleTimeout are above what the operator's configuration grants callers.
 	callerHeaderTimeout = 10 * time.Second
 	callerIdleTimeout   = 60 * time.Second
+	// memoryShare is the part of the machine's memory above which garbage is collected more often.
+	memoryShare = 0.7
 	// stopMargin is left between the end of the last request and the platform's kill.
 	stopMargin = 700 * time.Millisecond
 	// acceptTime is how long a stopping process goes on accepting connections, until the balancer sends none any more.
@@ -83,6 +87,9 @@
 ) error {
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB<<20)))
+	}
 	registry := metrics.NewRegistry()
 	store := platform.NewStore(cfg.StoreAddress, cfg.Bounds.Stable)
 	pool := upstream.New()
@@ -105,7 +112,7 @@
 	}
 	ingress := platform.NewIngress(g, p.stopping.Load)
 	callerServer := &http.Server{
-		Handler: ingress, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
+		Handler: ingress, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: stdlog.New(log, "", 0),
 	}
 	checkServer := &http.Server{Handler: p.readiness(), ReadHeaderTimeout: callerHeaderTimeout}
 	failed := make(chan error, 3)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,6 +160,7 @@
 	case x.left:
 		x.g.metrics.outcome("left")
 		line.Str("outcome", "callerLeft").Send()
+		x.out.Abort() // a caller that only stopped sending must not get an empty answer
 	case refusal == nil:
 		x.g.metrics.answered(x)
 		line.Str("outcome", "answered").Int("status", x.status).Int64("firstMs", x.firstMs()).Send()
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -62,7 +62,7 @@
 		f.pool(home).remove(now, u.ID)
 	}
 	f.homes[u.ID], f.listed[u.ID] = u.Service, version
-	f.pool(u.Service).put(u, version)
+	f.pool(u.Service).put(u)
 }
 
 // Remove notes at which version an upstream's entry was removed.
--- a/internal/placement/instance.go
+++ b/internal/placement/instance.go
@@ -37,7 +37,6 @@
 type instance struct {
 	up       fighollow.Upstream
 	key      uint64                  // hash of its id
-	version  uint64                  // of the object that described it
 	goneAt   time.Time               // when its entry was removed; zero while it is listed
 	running  int                     // attempts of this entry that generate or compute a plain answer
 	prefills int                     // prefills of this entry
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -92,7 +92,7 @@
 }
 
 // put takes an upstream's entry.
-func (p *Pool) put(u fighollow.Upstream, version uint64) {
+func (p *Pool) put(u fighollow.Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := p.instances[u.ID]
@@ -101,7 +101,7 @@
 		p.instances[u.ID] = n
 	}
 	n.update(u, p.capacity())
-	n.version, n.goneAt = version, time.Time{}
+	n.goneAt = time.Time{}
 }
 
 // remove notes that an upstream has no entry any more.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -103,17 +103,6 @@
 	p.idle = make(map[string][]*conn)
 }
 
-// Forget closes the idle connections to an address, for example because its upstream has left.
-func (p *Pool) Forget(address string) {
-	p.mu.Lock()
-	cs := p.idle[address]
-	delete(p.idle, address)
-	p.mu.Unlock()
-	for _, c := range cs {
-		c.nc.Close()
-	}
-}
-
 func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
 	now := time.Now()
 	for {
--- a/pkg/fighollow/routing.go
+++ b/pkg/fighollow/routing.go
@@ -45,24 +45,19 @@
 	KVCapacityTokens int   // KV cache of running requests and cached prefixes
 	KVBytesPerToken  int64 // size of one token's KV cache
 	TransferMbps     float64
-	HandleTTL        time.Duration // how long an exported KV cache is kept
 	RoleSwitch       time.Duration // how long a change of role takes an engine away
 }
 
 // ServiceTraits describes a service that requests are routed to.
 type ServiceTraits struct {
-	Name           string
-	HealthPath     string
-	MaxConnections int           // of one upstream, from all callers
-	Engine         *EngineTraits // nil for a plain service
+	Name   string
+	Engine *EngineTraits // nil for a plain service
 }
 
-// IngressLimits bound what a caller may send.
+// IngressLimits bound the size of what a caller may send.
 type IngressLimits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
 }
 
 // Routing is one whole version of the routing configuration. It is never changed after it was decoded.
@@ -82,7 +77,6 @@
 	Draining   bool
 	Role       Role // RoleNone for plain services
 	Slots      int
-	Orders     uint64        // orders accepted since Started
-	Started    int64         // start of the process, Unix milliseconds; 0 if it is not known
-	Cold       time.Duration // how much longer it stays slow after its start
+	Orders     uint64 // orders accepted since Started
+	Started    int64  // start of the process, Unix milliseconds; 0 if it is not known
 }
