fighollow: the gateway's process in smaller parts; it ends when a server fails

Cause, found in the last reading: when the metrics address was in use the process waited for its planner, which waits for a signal, and SIGHUP before the reload loop had started ended the process. TestAddressInUse hung before.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -67,105 +68,122 @@
 			sink := logging.New(os.Stdout, logging.Options{})
 			defer func() { _ = sink.Close() }() // nothing can be done when the output takes no more
 			log := zerolog.New(sink).Level(level).With().Timestamp().Str("process", cfg.Node).Logger()
-			return runGateway(ctx, cmd.String("settings"), cfg, cmd.Int("metrics-port"), sink, log)
+			return newGatewayProcess(cmd.String("settings"), cfg, cmd.Int("metrics-port"), sink, log).run(ctx)
 		},
 	}
 }
 
 // gatewayProcess is the running process.
 type gatewayProcess struct {
-	cfg      platform.Settings
-	log      zerolog.Logger
-	gateway  *gateway.Gateway
-	follower *gateway.Follower
-	stopping atomic.Bool
-	wasReady atomic.Bool
+	file        string // of the settings
+	cfg         platform.Settings
+	metricsPort int
+	registry    metrics.Registry
+	sink        *logging.Sink
+	log         zerolog.Logger
+	store       *platform.Store
+	pool        *upstream.Pool
+	gateway     *gateway.Gateway
+	follower    *gateway.Follower
+	planner     *roles.Runner
+	stopping    atomic.Bool
+	wasReady    atomic.Bool
 }
 
-func runGateway(ctx context.Context, file string, cfg platform.Settings, metricsPort int, sink *logging.Sink,
-	log zerolog.Logger,
-) error {
-	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
-	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB<<20)))
+// newGatewayProcess returns a process that has opened no sockets yet.
+func newGatewayProcess(file string, cfg platform.Settings, metricsPort int, sink *logging.Sink, log zerolog.Logger) *gatewayProcess {
+	p := &gatewayProcess{
+		file: file, cfg: cfg, metricsPort: metricsPort, registry: metrics.NewRegistry(), sink: sink, log: log,
+		store: platform.NewStore(cfg.StoreAddress, cfg.Bounds.Stable), pool: upstream.New(),
 	}
-	registry := metrics.NewRegistry()
-	store := platform.NewStore(cfg.StoreAddress, cfg.Bounds.Stable)
-	pool := upstream.New()
-	defer pool.Close()
-	dispatcher := platform.NewDispatcher(pool)
+	dispatcher := platform.NewDispatcher(p.pool)
 	fleet := placement.New(placement.Options{DataCentre: cfg.DataCentre, Drain: cfg.Bounds.Drain})
-	g := gateway.New(gateway.Options{
-		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: registry,
+	p.gateway = gateway.New(gateway.Options{
+		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: p.registry,
 	}, fleet, dispatcher, log)
-	p := &gatewayProcess{cfg: cfg, log: log, gateway: g}
-	p.follower = gateway.NewFollower(store, gateway.Decoder{Routing: platform.DecodeRouting, Upstream: platform.DecodeUpstream}, g, fleet, log)
+	decode := gateway.Decoder{Routing: platform.DecodeRouting, Upstream: platform.DecodeUpstream}
+	p.follower = gateway.NewFollower(p.store, decode, p.gateway, fleet, log)
+	p.planner = roles.New(roles.Options{Self: cfg.Node + "@" + cfg.Address, Lease: cfg.Bounds.Lease}, p.store, dispatcher,
+		p.gateway.Routing, fleet.Upstreams, log)
+	return p
+}
 
-	callers, err := net.Listen("tcp", cfg.Ingress)
+// run serves until SIGTERM or SIGINT begins the graceful stop, or a server fails.
+func (p *gatewayProcess) run(ctx context.Context) error {
+	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	if p.cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(p.cfg.MemoryMB<<20)))
+	}
+	defer p.pool.Close()
+	callers, err := net.Listen("tcp", p.cfg.Ingress)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	checks, err := net.Listen("tcp", cfg.Readiness)
+	checks, err := net.Listen("tcp", p.cfg.Readiness)
 	if err != nil {
 		return fmt.Errorf("listen for readiness checks: %w", err)
 	}
-	ingress := platform.NewIngress(g, p.stopping.Load)
 	callerServer := &http.Server{
-		Handler: ingress, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: stdlog.New(log, "", 0),
+		Handler: platform.NewIngress(p.gateway, p.stopping.Load), ReadHeaderTimeout: callerHeaderTimeout,
+		IdleTimeout: callerIdleTimeout, ErrorLog: stdlog.New(p.log, "", 0),
 	}
 	checkServer := &http.Server{Handler: p.readiness(), ReadHeaderTimeout: callerHeaderTimeout}
 	failed := make(chan error, 3)
 	go func() { failed <- callerServer.Serve(callers) }()
 	go func() { failed <- checkServer.Serve(checks) }()
-	if metricsPort > 0 {
-		registerGauges(registry, store, pool, sink, p)
-		go func() { failed <- serveMetrics(cfg.Address, metricsPort, registry) }()
+	if p.metricsPort > 0 {
+		go func() { failed <- p.serveMetrics() }()
 	}
 	work, end := context.WithCancel(context.Background())
 	defer end()
-	go reloadOnHangup(work, file, g, log)
 	var background sync.WaitGroup
 	background.Go(func() { p.follower.Run(work) })
-	planner := roles.New(roles.Options{Self: cfg.Node + "@" + cfg.Address, Lease: cfg.Bounds.Lease}, store, dispatcher,
-		g.Routing, fleet.Upstreams, log)
+	background.Go(func() { p.reloadOnHangup(work, hangups) })
 	// A stopping entry orders nothing more; another takes the lease.
-	background.Go(func() { planner.Run(ctx) })
-	event.ProcessStarted.Log(&log).Str("http", cfg.Ingress).Str("readiness", cfg.Readiness).Str("store", cfg.StoreAddress).
-		Str("dataCentre", cfg.DataCentre).Str("version", version).Dur("drainMs", cfg.Bounds.Drain).Dur("graceMs", cfg.Bounds.Grace).
-		Dur("leaseMs", cfg.Bounds.Lease).Float64("retryRatio", cfg.Bounds.RetryRatio).Int("retrySlack", cfg.Bounds.RetrySlack).
-		Bool("fencesChecked", cfg.Bounds.FencesCheck).Int("metricsPort", metricsPort).Send()
+	background.Go(func() { p.planner.Run(ctx) })
+	p.logStart()
 	select {
 	case <-ctx.Done():
 		p.stop(callerServer)
 	case err = <-failed:
+		cancel()
 	}
 	end()
 	background.Wait()
 	err = errors.Join(err, checkServer.Close())
-	event.ProcessStopped.Log(&log).Send()
+	event.ProcessStopped.Log(&p.log).Err(err).Send()
 	return err
 }
 
+// logStart logs the settings in effect.
+func (p *gatewayProcess) logStart() {
+	cfg, b := &p.cfg, &p.cfg.Bounds
+	event.ProcessStarted.Log(&p.log).Str("http", cfg.Ingress).Str("readiness", cfg.Readiness).Str("store", cfg.StoreAddress).
+		Str("dataCentre", cfg.DataCentre).Str("version", version).Dur("drainMs", b.Drain).Dur("graceMs", b.Grace).
+		Dur("leaseMs", b.Lease).Dur("stableMs", b.Stable).Float64("retryRatio", b.RetryRatio).Int("retrySlack", b.RetrySlack).
+		Bool("fencesChecked", b.FencesCheck).Int("metricsPort", p.metricsPort).Send()
+}
+
 // reloadOnHangup reads the settings again at each SIGHUP. The bounds of repeats take effect at once; addresses and names
 // take effect when the process starts again.
-func reloadOnHangup(ctx context.Context, file string, g *gateway.Gateway, log zerolog.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func (p *gatewayProcess) reloadOnHangup(ctx context.Context, hangups <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangups:
 		}
-		cfg, err := platform.ReadSettings(file)
+		cfg, err := platform.ReadSettings(p.file)
 		if err != nil {
-			event.SettingsInvalid.Log(&log).Err(err).Send()
+			event.SettingsInvalid.Log(&p.log).Err(err).Send()
 			continue
 		}
-		g.SetRetries(cfg.Bounds.RetryRatio, cfg.Bounds.RetrySlack)
-		event.SettingsReloaded.Log(&log).Str("file", file).Float64("retryRatio", cfg.Bounds.RetryRatio).
+		p.gateway.SetRetries(cfg.Bounds.RetryRatio, cfg.Bounds.RetrySlack)
+		event.SettingsReloaded.Log(&p.log).Str("file", p.file).Float64("retryRatio", cfg.Bounds.RetryRatio).
 			Int("retrySlack", cfg.Bounds.RetrySlack).Send()
 	}
 }
@@ -206,16 +224,16 @@
 }
 
 // registerGauges adds what parts of the process count by themselves.
-func registerGauges(r metrics.Registry, store *platform.Store, pool *upstream.Pool, sink *logging.Sink, p *gatewayProcess) {
+func (p *gatewayProcess) registerGauges() {
 	gauge := func(name string, value func() int64) {
-		_ = r.Register(name, metrics.NewFunctionalGauge(value)) // each name is registered once
+		_ = p.registry.Register(name, metrics.NewFunctionalGauge(value)) // each name is registered once
 	}
-	gauge("store.answered", func() int64 { done, _, _ := store.Calls(); return done })
-	gauge("store.refused", func() int64 { _, refused, _ := store.Calls(); return refused })
-	gauge("store.failed", func() int64 { _, _, failed := store.Calls(); return failed })
+	gauge("store.answered", func() int64 { done, _, _ := p.store.Calls(); return done })
+	gauge("store.refused", func() int64 { _, refused, _ := p.store.Calls(); return refused })
+	gauge("store.failed", func() int64 { _, _, failed := p.store.Calls(); return failed })
 	gauge("store.silentMs", func() int64 { return p.follower.Silent(time.Now()).Milliseconds() })
-	gauge("upstreams.connections", pool.Made)
-	gauge("log.dropped", sink.Dropped)
+	gauge("upstreams.connections", p.pool.Made)
+	gauge("log.dropped", p.sink.Dropped)
 	gauge("routing.version", func() int64 {
 		if routing := p.gateway.Routing(); routing != nil {
 			return int64(routing.Version)
@@ -230,12 +248,17 @@
 	})
 }
 
-func serveMetrics(ip string, port int, registry metrics.Registry) error {
+func (p *gatewayProcess) serveMetrics() error {
+	p.registerGauges()
 	r := chi.NewRouter()
 	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-		admin.WriteMetrics(w, registry)
+		admin.WriteMetrics(w, p.registry)
 	})
-	s := &http.Server{Addr: fmt.Sprintf("%s:%d", ip, port), Handler: r, ReadHeaderTimeout: callerHeaderTimeout}
-	return s.ListenAndServe()
+	address := net.JoinHostPort(p.cfg.Address, strconv.Itoa(p.metricsPort))
+	s := &http.Server{Addr: address, Handler: r, ReadHeaderTimeout: callerHeaderTimeout}
+	if err := s.ListenAndServe(); err != nil {
+		return fmt.Errorf("serve metrics: %w", err)
+	}
+	return nil
 }
