--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -20,6 +20,7 @@
 	UpstreamRests    = Event{8017, "upstreamRests", zerolog.InfoLevel, "an upstream gets no further work for restMs because of how an attempt ended"}
 	RoleLeaseTaken   = Event{8020, "roleLeaseTaken", zerolog.InfoLevel, "this process orders the engines' roles from here on; term is its fencing token"}
 	RoleLeaseLost    = Event{8021, "roleLeaseLost", zerolog.WarnLevel, "this process no longer orders roles: another one took the lease, or the outcome of a renewal is not known"}
+	RoleLeaseUnread  = Event{8025, "roleLeaseUnread", zerolog.InfoLevel, "the lease for orders could not be read, decoded or renewed; it is tried again in the next round"}
 	RoleOrdered      = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is to change its role; the line has the reason and the load that decided"}
 	RoleOrderEnded   = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "how the engine answered an order; without an answer it may still carry it out, and gets no other for some time"}
 	ReportMissing    = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
@@ -28,5 +29,5 @@
 var gatewayEvents = []Event{
 	AttemptPlaced, AttemptEnded, RequestEnded, RequestRetried, StreamResumed, CacheReleased, RoutingApplied, RoutingInvalid,
 	UpstreamChanged, UpstreamInvalid, StoreLost, StoreRegained, ReadinessChanged, UpstreamRests,
-	RoleLeaseTaken, RoleLeaseLost, RoleOrdered, RoleOrderEnded, ReportMissing,
+	RoleLeaseTaken, RoleLeaseLost, RoleOrdered, RoleOrderEnded, ReportMissing, RoleLeaseUnread,
 }
--- a/internal/roles/runner.go
+++ b/internal/roles/runner.go
@@ -142,6 +142,9 @@
 		r.lease.lost()
 		event.RoleLeaseLost.Log(&r.log).Err(err).Send()
 		return false
+	default:
+		// Nothing was written; the lease holds until it lapses.
+		event.RoleLeaseUnread.Log(&r.log).Err(err).Send()
 	}
 	_, ok := r.lease.fence(bootTime())
 	return ok
@@ -161,11 +164,13 @@
 		return true
 	}
 	if err != nil {
+		event.RoleLeaseUnread.Log(&r.log).Err(err).Send()
 		return false
 	}
 	var v leaseValue
 	if err := json.Unmarshal(o.Value, &v); err != nil {
-		v.Holder = "" // unreadable: it is taken over when it has not changed for long enough
+		event.RoleLeaseUnread.Log(&r.log).Err(err).Send()
+		v.Holder = "" // it is taken over when it has not changed for long enough
 	}
 	r.lease.observed(now, o.Version, v.Holder)
 	return true
