gateway, placement: state that nothing read is gone

Found in the last reading of the whole change: Reply.Leaving, the count of prefills and the name of a pool were written and never read; retryFailure took from the budget and gave back only to ask whether it could. Behaviour is unchanged.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -54,6 +54,13 @@
 	return true
 }
 
+// allows reports whether an extra dispatch would be allowed now.
+func (b *budget) allows() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.left >= 1
+}
+
 // giveBack returns an extra dispatch that turned out not to count.
 func (b *budget) giveBack() {
 	b.mu.Lock()
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -93,11 +93,9 @@
 	if _, ok := x.pool.Choose(time.Now(), x.query(l.phase)); !ok {
 		return false
 	}
-	// The attempt's claim takes the budget; here it must only be there.
-	if !x.budget.take() {
-		return false
+	if !x.budget.allows() {
+		return false // the next attempt's claim would fail
 	}
-	x.budget.giveBack()
 	x.mayRun = true
 	return true
 }
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -38,7 +38,7 @@
 func (f *Fleet) pool(service string) *Pool {
 	p := f.pools[service]
 	if p == nil {
-		p = newPool(service, f.opts.DataCentre, f.opts.Drain)
+		p = newPool(f.opts.DataCentre, f.opts.Drain)
 		f.pools[service] = p
 	}
 	return p
--- a/internal/placement/instance.go
+++ b/internal/placement/instance.go
@@ -39,7 +39,6 @@
 	key      uint64                  // hash of its id
 	goneAt   time.Time               // when its entry was removed; zero while it is listed
 	running  int                     // attempts of this entry that generate or compute a plain answer
-	prefills int                     // prefills of this entry
 	pending  [maxUrgency + 1]float64 // prompt tokens of this entry's prefills that are not computed yet, by urgency
 	rate     float64                 // prompt tokens per millisecond, as seen by this entry
 	latency  float64                 // milliseconds until a plain answer or a stream's first event
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -48,7 +48,6 @@
 	if q.Phase == fighollow.RequestPrefill {
 		w.Tokens = float64(max(0, q.PromptTokens-c.Cached-c.Fetched))
 		n.pending[q.Urgency] += w.Tokens
-		n.prefills++
 		w.ahead = n.ahead(q.Urgency)
 		// The engine will hold the prompt when it has read it; requests that follow at once wait for the same part.
 		n.cache.add(now, q.Prompt, false)
@@ -80,7 +79,6 @@
 	before := n.away()
 	if w.Phase == fighollow.RequestPrefill {
 		n.pending[w.urgency] = max(0, n.pending[w.urgency]-w.Tokens)
-		n.prefills = max(0, n.prefills-1)
 	} else {
 		n.running = max(0, n.running-1)
 	}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -64,7 +64,6 @@
 
 // Pool holds the upstreams of one service. It is safe for concurrent use.
 type Pool struct {
-	service    string
 	dataCentre string
 	drain      time.Duration
 
@@ -73,8 +72,8 @@
 	instances map[string]*instance
 }
 
-func newPool(service, dataCentre string, drain time.Duration) *Pool {
-	return &Pool{service: service, dataCentre: dataCentre, drain: drain, instances: make(map[string]*instance)}
+func newPool(dataCentre string, drain time.Duration) *Pool {
+	return &Pool{dataCentre: dataCentre, drain: drain, instances: make(map[string]*instance)}
 }
 
 // SetTraits takes the service's configuration.
--- a/pkg/fighollow/attempt.go
+++ b/pkg/fighollow/attempt.go
@@ -67,8 +67,6 @@
 	NotRun bool
 	// Misdirected says that another instance answered, or that the engine has another role. NotRun is set as well.
 	Misdirected bool
-	// Leaving says that the upstream closes its connections.
-	Leaving bool
 	// KV is the result of RequestPrefill.
 	KV *KVCache
 }
