placement: what was measured of an upstream is forgotten

The time to the first event is learned from an engine's own answers, so an engine that was slow once kept its long time and got no work that could have corrected it; the same holds for the rate of a prefill engine. Ruled out: engines that rest or refuse (their log lines are absent), roles (four engines decoded), latency of the links.

Change: both estimates are forgotten, latencies with a half life of 0.6 s, rates of 4 s towards the service's usual rate; a running answer counts 12 ms instead of 6, so that entries spread before an engine's latency shows the load.

--- a/internal/placement/instance.go
+++ b/internal/placement/instance.go
@@ -8,8 +8,15 @@
 )
 
 const (
-	// latencyWeight is the weight of a new measurement in moving averages.
+	// latencyWeight and rateWeight are the weights of a new measurement.
 	latencyWeight = 0.2
+	rateWeight    = 0.2
+	// usualWeight is the weight of a new measurement in what is usual for a service.
+	usualWeight = 0.02
+	// latencyHalfLife and rateHalfLife are how long it takes to forget half of what was measured. Load and the faults that
+	// make an engine slow last for seconds.
+	latencyHalfLife = 600 * time.Millisecond
+	rateHalfLife    = 4 * time.Second
 	// failureWeight is the weight of a new outcome in an upstream's share of failures.
 	failureWeight = 0.15
 	// suspectFailures is the share of failures, above that of the service's median upstream, from which an upstream rests.
@@ -23,7 +30,7 @@
 	// engine that changes its role refuses for seconds.
 	firstFull = 200 * time.Millisecond
 	maxFull   = 1600 * time.Millisecond
-	// defaultPrefillRate, in prompt tokens per millisecond, stands for an engine's rate until it was measured.
+	// defaultPrefillRate, in prompt tokens per millisecond, stands for the engines' rates until one was measured.
 	defaultPrefillRate = 40
 	// minPrefillRate bounds an estimate from below, so that an engine is not ruled out by one slow answer.
 	minPrefillRate = 2
@@ -40,8 +47,8 @@
 	goneAt   time.Time               // when its entry was removed; zero while it is listed
 	running  int                     // attempts of this entry that generate or compute a plain answer
 	pending  [maxUrgency + 1]float64 // prompt tokens of this entry's prefills that are not computed yet, by urgency
-	rate     float64                 // prompt tokens per millisecond, as seen by this entry
-	latency  float64                 // milliseconds until a plain answer or a stream's first event
+	rate     estimate                // prompt tokens per millisecond, as seen by this entry
+	latency  estimate                // milliseconds until a plain answer or a stream's first event
 	failures float64                 // moving share of failures
 	resting  time.Time               // gets no work before
 	rest     time.Duration
@@ -52,7 +59,10 @@
 }
 
 func newInstance(u fighollow.Upstream, capacity int) *instance {
-	return &instance{up: u, key: rendezvous.Key(u.ID), rate: defaultPrefillRate, cache: newPrefixCache(capacity)}
+	return &instance{
+		up: u, key: rendezvous.Key(u.ID), cache: newPrefixCache(capacity),
+		rate: estimate{halfLife: rateHalfLife}, latency: estimate{halfLife: latencyHalfLife},
+	}
 }
 
 // update takes the upstream's newest entry. A process that started anew knows nothing of what was sent before.
@@ -60,7 +70,7 @@
 	if u.Started != n.up.Started || u.Address != n.up.Address {
 		n.cache = newPrefixCache(capacity)
 		n.failures, n.rest, n.resting, n.denied = 0, 0, time.Time{}, time.Time{}
-		n.rate = defaultPrefillRate
+		n.rate = estimate{halfLife: rateHalfLife}
 	}
 	if u.Role != n.up.Role {
 		n.denied = time.Time{}
@@ -129,20 +139,19 @@
 	n.resting = now.Add(n.rest)
 }
 
-// prefilled learns the engine's rate from a prefill that took this long behind ahead tokens of this entry.
-func (n *instance) prefilled(took time.Duration, ahead float64) {
+// prefilled learns the engine's rate from a prefill that took this long behind ahead tokens of this entry. It returns the
+// rate; false when nothing can be learned.
+func (n *instance) prefilled(now time.Time, took time.Duration, ahead float64) (float64, bool) {
 	ms := float64(took)/float64(time.Millisecond) - prefillOverhead
 	if ahead < minRateSample || ms <= 0 {
-		return
+		return 0, false
 	}
-	n.rate += latencyWeight * (max(minPrefillRate, ahead/ms) - n.rate)
+	rate := max(minPrefillRate, ahead/ms)
+	n.rate.add(now, rate, rateWeight)
+	return rate, true
 }
 
-func (n *instance) answered(took time.Duration) {
-	ms := float64(took) / float64(time.Millisecond)
-	if n.latency == 0 {
-		n.latency = ms
-		return
-	}
-	n.latency += latencyWeight * (ms - n.latency)
+// answered learns from the time until an answer or its first event.
+func (n *instance) answered(now time.Time, took time.Duration) {
+	n.latency.add(now, float64(took)/float64(time.Millisecond), latencyWeight)
 }
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -63,7 +63,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if n := p.instances[w.ID]; n != nil {
-		n.answered(now.Sub(w.Began))
+		n.answered(now, now.Sub(w.Began))
 		n.cache.add(now, w.prompt, true)
 	}
 }
@@ -87,10 +87,12 @@
 		n.succeeded()
 		switch w.Phase {
 		case fighollow.RequestPrefill:
-			n.prefilled(now.Sub(w.Began), w.ahead)
+			if rate, ok := n.prefilled(now, now.Sub(w.Began), w.ahead); ok {
+				p.usualRate += usualWeight * (rate - p.usualRate)
+			}
 			n.cache.add(now, w.prompt, true)
 		case fighollow.RequestWhole:
-			n.answered(now.Sub(w.Began))
+			n.answered(now, now.Sub(w.Began))
 		}
 	case Failed:
 		n.failed(now, p.medianFailures())
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -16,7 +16,7 @@
 	otherCentreMs      = 15
 	otherCentreMsPerKB = 5
 	// runningMs is what one more running request costs the others in the batch.
-	runningMs = 6
+	runningMs = 12
 	// tieMs spreads attempts over upstreams that cost nearly the same.
 	tieMs = 2
 	// wholeSlowdown is how much longer a decode engine takes for a prompt than a prefill engine.
@@ -70,10 +70,11 @@
 	mu        sync.Mutex
 	traits    fighollow.ServiceTraits
 	instances map[string]*instance
+	usualRate float64 // of prefill engines, prompt tokens per millisecond
 }
 
 func newPool(dataCentre string, drain time.Duration) *Pool {
-	return &Pool{dataCentre: dataCentre, drain: drain, instances: make(map[string]*instance)}
+	return &Pool{dataCentre: dataCentre, drain: drain, instances: make(map[string]*instance), usualRate: defaultPrefillRate}
 }
 
 // SetTraits takes the service's configuration.
@@ -192,13 +193,13 @@
 	c := Choice{Upstream: n.up, Pending: int(ahead), Running: n.running}
 	switch q.Phase {
 	case fighollow.RequestPrefill:
-		c.CostMs = prefillOverhead + (ahead+p.toCompute(now, n, q, found, &c))/n.rate + p.transferMs(c.Fetched)
+		c.CostMs = prefillOverhead + (ahead+p.toCompute(now, n, q, found, &c))/n.rate.at(now, p.usualRate) + p.transferMs(c.Fetched)
 	case fighollow.RequestDecode:
-		c.CostMs = runningMs*float64(n.running) + n.latency
+		c.CostMs = runningMs*float64(n.running) + n.latency.at(now, 0)
 	default:
-		c.CostMs = n.latency * (1 + float64(n.running)/float64(max(1, n.up.Slots)))
+		c.CostMs = n.latency.at(now, 0) * (1 + float64(n.running)/float64(max(1, n.up.Slots)))
 		if q.PromptTokens > 0 {
-			c.CostMs += wholeSlowdown * p.toCompute(now, n, q, found, &c) / n.rate
+			c.CostMs += wholeSlowdown * p.toCompute(now, n, q, found, &c) / n.rate.at(now, p.usualRate)
 		}
 	}
 	if n.up.DataCentre != p.dataCentre {
