gateway, placement, platform: the engines' prefix caches are watched

Prefill rates were overestimated under load, as prompts that were done in part counted whole.

Change: each second an entry reads the changes of all caches of services with up to 64 engines; a part is held when its engine says so or was sent it in the last 2.5 s; after 5 s without word the entry's own requests tell, as before. An engine's rate is its throughput between the ends of its prefills, as this entry sees it.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -85,6 +85,7 @@
 	pool        *upstream.Pool
 	gateway     *gateway.Gateway
 	follower    *gateway.Follower
+	caches      *gateway.CacheWatcher
 	planner     *roles.Runner
 	stopping    atomic.Bool
 	wasReady    atomic.Bool
@@ -103,6 +104,7 @@
 	}, fleet, dispatcher, log)
 	decode := gateway.Decoder{Routing: platform.DecodeRouting, Upstream: platform.DecodeUpstream}
 	p.follower = gateway.NewFollower(p.store, decode, p.gateway, fleet, log)
+	p.caches = gateway.NewCacheWatcher(dispatcher, p.gateway.Routing, fleet, log)
 	p.planner = roles.New(roles.Options{Self: cfg.Node + "@" + cfg.Address, Lease: cfg.Bounds.Lease}, p.store, dispatcher,
 		p.gateway.Routing, fleet.Upstreams, log)
 	return p
@@ -142,6 +144,7 @@
 	defer end()
 	var background sync.WaitGroup
 	background.Go(func() { p.follower.Run(work) })
+	background.Go(func() { p.caches.Run(work) })
 	background.Go(func() { p.reloadOnHangup(work, hangups) })
 	// A stopping entry orders nothing more; another takes the lease.
 	background.Go(func() { p.planner.Run(ctx) })
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -18,9 +18,12 @@
 	StoreRegained    = Event{8015, "storeRegained", zerolog.InfoLevel, "the metadata store answers again after downMs"}
 	ReadinessChanged = Event{8016, "readinessChanged", zerolog.InfoLevel, "this process tells the balancer that it takes connections, or that it does not"}
 	UpstreamRests    = Event{8017, "upstreamRests", zerolog.InfoLevel, "an upstream gets no further work for restMs because of how an attempt ended"}
+	CachesWatched    = Event{8018, "cachesWatched", zerolog.InfoLevel, "of so many engines this process watches the prefix caches; those of larger services are known from its own requests only"}
+	CacheForgotten   = Event{8019, "cacheForgotten", zerolog.InfoLevel, "what was known of an engine's prefix cache is forgotten: the engine started anew, or some of its changes are missing"}
 	RoleLeaseTaken   = Event{8020, "roleLeaseTaken", zerolog.InfoLevel, "this process orders the engines' roles from here on; term is its fencing token"}
 	RoleLeaseLost    = Event{8021, "roleLeaseLost", zerolog.WarnLevel, "this process no longer orders roles: another one took the lease, or the outcome of a renewal is not known"}
 	RoleLeaseUnread  = Event{8025, "roleLeaseUnread", zerolog.InfoLevel, "the lease for orders could not be read, decoded or renewed; it is tried again in the next round"}
+	CacheUnread      = Event{8026, "cacheUnread", zerolog.DebugLevel, "an engine did not say what its prefix cache holds; after some seconds only this process's own requests tell"}
 	RoleOrdered      = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is to change its role; the line has the reason and the load that decided"}
 	RoleOrderEnded   = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "how the engine answered an order; without an answer it may still carry it out, and gets no other for some time"}
 	ReportMissing    = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
@@ -28,6 +31,6 @@
 
 var gatewayEvents = []Event{
 	AttemptPlaced, AttemptEnded, RequestEnded, RequestRetried, StreamResumed, CacheReleased, RoutingApplied, RoutingInvalid,
-	UpstreamChanged, UpstreamInvalid, StoreLost, StoreRegained, ReadinessChanged, UpstreamRests,
-	RoleLeaseTaken, RoleLeaseLost, RoleOrdered, RoleOrderEnded, ReportMissing, RoleLeaseUnread,
+	UpstreamChanged, UpstreamInvalid, StoreLost, StoreRegained, ReadinessChanged, UpstreamRests, CachesWatched, CacheForgotten,
+	RoleLeaseTaken, RoleLeaseLost, RoleOrdered, RoleOrderEnded, ReportMissing, RoleLeaseUnread, CacheUnread,
 }
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -102,3 +102,23 @@
 	}
 	return out
 }
+
+// CachePosition returns up to which position the changes of an engine's prefix cache are known.
+func (f *Fleet) CachePosition(service, id string) uint64 {
+	p := f.Pool(service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := p.instances[id]; n != nil {
+		return n.cache.position
+	}
+	return 0
+}
+
+// ReportCache takes what an engine says of its prefix cache. It reports whether what was known of it had to be forgotten.
+func (f *Fleet) ReportCache(now time.Time, service, id string, ch fighollow.CacheChanges) bool {
+	p := f.Pool(service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := p.instances[id]
+	return n != nil && n.cache.report(now, ch)
+}
--- a/internal/placement/instance.go
+++ b/internal/placement/instance.go
@@ -8,11 +8,8 @@
 )
 
 const (
-	// latencyWeight and rateWeight are the weights of a new measurement.
+	// latencyWeight is the weight of a new measurement.
 	latencyWeight = 0.2
-	rateWeight    = 0.2
-	// usualWeight is the weight of a new measurement in what is usual for a service.
-	usualWeight = 0.02
 	// latencyHalfLife and rateHalfLife are how long it takes to forget half of what was measured. Load and the faults that
 	// make an engine slow last for seconds.
 	latencyHalfLife = 600 * time.Millisecond
@@ -30,12 +27,12 @@
 	// engine that changes its role refuses for seconds.
 	firstFull = 200 * time.Millisecond
 	maxFull   = 1600 * time.Millisecond
-	// defaultPrefillRate, in prompt tokens per millisecond, stands for the engines' rates until one was measured.
-	defaultPrefillRate = 40
+	// usualPrefillRate, in prompt tokens per millisecond, stands for an engine's rate until it was measured, and weighs as much
+	// as usualPrefillMs of measured work afterwards.
+	usualPrefillRate = 40
+	usualPrefillMs   = 200
 	// minPrefillRate bounds an estimate from below, so that an engine is not ruled out by one slow answer.
 	minPrefillRate = 2
-	// minRateSample is the fewest tokens of a prefill from which a rate is learned; shorter ones are mostly fixed costs.
-	minRateSample = 1500
 	// prefillOverhead is the fixed part of a prefill's time in milliseconds: the engine's step and the network.
 	prefillOverhead = 100
 )
@@ -47,10 +44,10 @@
 	goneAt   time.Time               // when its entry was removed; zero while it is listed
 	running  int                     // attempts of this entry that generate or compute a plain answer
 	pending  [maxUrgency + 1]float64 // prompt tokens of this entry's prefills that are not computed yet, by urgency
-	rate     estimate                // prompt tokens per millisecond, as seen by this entry
-	latency  estimate                // milliseconds until a plain answer or a stream's first event
-	failures float64                 // moving share of failures
-	resting  time.Time               // gets no work before
+	prefills throughput
+	latency  estimate  // milliseconds until a plain answer or a stream's first event
+	failures float64   // moving share of failures
+	resting  time.Time // gets no work before
 	rest     time.Duration
 	denied   time.Time // not used for its role before
 	full     time.Time // refused for lack of room; avoided before
@@ -61,7 +58,7 @@
 func newInstance(u fighollow.Upstream, capacity int) *instance {
 	return &instance{
 		up: u, key: rendezvous.Key(u.ID), cache: newPrefixCache(capacity),
-		rate: estimate{halfLife: rateHalfLife}, latency: estimate{halfLife: latencyHalfLife},
+		latency: estimate{halfLife: latencyHalfLife},
 	}
 }
 
@@ -70,7 +67,7 @@
 	if u.Started != n.up.Started || u.Address != n.up.Address {
 		n.cache = newPrefixCache(capacity)
 		n.failures, n.rest, n.resting, n.denied = 0, 0, time.Time{}, time.Time{}
-		n.rate = estimate{halfLife: rateHalfLife}
+		n.prefills = throughput{}
 	}
 	if u.Role != n.up.Role {
 		n.denied = time.Time{}
@@ -139,18 +136,6 @@
 	n.resting = now.Add(n.rest)
 }
 
-// prefilled learns the engine's rate from a prefill that took this long behind ahead tokens of this entry. It returns the
-// rate; false when nothing can be learned.
-func (n *instance) prefilled(now time.Time, took time.Duration, ahead float64) (float64, bool) {
-	ms := float64(took)/float64(time.Millisecond) - prefillOverhead
-	if ahead < minRateSample || ms <= 0 {
-		return 0, false
-	}
-	rate := max(minPrefillRate, ahead/ms)
-	n.rate.add(now, rate, rateWeight)
-	return rate, true
-}
-
 // answered learns from the time until an answer or its first event.
 func (n *instance) answered(now time.Time, took time.Duration) {
 	n.latency.add(now, float64(took)/float64(time.Millisecond), latencyWeight)
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -33,7 +33,6 @@
 	Tokens  float64 // prompt tokens to compute
 	prompt  []fighollow.PromptPart
 	urgency int
-	ahead   float64 // pending at the upstream when it was sent, its own included
 }
 
 // Begin notes that an attempt is sent.
@@ -48,7 +47,6 @@
 	if q.Phase == fighollow.RequestPrefill {
 		w.Tokens = float64(max(0, q.PromptTokens-c.Cached-c.Fetched))
 		n.pending[q.Urgency] += w.Tokens
-		w.ahead = n.ahead(q.Urgency)
 		// The engine will hold the prompt when it has read it; requests that follow at once wait for the same part.
 		n.cache.add(now, q.Prompt, false)
 		return w
@@ -87,9 +85,7 @@
 		n.succeeded()
 		switch w.Phase {
 		case fighollow.RequestPrefill:
-			if rate, ok := n.prefilled(now, now.Sub(w.Began), w.ahead); ok {
-				p.usualRate += usualWeight * (rate - p.usualRate)
-			}
+			n.prefills.add(now, w.Began, w.Tokens)
 			n.cache.add(now, w.prompt, true)
 		case fighollow.RequestWhole:
 			n.answered(now, now.Sub(w.Began))
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -70,11 +70,10 @@
 	mu        sync.Mutex
 	traits    fighollow.ServiceTraits
 	instances map[string]*instance
-	usualRate float64 // of prefill engines, prompt tokens per millisecond
 }
 
 func newPool(dataCentre string, drain time.Duration) *Pool {
-	return &Pool{dataCentre: dataCentre, drain: drain, instances: make(map[string]*instance), usualRate: defaultPrefillRate}
+	return &Pool{dataCentre: dataCentre, drain: drain, instances: make(map[string]*instance)}
 }
 
 // SetTraits takes the service's configuration.
@@ -193,13 +192,13 @@
 	c := Choice{Upstream: n.up, Pending: int(ahead), Running: n.running}
 	switch q.Phase {
 	case fighollow.RequestPrefill:
-		c.CostMs = prefillOverhead + (ahead+p.toCompute(now, n, q, found, &c))/n.rate.at(now, p.usualRate) + p.transferMs(c.Fetched)
+		c.CostMs = prefillOverhead + (ahead+p.toCompute(now, n, q, found, &c))/n.prefills.rate(now) + p.transferMs(c.Fetched)
 	case fighollow.RequestDecode:
-		c.CostMs = runningMs*float64(n.running) + n.latency.at(now, 0)
+		c.CostMs = runningMs*float64(n.running) + n.latency.at(now)
 	default:
-		c.CostMs = n.latency.at(now, 0) * (1 + float64(n.running)/float64(max(1, n.up.Slots)))
+		c.CostMs = n.latency.at(now) * (1 + float64(n.running)/float64(max(1, n.up.Slots)))
 		if q.PromptTokens > 0 {
-			c.CostMs += wholeSlowdown * p.toCompute(now, n, q, found, &c) / n.rate.at(now, p.usualRate)
+			c.CostMs += wholeSlowdown * p.toCompute(now, n, q, found, &c) / n.prefills.rate(now)
 		}
 	}
 	if n.up.DataCentre != p.dataCentre {
--- a/pkg/fighollow/attempt.go
+++ b/pkg/fighollow/attempt.go
@@ -93,6 +93,24 @@
 	KVTotal  int
 }
 
+// CacheChanges is what changed in an engine's prefix cache after a position.
+type CacheChanges struct {
+	// Epoch names the run of the engine that counts positions.
+	Epoch string
+	Next  uint64 // position after these changes
+	// Lost says that earlier changes are missing.
+	Lost bool
+	// Parts are in the order of their changes; Tokens is what the engine then held of a part, 0 for nothing.
+	Parts []PromptPart
+}
+
+// CacheReader reads the prefix caches of engines. Changes arrive late, and some never do. Implementations are safe for
+// concurrent use.
+type CacheReader interface {
+	// CacheChanges returns at once with the changes after a position, 0 for all that the engine remembers.
+	CacheChanges(ctx context.Context, u Upstream, after uint64) (CacheChanges, error)
+}
+
 // RoleOrder asks an engine to change its role.
 type RoleOrder struct {
 	Role   Role
