roster, gateway, placement: entries count each other and share the bounds

Cause: the slack of the retry budget was divided by a constant of 10.

The slack is divided by the count, half of it for entries that start anew; an entry opens at most its share of an upstream's connections. Operators' times for callers: header and idle times close a connection; a body that does not arrive before the request's deadline is answered 408.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -27,12 +27,14 @@
 	"github.com/fighollow/fighollow/internal/logging"
 	"github.com/fighollow/fighollow/internal/placement"
 	"github.com/fighollow/fighollow/internal/roles"
+	"github.com/fighollow/fighollow/internal/roster"
 	"github.com/fighollow/fighollow/internal/upstream"
+	"github.com/fighollow/fighollow/pkg/fighollow"
 	"github.com/fighollow/fighollow/platform"
 )
 
 const (
-	// callerHeaderTimeout and callerIdleTimeout are above what the operator's configuration grants callers.
+	// callerHeaderTimeout and callerIdleTimeout apply until the operator's configuration, which sets shorter ones, is known.
 	callerHeaderTimeout = 10 * time.Second
 	callerIdleTimeout   = 60 * time.Second
 	// memoryShare is the part of the machine's memory above which garbage is collected more often.
@@ -86,6 +88,7 @@
 	gateway     *gateway.Gateway
 	follower    *gateway.Follower
 	caches      *gateway.CacheWatcher
+	roster      *roster.Roster
 	planner     *roles.Runner
 	stopping    atomic.Bool
 	wasReady    atomic.Bool
@@ -105,7 +108,9 @@
 	decode := gateway.Decoder{Routing: platform.DecodeRouting, Upstream: platform.DecodeUpstream}
 	p.follower = gateway.NewFollower(p.store, decode, p.gateway, fleet, log)
 	p.caches = gateway.NewCacheWatcher(dispatcher, p.gateway.Routing, fleet, log)
-	p.planner = roles.New(roles.Options{Self: cfg.Node + "@" + cfg.Address, Lease: cfg.Bounds.Lease}, p.store, dispatcher,
+	self := cfg.Node + "@" + cfg.Address
+	p.roster = roster.New(roster.Options{Self: self, DataCentre: cfg.DataCentre}, p.store, p.gateway.SetEntries, log)
+	p.planner = roles.New(roles.Options{Self: self, Lease: cfg.Bounds.Lease}, p.store, dispatcher,
 		p.gateway.Routing, fleet.Upstreams, log)
 	return p
 }
@@ -131,7 +136,7 @@
 	}
 	callerServer := &http.Server{
 		Handler: platform.NewIngress(p.gateway, p.stopping.Load), ReadHeaderTimeout: callerHeaderTimeout,
-		IdleTimeout: callerIdleTimeout, ErrorLog: stdlog.New(p.log, "", 0),
+		IdleTimeout: callerIdleTimeout, ErrorLog: stdlog.New(p.log, "", 0), ConnState: platform.NewConnections(p.limits).Changed,
 	}
 	checkServer := &http.Server{Handler: p.readiness(), ReadHeaderTimeout: callerHeaderTimeout}
 	failed := make(chan error, 3)
@@ -145,6 +150,7 @@
 	var background sync.WaitGroup
 	background.Go(func() { p.follower.Run(work) })
 	background.Go(func() { p.caches.Run(work) })
+	background.Go(func() { p.roster.Run(work) })
 	background.Go(func() { p.reloadOnHangup(work, hangups) })
 	// A stopping entry orders nothing more; another takes the lease.
 	background.Go(func() { p.planner.Run(ctx) })
@@ -208,6 +214,14 @@
 	}
 }
 
+// limits returns what callers may send and how long they may take; zeros until the configuration is known.
+func (p *gatewayProcess) limits() fighollow.IngressLimits {
+	if r := p.gateway.Routing(); r != nil {
+		return r.Limits
+	}
+	return fighollow.IngressLimits{}
+}
+
 // isReady reports whether the process takes new connections.
 func (p *gatewayProcess) isReady() bool { return !p.stopping.Load() && p.follower.Ready() }
 
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -24,6 +24,10 @@
 	RoleLeaseLost    = Event{8021, "roleLeaseLost", zerolog.WarnLevel, "this process no longer orders roles: another one took the lease, or the outcome of a renewal is not known"}
 	RoleLeaseUnread  = Event{8025, "roleLeaseUnread", zerolog.InfoLevel, "the lease for orders could not be read, decoded or renewed; it is tried again in the next round"}
 	CacheUnread      = Event{8026, "cacheUnread", zerolog.DebugLevel, "an engine did not say what its prefix cache holds; after some seconds only this process's own requests tell"}
+	EntriesCounted   = Event{8030, "entriesCounted", zerolog.InfoLevel, "so many entries share the platform's bounds, this one included"}
+	EntryLapsed      = Event{8031, "entryLapsed", zerolog.InfoLevel, "an entry has not renewed its object for long; the object is removed"}
+	EntryLeft        = Event{8032, "entryLeft", zerolog.InfoLevel, "this process stops and has removed its object"}
+	RosterUnread     = Event{8033, "rosterUnread", zerolog.InfoLevel, "the objects of the entries could not be read, or the own one not be written; the last count stays in force"}
 	RoleOrdered      = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is to change its role; the line has the reason and the load that decided"}
 	RoleOrderEnded   = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "how the engine answered an order; without an answer it may still carry it out, and gets no other for some time"}
 	ReportMissing    = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
@@ -33,4 +37,5 @@
 	AttemptPlaced, AttemptEnded, RequestEnded, RequestRetried, StreamResumed, CacheReleased, RoutingApplied, RoutingInvalid,
 	UpstreamChanged, UpstreamInvalid, StoreLost, StoreRegained, ReadinessChanged, UpstreamRests, CachesWatched, CacheForgotten,
 	RoleLeaseTaken, RoleLeaseLost, RoleOrdered, RoleOrderEnded, ReportMissing, RoleLeaseUnread, CacheUnread,
+	EntriesCounted, EntryLapsed, EntryLeft, RosterUnread,
 }
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -5,13 +5,15 @@
 const (
 	// budgetShare is the part of the allowed ratio that is spent, so that counts at the edges of a window stay below it.
 	budgetShare = 0.75
-	// budgetEntries is over how many starts of entries the slack is divided. All entries share it without talking, and
-	// one that starts anew does not know what it spent before.
-	budgetEntries = 10
+	// budgetSlackShare is the part of the allowed slack that an entry of one may spend at once. Half of the slack is for
+	// entries that start anew in the same window: they do not know what was spent before.
+	budgetSlackShare = 0.45
+	// uncountedEntries is how many entries are taken to share the slack until they were counted.
+	uncountedEntries = 25
 )
 
 // budget bounds the extra dispatches to one service: those beyond the first of each request. Requests add to it up to a
-// limit that is also its initial value. It is safe for concurrent use.
+// limit. It is safe for concurrent use.
 type budget struct {
 	ratio, limit float64
 
@@ -20,19 +22,33 @@
 }
 
 // newBudget returns the budget for one service. ratio is the extra dispatches allowed for each request; slack is how many
-// are allowed beyond that in a window, over all entries.
-func newBudget(ratio float64, slack int) *budget {
+// are allowed beyond that in a window, over so many entries.
+func newBudget(ratio float64, slack, entries int) *budget {
 	b := &budget{}
-	b.set(ratio, slack)
+	b.set(ratio, slack, entries)
 	b.left = b.limit
 	return b
 }
 
 // set changes the bounds. What was spent stays spent.
-func (b *budget) set(ratio float64, slack int) {
+func (b *budget) set(ratio float64, slack, entries int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ratio, b.limit = budgetShare*ratio, float64(slack)/budgetEntries
+	b.bound(ratio, slack, entries)
+}
+
+// count takes the first count of entries; until then the slack was divided over more of them.
+func (b *budget) count(ratio float64, slack, entries int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	before := b.limit
+	b.bound(ratio, slack, entries)
+	b.left += max(0, b.limit-before)
+}
+
+// bound sets the bounds; the lock is held.
+func (b *budget) bound(ratio float64, slack, entries int) {
+	b.ratio, b.limit = budgetShare*ratio, budgetSlackShare*float64(slack)/float64(entries)
 	b.left = min(b.left, b.limit)
 }
 
--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -19,32 +19,79 @@
 	request, extra bool
 }
 
-// Guards against entries that exceed the shared bound together: they do not talk, and one that starts anew does not know
-// what it spent. The oracle counts in sliding windows what all entries sent.
+// sharer is an entry in the test below.
+type sharer struct {
+	budget  *budget
+	looked  int // when it last counted the entries, in milliseconds
+	counted bool
+}
+
+// Guards against entries that exceed the shared bound together: they do not talk, count each other late, and one that
+// starts anew does not know what it spent. The oracle counts in sliding windows what all entries sent.
 func TestBudgetHoldsOverAllEntries(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		entries := make([]*budget, rapid.IntRange(1, 5).Draw(t, "entries"))
+		now := 0
+		fresh := func() *sharer {
+			return &sharer{budget: newBudget(testRatio, testSlack, uncountedEntries), looked: now - rapid.IntRange(0, 3000).Draw(t, "phase")}
+		}
+		entries := make([]*sharer, rapid.IntRange(1, 40).Draw(t, "entries"))
 		for i := range entries {
-			entries[i] = newBudget(testRatio, testSlack)
+			entries[i] = fresh()
 		}
 		var log []spent
-		now, starts := 0, len(entries)
+		// As many entries as there are may start anew in a window.
+		starts := 0
+		started := func(n int) bool {
+			if starts+n > len(entries) {
+				return false
+			}
+			starts += n
+			return true
+		}
+		busy := rapid.IntRange(0, 20).Draw(t, "busy") // requests for each step
 		for range rapid.IntRange(50, 400).Draw(t, "steps") {
 			now += rapid.IntRange(0, 200).Draw(t, "ms")
+			for _, e := range entries {
+				if now-e.looked >= 3000 {
+					e.looked = now
+					if e.counted {
+						e.budget.set(testRatio, testSlack, len(entries))
+					} else {
+						e.counted = true
+						e.budget.count(testRatio, testSlack, len(entries))
+					}
+				}
+			}
 			i := rapid.IntRange(0, len(entries)-1).Draw(t, "entry")
-			switch rapid.SampledFrom([]string{"request", "request", "extra", "extra", "extra", "restart"}).Draw(t, "what") {
-			case "request":
-				entries[i].add()
-				log = append(log, spent{atMs: now, request: true})
-			case "extra":
-				if entries[i].take() {
-					log = append(log, spent{atMs: now, extra: true})
+			switch rapid.SampledFrom([]string{"requests", "extras", "extras", "extras", "restart", "join", "leave", "restartAll"}).Draw(t, "what") {
+			case "requests":
+				for range busy {
+					entries[i].budget.add()
+					log = append(log, spent{atMs: now, request: true})
+				}
+			case "extras":
+				for _, e := range entries { // an upstream fails for all of them
+					for e.budget.take() {
+						log = append(log, spent{atMs: now, extra: true})
+					}
 				}
 			case "restart":
-				// A day replaces few entries in one window.
-				if starts < 2*len(entries) {
-					starts++
-					entries[i] = newBudget(testRatio, testSlack)
+				if started(1) {
+					entries[i] = fresh()
+				}
+			case "restartAll":
+				if started(len(entries)) {
+					for i := range entries {
+						entries[i] = fresh()
+					}
+				}
+			case "join":
+				if started(1) {
+					entries = append(entries, fresh())
+				}
+			case "leave":
+				if len(entries) > 1 {
+					entries = append(entries[:i], entries[i+1:]...)
 				}
 			}
 		}
@@ -69,7 +116,7 @@
 }
 
 func TestBudgetReturnsWhatDoesNotCount(t *testing.T) {
-	b := newBudget(testRatio, 10)
+	b := newBudget(testRatio, 10, 4)
 	qt.Assert(t, b.take(), qt.IsTrue)
 	qt.Assert(t, b.take(), qt.IsFalse)
 	b.giveBack()
@@ -81,7 +128,7 @@
 }
 
 func TestBudgetTakesNewBounds(t *testing.T) {
-	b := newBudget(testRatio, 50)
-	b.set(testRatio, 0)
+	b := newBudget(testRatio, 50, 1)
+	b.set(testRatio, 0, 1)
 	qt.Assert(t, b.take(), qt.IsFalse)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,8 @@
 	stopping atomic.Pointer[stop]
 
 	mu      sync.Mutex
+	entries int // that share the bounds of repeats
+	counted bool
 	budgets map[string]*budget
 }
 
@@ -44,7 +46,7 @@
 func New(opts Options, fleet *placement.Fleet, dispatch fighollow.Dispatcher, log zerolog.Logger) *Gateway {
 	return &Gateway{
 		opts: opts, fleet: fleet, dispatch: dispatch, log: log, seed: maphash.MakeSeed(), metrics: newMetrics(opts.Registry),
-		budgets: make(map[string]*budget),
+		entries: uncountedEntries, budgets: make(map[string]*budget),
 	}
 }
 
@@ -93,8 +95,28 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.opts.RetryRatio, g.opts.RetrySlack = ratio, slack
+	g.shareBudgets()
+}
+
+// SetEntries says how many entries share the bounds of repeats and the upstreams' connections, this one included.
+func (g *Gateway) SetEntries(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	first := !g.counted
+	g.counted, g.entries = true, max(1, n)
+	g.fleet.SetEntries(g.entries)
+	if !first {
+		g.shareBudgets()
+		return
+	}
+	for _, b := range g.budgets {
+		b.count(g.opts.RetryRatio, g.opts.RetrySlack, g.entries)
+	}
+}
+
+func (g *Gateway) shareBudgets() {
 	for _, b := range g.budgets {
-		b.set(ratio, slack)
+		b.set(g.opts.RetryRatio, g.opts.RetrySlack, g.entries)
 	}
 }
 
@@ -103,7 +125,7 @@
 	defer g.mu.Unlock()
 	b := g.budgets[service]
 	if b == nil {
-		b = newBudget(g.opts.RetryRatio, g.opts.RetrySlack)
+		b = newBudget(g.opts.RetryRatio, g.opts.RetrySlack, g.entries)
 		g.budgets[service] = b
 	}
 	return b
--- a/internal/placement/cache_test.go
+++ b/internal/placement/cache_test.go
@@ -11,8 +11,8 @@
 )
 
 // holds tells the fleet that an engine holds so many tokens of the shared part 7, or, with 0, that it no longer holds it.
-func holds(f *placement.Fleet, now time.Time, id string, tokens int) bool {
-	return f.ReportCache(now, models, id, fighollow.CacheChanges{
+func holds(f *placement.Fleet, now time.Time, id string, tokens int) {
+	f.ReportCache(now, models, id, fighollow.CacheChanges{
 		Epoch: "1", Next: f.CachePosition(models, id) + 1, Parts: []fighollow.PromptPart{{ID: 7, Tokens: tokens}},
 	})
 }
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -17,15 +17,16 @@
 type Fleet struct {
 	opts Options
 
-	mu     sync.Mutex
-	pools  map[string]*Pool
-	homes  map[string]string // upstream to service
-	listed map[string]uint64 // upstream to the version of its entry
+	mu      sync.Mutex
+	entries int // that share the upstreams' connections
+	pools   map[string]*Pool
+	homes   map[string]string // upstream to service
+	listed  map[string]uint64 // upstream to the version of its entry
 }
 
 // New returns an empty Fleet.
 func New(opts Options) *Fleet {
-	return &Fleet{opts: opts, pools: make(map[string]*Pool), homes: make(map[string]string), listed: make(map[string]uint64)}
+	return &Fleet{opts: opts, entries: 1, pools: make(map[string]*Pool), homes: make(map[string]string), listed: make(map[string]uint64)}
 }
 
 // Pool returns the upstreams of a service.
@@ -39,6 +40,7 @@
 	p := f.pools[service]
 	if p == nil {
 		p = newPool(f.opts.DataCentre, f.opts.Drain)
+		p.setEntries(f.entries)
 		f.pools[service] = p
 	}
 	return p
@@ -51,6 +53,16 @@
 	}
 }
 
+// SetEntries says how many entries send attempts to the upstreams, this one included.
+func (f *Fleet) SetEntries(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = max(1, n)
+	for _, p := range f.pools {
+		p.setEntries(f.entries)
+	}
+}
+
 // Put takes an upstream's entry, unless a newer one is known.
 func (f *Fleet) Put(now time.Time, u fighollow.Upstream, version uint64) {
 	f.mu.Lock()
--- a/internal/placement/instance.go
+++ b/internal/placement/instance.go
@@ -42,7 +42,8 @@
 	up       fighollow.Upstream
 	key      uint64                  // hash of its id
 	goneAt   time.Time               // when its entry was removed; zero while it is listed
-	running  int                     // attempts of this entry that generate or compute a plain answer
+	open     int                     // attempts of this entry, each on a connection of its own
+	running  int                     // those of them that generate or compute a plain answer
 	pending  [maxUrgency + 1]float64 // prompt tokens of this entry's prefills that are not computed yet, by urgency
 	prefills throughput
 	latency  estimate  // milliseconds until a plain answer or a stream's first event
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -44,6 +44,7 @@
 	if n == nil {
 		return w
 	}
+	n.open++
 	if q.Phase == fighollow.RequestPrefill {
 		w.Tokens = float64(max(0, q.PromptTokens-c.Cached-c.Fetched))
 		n.pending[q.Urgency] += w.Tokens
@@ -75,6 +76,7 @@
 		return 0
 	}
 	before := n.away()
+	n.open = max(0, n.open-1)
 	if w.Phase == fighollow.RequestPrefill {
 		n.pending[w.urgency] = max(0, n.pending[w.urgency]-w.Tokens)
 	} else {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -349,3 +349,30 @@
 		p.Choose(start, prompt(i%100, i))
 	}
 }
+
+// An upstream accepts a bounded number of connections from all entries and resets what is beyond.
+func TestConnectionsAreSharedByEntries(t *testing.T) {
+	f := placement.New(placement.Options{DataCentre: "a", Drain: drain})
+	f.SetEntries(3)
+	f.Configure(&fighollow.Routing{Services: map[string]fighollow.ServiceTraits{plain: {Name: plain, MaxConnections: 6}}})
+	f.Put(start, engine("s-a-1"), 1)
+	f.Put(start, engine("s-b-1"), 2)
+	p := f.Pool(plain)
+	q := placement.Query{Phase: fighollow.RequestWhole, Seed: 1}
+	open := make(map[string][]*placement.Work)
+	for range 4 {
+		c, ok := p.Choose(start, q)
+		qt.Assert(t, ok, qt.IsTrue)
+		open[c.Upstream.ID] = append(open[c.Upstream.ID], p.Begin(start, c, q))
+	}
+	qt.Assert(t, open["s-a-1"], qt.HasLen, 2)
+	_, ok := p.Choose(start, q)
+	qt.Assert(t, ok, qt.IsFalse)
+	p.End(start, open["s-b-1"][0], placement.Answered)
+	c, ok := p.Choose(start, q)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, c.Upstream.ID, qt.Equals, "s-b-1")
+	f.SetEntries(100)
+	_, ok = p.Choose(start, q)
+	qt.Assert(t, ok, qt.IsFalse, qt.Commentf("each entry keeps one connection"))
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -68,12 +68,13 @@
 	drain      time.Duration
 
 	mu        sync.Mutex
+	entries   int // that share the connections of each upstream
 	traits    fighollow.ServiceTraits
 	instances map[string]*instance
 }
 
 func newPool(dataCentre string, drain time.Duration) *Pool {
-	return &Pool{dataCentre: dataCentre, drain: drain, instances: make(map[string]*instance)}
+	return &Pool{dataCentre: dataCentre, drain: drain, entries: 1, instances: make(map[string]*instance)}
 }
 
 // SetTraits takes the service's configuration.
@@ -83,6 +84,21 @@
 	p.traits = t
 }
 
+// setEntries says how many entries share the connections that an upstream accepts.
+func (p *Pool) setEntries(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.entries = n
+}
+
+// maxOpen returns how many connections to each upstream this entry may use at once.
+func (p *Pool) maxOpen() int {
+	if p.traits.MaxConnections == 0 {
+		return math.MaxInt
+	}
+	return max(1, p.traits.MaxConnections/p.entries)
+}
+
 func (p *Pool) capacity() int {
 	if p.traits.Engine == nil {
 		return 0
@@ -161,7 +177,7 @@
 }
 
 func (p *Pool) usable(now time.Time, n *instance, q Query, lastResort bool) bool {
-	if n.up.Draining || !servesPhase(n.up.Role, q.Phase) || now.Before(n.denied) {
+	if n.up.Draining || !servesPhase(n.up.Role, q.Phase) || now.Before(n.denied) || n.open >= p.maxOpen() {
 		return false
 	}
 	if !lastResort && (now.Before(n.resting) || now.Before(n.full) || !n.goneAt.IsZero() || q.Single && n.fullFor > 0) {
--- a/pkg/fighollow/object.go
+++ b/pkg/fighollow/object.go
@@ -22,6 +22,7 @@
 	KindInstance     Kind = "instance"     // platform; instance id
 	KindRouting      Kind = "routing"      // operator; always RoutingName
 	KindRoleLease    Kind = "roleLease"    // entries; always RoleLeaseName
+	KindEntry        Kind = "entry"        // each entry its own; name of the entry
 )
 
 // InForceName is the name of the only object of KindInForce.
@@ -78,4 +79,6 @@
 type StaleReader interface {
 	// GetStale returns an object as it was at some time in the last seconds, at a lower price than Get.
 	GetStale(ctx context.Context, kind Kind, name string) (Object, error)
+	// ListStale returns all objects of a kind as they were at some time in the last seconds, at a lower price than List.
+	ListStale(ctx context.Context, kind Kind) ([]Object, error)
 }
--- a/pkg/fighollow/outcome.go
+++ b/pkg/fighollow/outcome.go
@@ -17,6 +17,7 @@
 const (
 	CodeBadRequest      Code = "badRequest"      // 400; malformed body, header or parameter
 	CodeKeyNotUUIDv7    Code = "keyNotUUIDv7"    // 400; the idempotency key carries no creation time
+	CodeBodyTimeout     Code = "bodyTimeout"     // 408; the body did not arrive in time
 	CodeUnauthorised    Code = "unauthorised"    // 401; no workspace has this key
 	CodeModelNotFound   Code = "modelNotFound"   // 404
 	CodeServiceNotFound Code = "serviceNotFound" // 404
--- a/pkg/fighollow/routing.go
+++ b/pkg/fighollow/routing.go
@@ -52,10 +52,14 @@
 type ServiceTraits struct {
 	Name   string
 	Engine *EngineTraits // nil for a plain service
+	// MaxConnections is how many connections each of its upstreams accepts from all entries; 0 is for no limit.
+	MaxConnections int
 }
 
-// IngressLimits bound the size of what a caller may send.
+// IngressLimits bound what a caller may send and how long it may take. Zero stands for the process's own limit.
 type IngressLimits struct {
+	HeaderTime     time.Duration // from a new connection until a request's header is there
+	IdleTime       time.Duration // between two requests
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
 }
