gateway: large deployments do not watch caches

Cause: looks at caches grow with entries times engines. Change: no looks when all entries together would make more than 150 a second at a service.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -107,7 +107,7 @@
 	}, fleet, dispatcher, log)
 	decode := gateway.Decoder{Routing: platform.DecodeRouting, Upstream: platform.DecodeUpstream}
 	p.follower = gateway.NewFollower(p.store, decode, p.gateway, fleet, log)
-	p.caches = gateway.NewCacheWatcher(dispatcher, p.gateway.Routing, fleet, log)
+	p.caches = gateway.NewCacheWatcher(dispatcher, p.gateway, fleet, log)
 	self := cfg.Node + "@" + cfg.Address
 	p.roster = roster.New(roster.Options{Self: self, DataCentre: cfg.DataCentre}, p.store, p.gateway.SetEntries, log)
 	p.planner = roles.New(roles.Options{Self: self, Lease: cfg.Bounds.Lease}, p.store, dispatcher,
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -18,23 +18,23 @@
 	cacheStep = time.Second
 	// cacheTimeout bounds one look; engines answer in milliseconds.
 	cacheTimeout = 500 * time.Millisecond
-	// maxWatchedCaches is the largest service whose caches are watched: a look brings about 1 KB, and the traffic of an
-	// entry beside its requests is bounded. Larger ones are known from this entry's own requests only.
-	maxWatchedCaches = 64
+	// maxLooks bounds the looks of all entries at all engines of a service in each step. Looks are paid for and grow with both
+	// numbers; beyond it they cost more than they save, and an entry's own requests tell what engines hold.
+	maxLooks = 150
 )
 
 // CacheWatcher keeps a fleet's picture of the engines' prefix caches, which all entries fill, as the engines have them.
 type CacheWatcher struct {
 	reader  fighollow.CacheReader
-	routing func() *fighollow.Routing
+	gateway *Gateway
 	fleet   *placement.Fleet
 	log     zerolog.Logger
 	watched int // engines in the last round
 }
 
-// NewCacheWatcher returns a CacheWatcher; Run starts it. routing returns the configuration in force, nil for none.
-func NewCacheWatcher(reader fighollow.CacheReader, routing func() *fighollow.Routing, fleet *placement.Fleet, log zerolog.Logger) *CacheWatcher {
-	return &CacheWatcher{reader: reader, routing: routing, fleet: fleet, log: log}
+// NewCacheWatcher returns a CacheWatcher; Run starts it.
+func NewCacheWatcher(reader fighollow.CacheReader, g *Gateway, fleet *placement.Fleet, log zerolog.Logger) *CacheWatcher {
+	return &CacheWatcher{reader: reader, gateway: g, fleet: fleet, log: log}
 }
 
 // Run looks at the caches until ctx is done.
@@ -44,7 +44,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if r := w.routing(); r != nil {
+		if r := w.gateway.Routing(); r != nil {
 			w.look(ctx, r)
 		}
 	}
@@ -61,7 +61,7 @@
 			continue
 		}
 		ups := w.fleet.Upstreams(s.Name)
-		if engines += len(ups); len(ups) > maxWatchedCaches {
+		if engines += len(ups); len(ups)*w.gateway.Entries() > maxLooks {
 			continue
 		}
 		watched += len(ups)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,6 +114,13 @@
 	}
 }
 
+// Entries returns how many entries serve the deployment, as far as it is known.
+func (g *Gateway) Entries() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.entries
+}
+
 func (g *Gateway) shareBudgets() {
 	for _, b := range g.budgets {
 		b.set(g.opts.RetryRatio, g.opts.RetrySlack, g.entries)
