emulator, placement: loads are played against the deciding code

Change: package emulator plays a mix of requests against placement and the planner of roles with a clock of its own: engines that compute prompts in chunks by urgency, batch answers, keep and evict shared parts, crash and turn slow; entries that know what they sent or also watch caches. The choice with urgency and early refusal moved from the gateway to placement.Pool.Place, so that both call the same code; sources of prefixes that are equally good are taken from the own data centre first, and by the request's seed (the order of a map decided before).

--- a/cmd/fighollow/main.go
+++ b/cmd/fighollow/main.go
@@ -19,7 +19,7 @@
 		Version: version,
 		Commands: []*cli.Command{
 			entryCommand(), sidecarCommand(), gatewayCommand(),
-			presetCommand(), engineCommand(), objectCommand(), statusCommand(), configCommand(), keyCommand(), logsCommand(), versionCommand(),
+			presetCommand(), engineCommand(), objectCommand(), statusCommand(), configCommand(), keyCommand(), logsCommand(), emulateCommand(), versionCommand(),
 		},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
--- /dev/null
+++ b/internal/emulator/clock.go
@@ -0,0 +1,60 @@
+package emulator
+
+import (
+	"container/heap"
+	"time"
+)
+
+// clock runs events in the order of their times, and those of one time in the order in which they were planned.
+type clock struct {
+	now    time.Time
+	queue  eventQueue
+	number int
+}
+
+type event struct {
+	at     time.Time
+	number int
+	do     func()
+}
+
+// after plans do for a time from now on.
+func (c *clock) after(d time.Duration, do func()) {
+	c.number++
+	heap.Push(&c.queue, event{c.now.Add(max(0, d)), c.number, do})
+}
+
+// run advances the time until end.
+func (c *clock) run(end time.Time) {
+	for len(c.queue) > 0 && !c.queue[0].at.After(end) {
+		e := heap.Pop(&c.queue).(event)
+		c.now = e.at
+		e.do()
+	}
+	c.now = end
+}
+
+// eventQueue is a heap.Interface.
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].number < q[j].number
+	}
+	return q[i].at.Before(q[j].at)
+}
+
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *eventQueue) Push(e any) { *q = append(*q, e.(event)) }
+
+// Pop implements heap.Interface.
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -88,7 +88,7 @@
 }
 
 // send places an attempt and sends it. The reply of the leg that it returns has begun. The errors are those of
-// fighollow.Dispatcher, errNoPlace and errNoBudget; a refused attempt is fighollow.ErrNotRun.
+// fighollow.Dispatcher, placement.ErrNoUpstream, placement.ErrTooLate and errNoBudget; a refused attempt is fighollow.ErrNotRun.
 func (x *exchange) send(ctx context.Context, phase fighollow.RequestPhase, kv *fighollow.KVCache) (*leg, error) {
 	now := time.Now()
 	c, q, err := x.place(now, phase)
@@ -195,11 +195,11 @@
 	switch {
 	case ctx.Err() != nil:
 		return false, "timeUp"
-	case errors.Is(err, errNoPlace):
+	case errors.Is(err, placement.ErrNoUpstream):
 		return false, "noUpstream"
 	case errors.Is(err, errNoBudget):
 		return false, "noBudget"
-	case errors.Is(err, errTooLate):
+	case errors.Is(err, placement.ErrTooLate):
 		return false, "tooLate"
 	case x.notSent >= maxUnreachable:
 		return false, "unreachable"
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -58,7 +58,7 @@
 	for x.kvAllowed() {
 		l, err := x.send(ctx, fighollow.RequestPrefill, nil)
 		switch {
-		case errors.Is(err, errNoPlace) && x.rejected == 0:
+		case errors.Is(err, placement.ErrNoUpstream) && x.rejected == 0:
 			return nil, nil
 		case err == nil && l.reply.KV != nil:
 			l.end(placement.Answered, nil)
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/fighollow/fighollow/internal/placement"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -31,10 +32,10 @@
 		return unknown(fighollow.CodeUpstreamFailed, err.Error())
 	}
 	r := notRun(fighollow.CodeOverloaded, err.Error())
-	if errors.Is(err, errNoPlace) {
+	if errors.Is(err, placement.ErrNoUpstream) {
 		r.Code = fighollow.CodeNoUpstream
 	}
-	if errors.Is(err, errTooLate) {
+	if errors.Is(err, placement.ErrTooLate) {
 		r.Code = fighollow.CodeTooLate
 	}
 	r.RetryAfterMs = x.retryAfter().Milliseconds()
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -28,7 +28,8 @@
 		if !n.goneAt.IsZero() || n.up.Draining || now.Before(n.resting) {
 			continue
 		}
-		if _, read := n.cache.match(now, q.Prompt); read > s.tokens {
+		_, read := n.cache.match(now, q.Prompt)
+		if read > s.tokens || read > 0 && read == s.tokens && p.isBetterSource(n, s.source, q.Seed) {
 			s.source, s.tokens = n, read
 		}
 	}
@@ -45,6 +46,15 @@
 	return s
 }
 
+// isBetterSource reports whether a prefix is rather fetched from n than from another engine that holds as much: copies from
+// this data centre take half the time, and the load is spread.
+func (p *Pool) isBetterSource(n, other *instance, seed uint64) bool {
+	if near := n.up.DataCentre == p.dataCentre; near != (other.up.DataCentre == p.dataCentre) {
+		return near
+	}
+	return rendezvous.Score(seed, n.key) > rendezvous.Score(seed, other.key)
+}
+
 // sharedTokens returns the tokens of a prompt that other prompts may share: all but its last part.
 func sharedTokens(prompt []fighollow.PromptPart) int {
 	n := 0
