roles: a fleet without decode engines gets one

Cause: in a deployment with one engine, or whose engines all prefill at the start or after the last decode engine was lost, no role was changed: a role without engines shows no pressure. No request was served there. Change: one engine is ordered to decode when none does; decode engines can compute prompts themselves. Seen to fail first: TestFleetWithoutDecodeGetsIt.

--- a/internal/roles/plan.go
+++ b/internal/roles/plan.go
@@ -75,6 +75,11 @@
 // Plan returns the orders to send now, and the reason for them.
 func (p *Planner) Plan(now time.Time, engines []Engine) ([]Order, string) {
 	prefill, decode, changing := split(engines)
+	if len(decode) == 0 && len(prefill) > 0 && now.Sub(p.changed) >= p.traits.RoleSwitch+settleTime {
+		// Nothing shows the pressure on a role without engines, and decode engines can do without prefill.
+		p.changed = now
+		return p.move(prefill, nil, 1, 0, fighollow.RoleDecode), "noDecode"
+	}
 	if len(prefill)+len(decode) < 2 {
 		return nil, "tooFewEngines"
 	}
@@ -91,10 +96,10 @@
 	switch {
 	case onPrefill > 1 && afterMove(p.peakDecode, len(decode)) < moveGain*onPrefill:
 		p.changed = now
-		return p.move(decode, prefill, 1, fighollow.RolePrefill), "prefillShort"
+		return p.move(decode, prefill, 1, 1, fighollow.RolePrefill), "prefillShort"
 	case onDecode > 1 && afterMove(p.peakPrefill, len(prefill)) < moveGain*onDecode:
 		p.changed = now
-		return p.move(prefill, decode, 1, fighollow.RoleDecode), "decodeShort"
+		return p.move(prefill, decode, 1, 1, fighollow.RoleDecode), "decodeShort"
 	}
 	return nil, "inProportion"
 }
@@ -122,7 +127,7 @@
 	want = max(1, min(want, len(prefill)+len(decode)-1))
 	changing := func(e Engine) bool { return e.Report.Changing }
 	n := min(want-len(prefill), maxFirstOrders-p.first)
-	orders := p.move(slices.DeleteFunc(decode, changing), prefill, n, fighollow.RolePrefill)
+	orders := p.move(slices.DeleteFunc(decode, changing), prefill, n, 1, fighollow.RolePrefill)
 	if len(orders) > 0 {
 		p.changed = now
 		p.first += len(orders)
@@ -174,9 +179,9 @@
 	p.samples++
 }
 
-// move picks n engines to change. It keeps the proportion of both roles alike in all data centres, and takes engines with
-// little work.
-func (p *Planner) move(from, to []Engine, n int, role fighollow.Role) []Order {
+// move picks up to n engines to change, and leaves so many to their role. It keeps the proportion of both roles alike in all
+// data centres, and takes engines with little work.
+func (p *Planner) move(from, to []Engine, n, leave int, role fighollow.Role) []Order {
 	var orders []Order
 	left := make(map[string]int)
 	there := make(map[string]int)
@@ -187,7 +192,7 @@
 		there[e.Upstream.DataCentre]++
 	}
 	from = slices.Clone(from)
-	for ; n > 0 && len(from) > 1; n-- {
+	for ; n > 0 && len(from) > leave; n-- {
 		best := slices.MinFunc(from, func(a, b Engine) int {
 			// The data centre with the highest share of the old role gives the next engine.
 			shareA := share(left[a.Upstream.DataCentre], there[a.Upstream.DataCentre])
--- a/internal/roles/plan_test.go
+++ b/internal/roles/plan_test.go
@@ -175,6 +175,29 @@
 	qt.Assert(t, f.round(nil), qt.HasLen, 0)
 }
 
+// Nobody generates answers where all engines prefill; decode engines can do both. This is so at the start of a small fleet,
+// and when the last decode engine is lost.
+func TestFleetWithoutDecodeGetsIt(t *testing.T) {
+	for _, engines := range []int{1, 2, 6} {
+		f := newTestFleet(engines, 0)
+		f.round(nil)
+		qt.Assert(t, f.count(fighollow.RoleDecode), qt.Equals, 1, qt.Commentf("%d engines", engines))
+		for range 20 {
+			f.round(nil)
+		}
+		qt.Assert(t, f.count(fighollow.RoleDecode) >= 1, qt.IsTrue)
+	}
+	f := newTestFleet(4, 1)
+	for range 20 {
+		f.round(load(2, 0.2))
+	}
+	f.engines = f.engines[:4]
+	for range 10 {
+		f.round(load(2, 0.2))
+	}
+	qt.Assert(t, f.count(fighollow.RoleDecode), qt.Equals, 1)
+}
+
 func TestDrainingAndUnknownEnginesAreLeftOut(t *testing.T) {
 	f := newTestFleet(2, 4)
 	f.engines[2].Upstream.Draining = true
