gateway: one line for the end of retries, and the bound that ended them

Change: noAttempt and noBudget are two reasons; attemptPlaced has leftMs; requestRetried says once that nothing follows.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -38,6 +38,7 @@
 	rejected int           // attempts that upstreams refused
 	excess   time.Duration // by how much a refused request would have missed its latency target
 
+	over        bool   // no further attempt is made
 	begun       bool   // the answer's status was sent
 	streaming   bool   // an event was sent
 	left        bool   // the caller has left
@@ -71,7 +72,10 @@
 // claim reports whether another attempt may be sent, and counts it.
 func (x *exchange) claim() error {
 	if x.counted > 0 {
-		if x.counted >= x.route.MaxAttempts || !x.budget.take() {
+		if x.counted >= x.route.MaxAttempts {
+			return errNoAttempt
+		}
+		if !x.budget.take() {
 			return errNoBudget
 		}
 	}
@@ -88,7 +92,7 @@
 }
 
 // send places an attempt and sends it. The reply of the leg that it returns has begun. The errors are those of
-// fighollow.Dispatcher, placement.ErrNoUpstream, placement.ErrTooLate and errNoBudget; a refused attempt is fighollow.ErrNotRun.
+// fighollow.Dispatcher, placement.ErrNoUpstream, placement.ErrTooLate, errNoAttempt and errNoBudget; a refused attempt is fighollow.ErrNotRun.
 func (x *exchange) send(ctx context.Context, phase fighollow.RequestPhase, kv *fighollow.KVCache) (*leg, error) {
 	now := time.Now()
 	c, q, err := x.place(now, phase)
@@ -105,7 +109,7 @@
 	event.AttemptPlaced.Log(&x.log).Str("upstream", c.Upstream.ID).Str("dataCentre", c.Upstream.DataCentre).
 		Str("phase", string(phase)).Float64("costMs", c.CostMs).
 		Int("tokens", x.call.PromptTokens).Int("cached", c.Cached).Int("fetched", c.Fetched).Int("pending", c.Pending).
-		Int("running", c.Running).Send()
+		Int("running", c.Running).Int64("leftMs", x.deadline.Sub(now).Milliseconds()).Send()
 	l := &leg{x: x, work: x.pool.Begin(now, c, q), up: c.Upstream, phase: phase}
 	x.sent++
 	l.reply, err = x.g.dispatch.Dispatch(ctx, a)
@@ -183,11 +187,15 @@
 	line.Send()
 }
 
-// again reports whether another attempt is worth making after err, and logs why.
+// again reports whether another attempt is worth making after err, and logs why once.
 func (x *exchange) again(ctx context.Context, err error) bool {
+	if x.over {
+		return false
+	}
 	again, reason := x.mayTryAgain(ctx, err)
 	event.RequestRetried.Log(&x.log).Bool("again", again).Str("reason", reason).Int("sent", x.sent).Int("counted", x.counted).
 		Bool("mayHaveRun", x.mayRun).Send()
+	x.over = !again
 	return again
 }
 
@@ -197,6 +205,8 @@
 		return false, "timeUp"
 	case errors.Is(err, placement.ErrNoUpstream):
 		return false, "noUpstream"
+	case errors.Is(err, errNoAttempt):
+		return false, "noAttempt"
 	case errors.Is(err, errNoBudget):
 		return false, "noBudget"
 	case errors.Is(err, placement.ErrTooLate):
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -8,8 +8,11 @@
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
-// errNoBudget says that an attempt would exceed the route's attempts or the budget of repeats.
-var errNoBudget = errors.New("gateway: no further attempt allowed")
+// Reasons for which an attempt is not sent.
+var (
+	errNoAttempt = errors.New("gateway: the route allows no further attempt")
+	errNoBudget  = errors.New("gateway: the budget of repeats is used up")
+)
 
 // query returns what the placement needs to know.
 func (x *exchange) query(phase fighollow.RequestPhase) placement.Query {
