httpheader, fighollow: one list of connection fields and one way to make a refusal

Three lists of the header fields that concern one connection differed (the sidecar's client passed Proxy-Authenticate on, and none but the platform's dropped Expect); httpheader.EndToEnd serves all three. NotRunRefusal and UnknownRefusal replace four copies.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -177,11 +177,11 @@
 func (a *attempt) broken(ctx context.Context, err error) *fighollow.Refusal {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return unknown(fighollow.CodeDeadline, "the deadline passed before the answer was complete")
+		return fighollow.UnknownRefusal(fighollow.CodeDeadline, "the deadline passed before the answer was complete")
 	case errors.Is(err, errCallerLeft), ctx.Err() != nil:
-		return unknown(fighollow.CodeCancelled, "the caller has left")
+		return fighollow.UnknownRefusal(fighollow.CodeCancelled, "the caller has left")
 	}
-	return unknown(fighollow.CodeUpstreamFailed, err.Error())
+	return fighollow.UnknownRefusal(fighollow.CodeUpstreamFailed, err.Error())
 }
 
 // receive relays messages until the stream ends. An error says that the stream gave no outcome.
@@ -255,7 +255,7 @@
 // know what its predecessor did, and an attempt that was accepted may have run.
 func (a *attempt) refusal(r *fighollow.Refusal, s *link.Stream) *fighollow.Refusal {
 	if r.Outcome == fighollow.NotRun && (a.accepted || s.Conn().Peer().Incarnation != a.incarnation) {
-		return unknown(fighollow.CodeOutcomeUnknown, "the upstream no longer knows the attempt")
+		return fighollow.UnknownRefusal(fighollow.CodeOutcomeUnknown, "the upstream no longer knows the attempt")
 	}
 	return r
 }
@@ -295,13 +295,13 @@
 	}
 	if m.Outcome == fighollow.Completed {
 		if a.q.kind == link.CallGenerate && m.Result == nil {
-			return nil, unknown(fighollow.CodeUpstreamFailed, "the upstream finished without a result"), nil
+			return nil, fighollow.UnknownRefusal(fighollow.CodeUpstreamFailed, "the upstream finished without a result"), nil
 		}
 		return m.Result, nil, nil
 	}
 	r := m.Refusal
 	if r == nil {
-		r = unknown(fighollow.CodeUpstreamFailed, "the upstream broke off")
+		r = fighollow.UnknownRefusal(fighollow.CodeUpstreamFailed, "the upstream broke off")
 	}
 	copied := *r
 	copied.Outcome = m.Outcome
--- a/internal/entry/key.go
+++ b/internal/entry/key.go
@@ -20,7 +20,7 @@
 		return nil, nil
 	}
 	if e.keys == nil {
-		return nil, e.keyRefused(q, unknown(fighollow.CodeKeyUnknown, "no ledger vouches for idempotency keys here"))
+		return nil, e.keyRefused(q, fighollow.UnknownRefusal(fighollow.CodeKeyUnknown, "no ledger vouches for idempotency keys here"))
 	}
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
@@ -30,7 +30,7 @@
 	}
 	var r *fighollow.Refusal
 	if !errors.As(err, &r) {
-		r = unknown(fighollow.CodeKeyUnknown, "the ledger of idempotency keys gave no answer")
+		r = fighollow.UnknownRefusal(fighollow.CodeKeyUnknown, "the ledger of idempotency keys gave no answer")
 	}
 	if r.RetryAfterMs == 0 && canHelp(r.Code) {
 		copied := *r
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -70,13 +70,9 @@
 const defaultRetryAfterMs = 1000
 
 func notRun(code fighollow.Code, message string) *fighollow.Refusal {
-	r := &fighollow.Refusal{Code: code, Message: message, Outcome: fighollow.NotRun}
+	r := fighollow.NotRunRefusal(code, message)
 	if canHelp(code) {
 		r.RetryAfterMs = defaultRetryAfterMs
 	}
 	return r
 }
-
-func unknown(code fighollow.Code, message string) *fighollow.Refusal {
-	return &fighollow.Refusal{Code: code, Message: message, Outcome: fighollow.Unknown}
-}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -29,7 +29,7 @@
 	out := &relaySink{w: w, rc: http.NewResponseController(w), keep: q.key != ""}
 	_, refusal = e.run(ctx, q, out)
 	if refusal == nil && !out.started {
-		refusal = unknown(fighollow.CodeUpstreamFailed, "the upstream finished without a status")
+		refusal = fighollow.UnknownRefusal(fighollow.CodeUpstreamFailed, "the upstream finished without a status")
 	}
 	e.settle(q, refusal, out.stored())
 	if refusal == nil || !out.started {
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -52,7 +52,7 @@
 	if ctx.Err() != nil {
 		return nil, a.broken(ctx, ctx.Err())
 	}
-	return nil, unknown(fighollow.CodeOutcomeUnknown, "contact with the upstream was lost")
+	return nil, fighollow.UnknownRefusal(fighollow.CodeOutcomeUnknown, "contact with the upstream was lost")
 }
 
 // ask sends the question for the attempt over a new link.
--- a/internal/entry/round.go
+++ b/internal/entry/round.go
@@ -20,7 +20,7 @@
 		return nil, refusal
 	}
 	if q.mayRun == nil {
-		q.mayRun = unknown(fighollow.CodeUpstreamFailed, "the prompt was computed, but no upstream generated the answer")
+		q.mayRun = fighollow.UnknownRefusal(fighollow.CodeUpstreamFailed, "the prompt was computed, but no upstream generated the answer")
 	}
 	// Whatever happens to the decode, the next attempt is a whole request elsewhere.
 	q.route.Whole = true
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -7,29 +7,19 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/fighollow/fighollow/internal/httpheader"
 	"github.com/fighollow/fighollow/internal/link"
 	"github.com/fighollow/fighollow/internal/routing"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
-// dropped are headers of one connection or of this API, which are not passed on in either direction.
-var dropped = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Proxy-Connection": true,
-	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Host": true,
-	headerWorkspace: true, headerUpstream: true, headerRequestID: true,
-}
+// ownHeaders belong to this API and are not passed on in either direction.
+var ownHeaders = []string{"Host", headerWorkspace, headerUpstream, headerRequestID}
 
-func passOn(h http.Header) map[string][]string {
-	out := make(map[string][]string, len(h))
-	for k, v := range h {
-		if !dropped[k] {
-			out[k] = v
-		}
-	}
-	for _, named := range h["Connection"] {
-		for k := range strings.SplitSeq(named, ",") {
-			delete(out, http.CanonicalHeaderKey(strings.TrimSpace(k)))
-		}
+func passOn(h http.Header) http.Header {
+	out := httpheader.EndToEnd(h)
+	for _, k := range ownHeaders {
+		out.Del(k)
 	}
 	return out
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,7 +154,7 @@
 	}
 	x.version = t.routing.Version
 	if x.route = t.find(x.call.Host, x.call.Target); x.route == nil {
-		return notRun(fighollow.CodeRouteNotFound, "no route has this host and path")
+		return fighollow.NotRunRefusal(fighollow.CodeRouteNotFound, "no route has this host and path")
 	}
 	service := pickService(x.route, x.seed)
 	x.pool, x.budget = x.g.fleet.Pool(service), x.g.budget(service)
@@ -165,7 +165,7 @@
 		x.deadline = limit
 	}
 	if !x.g.mayEndInTime(x.call.Arrived, x.deadline) {
-		r := notRun(fighollow.CodeStopping, "the process is stopping")
+		r := fighollow.NotRunRefusal(fighollow.CodeStopping, "the process is stopping")
 		r.RetryAfterMs = (retryAfterMin / 2).Milliseconds() // other entries take the request at once
 		return r
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -25,7 +25,7 @@
 				return nil
 			}
 			if x.begun {
-				return unknown(fighollow.CodeUpstreamFailed, err.Error())
+				return fighollow.UnknownRefusal(fighollow.CodeUpstreamFailed, err.Error())
 			}
 		}
 		if !x.again(ctx, err) {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -9,14 +9,6 @@
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
-func notRun(code fighollow.Code, message string) *fighollow.Refusal {
-	return &fighollow.Refusal{Code: code, Message: message, Outcome: fighollow.NotRun}
-}
-
-func unknown(code fighollow.Code, message string) *fighollow.Refusal {
-	return &fighollow.Refusal{Code: code, Message: message, Outcome: fighollow.Unknown}
-}
-
 // giveUp returns the refusal for a request that gets no further attempt.
 func (x *exchange) giveUp(ctx context.Context, err error) *fighollow.Refusal {
 	if ctx.Err() != nil {
@@ -24,14 +16,14 @@
 			x.left = true
 		}
 		if x.mayRun {
-			return unknown(fighollow.CodeDeadline, "the deadline passed before the answer was complete")
+			return fighollow.UnknownRefusal(fighollow.CodeDeadline, "the deadline passed before the answer was complete")
 		}
-		return notRun(fighollow.CodeTooLate, "the deadline passed before an upstream took the request")
+		return fighollow.NotRunRefusal(fighollow.CodeTooLate, "the deadline passed before an upstream took the request")
 	}
 	if x.mayRun {
-		return unknown(fighollow.CodeUpstreamFailed, err.Error())
+		return fighollow.UnknownRefusal(fighollow.CodeUpstreamFailed, err.Error())
 	}
-	r := notRun(fighollow.CodeOverloaded, err.Error())
+	r := fighollow.NotRunRefusal(fighollow.CodeOverloaded, err.Error())
 	if errors.Is(err, placement.ErrNoUpstream) {
 		r.Code = fighollow.CodeNoUpstream
 	}
@@ -60,7 +52,7 @@
 
 // notReady refuses a request because no configuration is known.
 func (x *exchange) notReady() *fighollow.Refusal {
-	r := notRun(fighollow.CodeNotReady, "no configuration is known yet")
+	r := fighollow.NotRunRefusal(fighollow.CodeNotReady, "no configuration is known yet")
 	r.RetryAfterMs = (startAfterMin + time.Duration(x.seed%uint64(startAfterSpread))).Milliseconds()
 	return r
 }
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -10,14 +10,12 @@
 	"net/http"
 	"time"
 
+	"github.com/fighollow/fighollow/internal/httpheader"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
 const dialTimeout = time.Second
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
-
 // Client calls one upstream of a plain service. It is safe for concurrent use.
 type Client struct {
 	base string
@@ -47,7 +45,7 @@
 	for k, v := range req.Header {
 		r.Header[http.CanonicalHeaderKey(k)] = v
 	}
-	removeHop(r.Header)
+	r.Header = httpheader.EndToEnd(r.Header)
 	res, err := c.http.Do(r) //nolint:bodyclose // the receiver of the response closes it
 	if err != nil {
 		var op *net.OpError
@@ -56,12 +54,5 @@
 		}
 		return nil, fmt.Errorf("service: %w: %w", fighollow.ErrUnknownOutcome, err)
 	}
-	removeHop(res.Header)
-	return &fighollow.ServiceResponse{Status: res.StatusCode, Header: res.Header, Body: res.Body}, nil
-}
-
-func removeHop(h http.Header) {
-	for _, k := range hopHeaders {
-		h.Del(k)
-	}
+	return &fighollow.ServiceResponse{Status: res.StatusCode, Header: httpheader.EndToEnd(res.Header), Body: res.Body}, nil
 }
--- a/pkg/fighollow/outcome.go
+++ b/pkg/fighollow/outcome.go
@@ -50,6 +50,16 @@
 	RetryAfterMs int64 `json:"retryAfterMs,omitempty" msgpack:"retryAfterMs,omitempty"`
 }
 
+// NotRunRefusal returns a refusal of work that did not happen and never will.
+func NotRunRefusal(code Code, message string) *Refusal {
+	return &Refusal{Code: code, Message: message, Outcome: NotRun}
+}
+
+// UnknownRefusal returns a refusal of work that may have happened.
+func UnknownRefusal(code Code, message string) *Refusal {
+	return &Refusal{Code: code, Message: message, Outcome: Unknown}
+}
+
 // Error implements error.
 func (r *Refusal) Error() string {
 	return "fighollow: " + string(r.Code) + ": " + r.Message
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs every check that a change must pass: formatter, linter, vet, build, unit tests with the race detector, process tests.
+# Runs every check that a change must pass: formatter, linter, module list, vet, build, unit tests with the race detector, process tests.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -17,6 +17,8 @@
 fi
 echo "== lint"
 "$LINT" run --allow-parallel-runners ./...
+echo "== modules"
+go mod tidy -diff
 echo "== vet"
 go vet ./...
 echo "== build"
