roster: looks are rarer in large deployments

At 350 entries a list of all each 3 s would be 23 KB/s for each entry, above the 4 KB/s that the target leaves; the pause now grows with the count (TestLooksOfALargeDeploymentAreCheap).

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -18,6 +18,9 @@
 const (
 	// lookEvery is the pause between two looks at the other entries. What they share is counted in windows of ten seconds.
 	lookEvery = 3 * time.Second
+	// lookPerEntry makes looks rarer in large deployments: the object of an entry is about 200 bytes, and all that an entry
+	// receives beside its requests is bounded by some KB a second.
+	lookPerEntry = 60 * time.Millisecond
 	// renewEvery is the pause between two writes of an entry's own object; writes are dear.
 	renewEvery = 10 * time.Second
 	// lapseAfter is how long an object may stay unchanged until its entry is taken to be gone: three renewals and a margin
@@ -62,11 +65,16 @@
 			return
 		case <-time.After(pause):
 		}
-		pause = lookEvery
 		r.round(ctx, time.Now())
+		pause = lookPause(r.told)
 	}
 }
 
+// lookPause returns the pause between two looks at so many entries.
+func lookPause(entries int) time.Duration {
+	return max(lookEvery, time.Duration(entries)*lookPerEntry)
+}
+
 func (r *Roster) round(ctx context.Context, now time.Time) {
 	if now.Sub(r.renewed) >= renewEvery || r.version == 0 {
 		r.renew(ctx, now)
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -133,6 +133,14 @@
 	qt.Assert(t, s.objects, qt.HasLen, 1)
 }
 
+// 350 entries are the size that decides the design; 4 KB a second is what each may spend beside requests.
+func TestLooksOfALargeDeploymentAreCheap(t *testing.T) {
+	const entries, objectBytes, bytesPerSecond = 350, 200, 4000
+	received := entries * objectBytes / lookPause(entries).Seconds()
+	qt.Assert(t, received < bytesPerSecond, qt.IsTrue, qt.Commentf("%.0f bytes a second", received))
+	qt.Assert(t, lookPause(25), qt.Equals, lookEvery)
+}
+
 func TestCountStaysWhileTheStoreIsAway(t *testing.T) {
 	s, ctx := newStore(), context.Background()
 	var one, two int
