roles, operator: presets reach the roles on the users' platform

Cause: operators keep presets there too, but the platform's configuration has none and the planner knew no weight of role changes, in which the two users differ.

--- a/cmd/fighollow/config.go
+++ b/cmd/fighollow/config.go
@@ -10,7 +10,6 @@
 	"github.com/google/uuid"
 	"github.com/urfave/cli/v3"
 
-	"github.com/fighollow/fighollow/internal/objectapi"
 	"github.com/fighollow/fighollow/internal/record"
 	"github.com/fighollow/fighollow/internal/settings"
 	"github.com/fighollow/fighollow/pkg/fighollow"
@@ -138,7 +137,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	store := objectapi.New(objectapi.Options{Address: c.String("object-api")})
+	store, err := operatorStore(c)
+	if err != nil {
+		return err
+	}
 	version, err := storeObject(ctx, store, kind, name, value)
 	if err != nil {
 		return err
--- a/cmd/fighollow/operator.go
+++ b/cmd/fighollow/operator.go
@@ -17,6 +17,7 @@
 	"github.com/fighollow/fighollow/internal/operator"
 	"github.com/fighollow/fighollow/internal/settings"
 	"github.com/fighollow/fighollow/pkg/fighollow"
+	"github.com/fighollow/fighollow/platform"
 )
 
 // errUsage says that a command lacks an argument or has one too many.
@@ -28,9 +29,13 @@
 func operatorFlags(more ...cli.Flag) []cli.Flag {
 	return append([]cli.Flag{
 		&cli.StringFlag{
-			Name: "object-api", Usage: "IP:port of the object API", Required: true,
+			Name: "object-api", Usage: "IP:port of the object API",
 			Sources: cli.EnvVars("FIGHOLLOW_OBJECT_API"),
 		},
+		&cli.StringFlag{
+			Name: "platform-store", Usage: "IP:port of the users' platform's store, in place of an object API; it has presets only",
+			Sources: cli.EnvVars("FIGHOLLOW_PLATFORM_STORE"),
+		},
 		&cli.StringFlag{
 			Name: "by", Usage: "name of the operator, shown to others",
 			Sources: cli.EnvVars("FIGHOLLOW_OPERATOR", "USER"), Value: "unknown",
@@ -49,11 +54,28 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 		defer cancel()
-		store := objectapi.New(objectapi.Options{Address: c.String("object-api")})
+		store, err := operatorStore(c)
+		if err != nil {
+			return err
+		}
 		return action(ctx, c, operator.New(store, c.String("by")), args)
 	}
 }
 
+// operatorStore returns the store that the flags name.
+func operatorStore(c *cli.Command) (fighollow.ObjectStore, error) {
+	api, store := c.String("object-api"), c.String("platform-store")
+	switch {
+	case api != "" && store != "":
+		return nil, fmt.Errorf("%w: --object-api and --platform-store exclude each other", errUsage)
+	case api != "":
+		return objectapi.New(objectapi.Options{Address: api}), nil
+	case store != "":
+		return platform.NewStore(store, 0), nil
+	}
+	return nil, fmt.Errorf("%w: --object-api or --platform-store is missing", errUsage)
+}
+
 func out(c *cli.Command) io.Writer { return c.Root().Writer }
 
 func printJSON(w io.Writer, v any) error {
--- a/internal/emulator/config.go
+++ b/internal/emulator/config.go
@@ -69,6 +69,8 @@
 	Name        string
 	WatchCaches bool // entries read what the engines' caches hold
 	MoveRoles   bool // roles follow demand
+	// RoleChangeWeight is the preset's; 0 means 1.
+	RoleChangeWeight float64
 }
 
 // Policies returns the policies that the command compares.
@@ -78,6 +80,7 @@
 		{Name: "movedRoles", MoveRoles: true},
 		{Name: "watchedCaches", WatchCaches: true},
 		{Name: "all", WatchCaches: true, MoveRoles: true},
+		{Name: "fewChanges", WatchCaches: true, MoveRoles: true, RoleChangeWeight: 3},
 	}
 }
 
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -61,6 +61,7 @@
 	}
 	if cfg.Policy.MoveRoles {
 		r.planner = roles.NewPlanner(cfg.Engine.Traits)
+		r.planner.SetPolicy(fighollow.Policy{RoleChangeWeight: cfg.Policy.RoleChangeWeight})
 		r.after(planEvery, r.plan)
 	}
 	longest := time.Duration(0)
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -24,6 +24,8 @@
 	RoleLeaseLost    = Event{8021, "roleLeaseLost", zerolog.WarnLevel, "this process no longer orders roles: another one took the lease, or the outcome of a renewal is not known"}
 	RoleLeaseUnread  = Event{8025, "roleLeaseUnread", zerolog.InfoLevel, "the lease for orders could not be read, decoded or renewed; it is tried again in the next round"}
 	CacheUnread      = Event{8026, "cacheUnread", zerolog.DebugLevel, "an engine did not say what its prefix cache holds; after some seconds only this process's own requests tell"}
+	PolicyApplied    = Event{8027, "policyApplied", zerolog.InfoLevel, "the holder of the lease decides by the policy of a preset that an operator put in force"}
+	PolicyUnread     = Event{8028, "policyUnread", zerolog.InfoLevel, "the choice of a preset could not be read or decoded; the former policy stays in force"}
 	EntriesCounted   = Event{8030, "entriesCounted", zerolog.InfoLevel, "so many entries share the platform's bounds, this one included"}
 	EntryLapsed      = Event{8031, "entryLapsed", zerolog.InfoLevel, "an entry has not renewed its object for long; the object is removed"}
 	EntryLeft        = Event{8032, "entryLeft", zerolog.InfoLevel, "this process stops and has removed its object"}
@@ -37,5 +39,6 @@
 	AttemptPlaced, AttemptEnded, RequestEnded, RequestRetried, StreamResumed, CacheReleased, RoutingApplied, RoutingInvalid,
 	UpstreamChanged, UpstreamInvalid, StoreLost, StoreRegained, ReadinessChanged, UpstreamRests, CachesWatched, CacheForgotten,
 	RoleLeaseTaken, RoleLeaseLost, RoleOrdered, RoleOrderEnded, ReportMissing, RoleLeaseUnread, CacheUnread,
+	PolicyApplied, PolicyUnread,
 	EntriesCounted, EntryLapsed, EntryLeft, RosterUnread,
 }
--- a/internal/roles/plan.go
+++ b/internal/roles/plan.go
@@ -24,7 +24,7 @@
 	decodeUseGoal = 0.35
 	// decodeQueueGoal is the requests waiting at each decode engine that are taken as full use of decode.
 	decodeQueueGoal = 2
-	// moveGain is how much lower the pressure on the role that gives an engine must be afterwards than that on the other
+	// moveGain, divided by the preset's weight of role changes, is how much lower the pressure on the role that gives an engine must be afterwards than that on the other
 	// role is now, as the engine that changes is away for seconds and the mix may shift back.
 	moveGain = 0.5
 	// reportWeight is the weight of a new report in the moving averages.
@@ -56,6 +56,7 @@
 // Planner decides changes of role for one service. It is not safe for concurrent use.
 type Planner struct {
 	traits  fighollow.EngineTraits
+	weight  float64 // of the cost of a change; 1 when the preset says nothing
 	queue   float64 // requests waiting at a prefill engine, averaged
 	active  float64 // requests at a prefill engine, averaged
 	busy    float64 // share of decode memory or slots in use, averaged
@@ -70,12 +71,26 @@
 }
 
 // NewPlanner returns a planner for a service whose engines have these traits.
-func NewPlanner(t fighollow.EngineTraits) *Planner { return &Planner{traits: t} }
+func NewPlanner(t fighollow.EngineTraits) *Planner { return &Planner{traits: t, weight: 1} }
+
+// SetPolicy takes the policy of the preset in force. Its weight of role changes divides what a change has to gain, and
+// stretches the pause between changes.
+func (p *Planner) SetPolicy(policy fighollow.Policy) {
+	p.weight = 1
+	if policy.RoleChangeWeight > 0 {
+		p.weight = policy.RoleChangeWeight
+	}
+}
+
+// pause returns how long no engine changes after a change.
+func (p *Planner) pause() time.Duration {
+	return p.traits.RoleSwitch + time.Duration(max(1, p.weight)*float64(settleTime))
+}
 
 // Plan returns the orders to send now, and the reason for them.
 func (p *Planner) Plan(now time.Time, engines []Engine) ([]Order, string) {
 	prefill, decode, changing := split(engines)
-	if len(decode) == 0 && len(prefill) > 0 && now.Sub(p.changed) >= p.traits.RoleSwitch+settleTime {
+	if len(decode) == 0 && len(prefill) > 0 && now.Sub(p.changed) >= p.pause() {
 		// Nothing shows the pressure on a role without engines, and decode engines can do without prefill.
 		p.changed = now
 		return p.move(prefill, nil, 1, 0, fighollow.RoleDecode), "noDecode"
@@ -90,14 +105,15 @@
 	onPrefill, onDecode := p.pressures()
 	p.peakPrefill = max(onPrefill, peakDecay*p.peakPrefill)
 	p.peakDecode = max(onDecode, peakDecay*p.peakDecode)
-	if changing > 0 || p.samples < minSamples || now.Sub(p.changed) < p.traits.RoleSwitch+settleTime {
+	if changing > 0 || p.samples < minSamples || now.Sub(p.changed) < p.pause() {
 		return nil, "settling"
 	}
+	gain := moveGain / p.weight
 	switch {
-	case onPrefill > 1 && afterMove(p.peakDecode, len(decode)) < moveGain*onPrefill:
+	case onPrefill > 1 && afterMove(p.peakDecode, len(decode)) < gain*onPrefill:
 		p.changed = now
 		return p.move(decode, prefill, 1, 1, fighollow.RolePrefill), "prefillShort"
-	case onDecode > 1 && afterMove(p.peakPrefill, len(prefill)) < moveGain*onDecode:
+	case onDecode > 1 && afterMove(p.peakPrefill, len(prefill)) < gain*onDecode:
 		p.changed = now
 		return p.move(prefill, decode, 1, 1, fighollow.RoleDecode), "decodeShort"
 	}
--- a/internal/roles/plan_test.go
+++ b/internal/roles/plan_test.go
@@ -175,6 +175,25 @@
 	qt.Assert(t, f.round(nil), qt.HasLen, 0)
 }
 
+// A preset's weight of role changes: the same waves of load cause fewer of them.
+func TestWeightMakesChangesRarer(t *testing.T) {
+	orders := func(weight float64) int {
+		f := newTestFleet(9, 9)
+		f.planner.SetPolicy(fighollow.Policy{RoleChangeWeight: weight})
+		for i := range 600 {
+			if i/30%2 == 0 {
+				f.round(load(4, 0.02))
+			} else {
+				f.round(load(0, 0.9))
+			}
+		}
+		return f.orders
+	}
+	qt.Assert(t, orders(0), qt.Equals, orders(1))
+	qt.Assert(t, orders(4) < orders(1), qt.IsTrue, qt.Commentf("%d and %d", orders(4), orders(1)))
+	qt.Assert(t, orders(0.5) >= orders(1), qt.IsTrue)
+}
+
 // Nobody generates answers where all engines prefill; decode engines can do both. This is so at the start of a small fleet,
 // and when the last decode engine is lost.
 func TestFleetWithoutDecodeGetsIt(t *testing.T) {
--- a/internal/roles/runner.go
+++ b/internal/roles/runner.go
@@ -23,6 +23,9 @@
 	holderStep = time.Second
 	// followerStep is the pause between two looks at the lease by other entries.
 	followerStep = 2 * time.Second
+	// presetEvery is the pause between two looks at the preset in force, well below the 18 s within which a choice is to hold
+	// everywhere: only the lease's holder uses it.
+	presetEvery = 5 * time.Second
 	// maxReports bounds the reports that the holder reads in a round; in a larger fleet it reads those that are oldest.
 	maxReports = 64
 	// maxReportAge is how old a report may be for a plan.
@@ -54,6 +57,10 @@
 	paused   map[string]time.Time      // engines whose orders are unsettled
 	wanted   map[string]fighollow.Role // by the last order that was sent to an engine
 	reports  map[string]report         // newest of each engine
+
+	policy  fighollow.Policy // of the preset in force
+	preset  uint64           // version of the choice; 0 for none
+	checked time.Time        // when the choice was last read
 }
 
 // report is an engine's report and when it was read.
@@ -153,11 +160,7 @@
 // look reads the lease; it reports false when the store does not answer.
 func (r *Runner) look(ctx context.Context) bool {
 	// An old answer only delays a claim, which is conditional on the version that it has.
-	get := r.store.Get
-	if s, ok := r.store.(fighollow.StaleReader); ok {
-		get = s.GetStale
-	}
-	o, err := get(ctx, fighollow.KindRoleLease, fighollow.RoleLeaseName)
+	o, err := r.getStale(ctx, fighollow.KindRoleLease, fighollow.RoleLeaseName)
 	now := bootTime()
 	if errors.Is(err, fighollow.ErrNotFound) {
 		r.lease.observed(now, 0, "")
@@ -176,8 +179,40 @@
 	return true
 }
 
+// getStale reads an object cheaply where the store offers that.
+func (r *Runner) getStale(ctx context.Context, kind fighollow.Kind, name string) (fighollow.Object, error) {
+	if s, ok := r.store.(fighollow.StaleReader); ok {
+		return s.GetStale(ctx, kind, name)
+	}
+	return r.store.Get(ctx, kind, name)
+}
+
+// readPreset takes the policy of the preset in force. A choice that cannot be read leaves the former one; choices never go
+// back.
+func (r *Runner) readPreset(ctx context.Context) {
+	o, err := r.getStale(ctx, fighollow.KindInForce, fighollow.InForceName)
+	if errors.Is(err, fighollow.ErrNotFound) || err == nil && o.Version <= r.preset {
+		return
+	}
+	var v fighollow.InForce
+	if err == nil {
+		err = json.Unmarshal(o.Value, &v)
+	}
+	if err != nil {
+		event.PolicyUnread.Log(&r.log).Err(err).Send()
+		return
+	}
+	r.preset, r.policy = o.Version, v.Preset.Policy
+	event.PolicyApplied.Log(&r.log).Uint64("version", o.Version).Str("preset", v.Preset.Name).Str("by", v.ChosenBy).
+		Float64("roleChangeWeight", r.policy.RoleChangeWeight).Send()
+}
+
 // round reads the reports of all engines and sends the orders that follow.
 func (r *Runner) round(ctx context.Context) {
+	if now := time.Now(); now.Sub(r.checked) >= presetEvery {
+		r.checked = now
+		r.readPreset(ctx)
+	}
 	routing := r.routing()
 	for _, s := range routing.Services {
 		if s.Engine == nil {
@@ -188,6 +223,7 @@
 			p = NewPlanner(*s.Engine)
 			r.planners[s.Name] = p
 		}
+		p.SetPolicy(r.policy)
 		now := time.Now()
 		engines := r.read(ctx, now, r.engines(s.Name))
 		orders, reason := p.Plan(now, engines)
