--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,8 +37,8 @@
 	stopping atomic.Pointer[stop]
 
 	mu      sync.Mutex
-	entries int // that share the bounds of repeats
-	counted bool
+	entries int  // that share the bounds of repeats
+	counted bool // entries was counted, and is not the number taken before
 	budgets map[string]*budget
 }
 
@@ -102,13 +102,13 @@
 func (g *Gateway) SetEntries(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	first := !g.counted
-	g.counted, g.entries = true, max(1, n)
+	g.entries = max(1, n)
 	g.fleet.SetEntries(g.entries)
-	if !first {
+	if g.counted {
 		g.shareBudgets()
 		return
 	}
+	g.counted = true
 	for _, b := range g.budgets {
 		b.count(g.opts.RetryRatio, g.opts.RetrySlack, g.entries)
 	}
--- a/internal/placement/instance.go
+++ b/internal/placement/instance.go
@@ -8,12 +8,6 @@
 )
 
 const (
-	// latencyWeight is the weight of a new measurement.
-	latencyWeight = 0.2
-	// latencyHalfLife and rateHalfLife are how long it takes to forget half of what was measured. Load and the faults that
-	// make an engine slow last for seconds.
-	latencyHalfLife = 600 * time.Millisecond
-	rateHalfLife    = 4 * time.Second
 	// failureWeight is the weight of a new outcome in an upstream's share of failures.
 	failureWeight = 0.15
 	// suspectFailures is the share of failures, above that of the service's median upstream, from which an upstream rests.
@@ -27,14 +21,6 @@
 	// engine that changes its role refuses for seconds.
 	firstFull = 200 * time.Millisecond
 	maxFull   = 1600 * time.Millisecond
-	// usualPrefillRate, in prompt tokens per millisecond, stands for an engine's rate until it was measured, and weighs as much
-	// as usualPrefillMs of measured work afterwards.
-	usualPrefillRate = 40
-	usualPrefillMs   = 200
-	// minPrefillRate bounds an estimate from below, so that an engine is not ruled out by one slow answer.
-	minPrefillRate = 2
-	// prefillOverhead is the fixed part of a prefill's time in milliseconds: the engine's step and the network.
-	prefillOverhead = 100
 )
 
 // instance is one upstream with what is known of it.
@@ -46,7 +32,7 @@
 	running  int                     // those of them that generate or compute a plain answer
 	pending  [maxUrgency + 1]float64 // prompt tokens of this entry's prefills that are not computed yet, by urgency
 	prefills throughput
-	latency  estimate  // milliseconds until a plain answer or a stream's first event
+	answers  latency   // until a plain answer or a stream's first event
 	failures float64   // moving share of failures
 	resting  time.Time // gets no work before
 	rest     time.Duration
@@ -57,10 +43,7 @@
 }
 
 func newInstance(u fighollow.Upstream, capacity int) *instance {
-	return &instance{
-		up: u, key: rendezvous.Key(u.ID), cache: newPrefixCache(capacity),
-		latency: estimate{halfLife: latencyHalfLife},
-	}
+	return &instance{up: u, key: rendezvous.Key(u.ID), cache: newPrefixCache(capacity)}
 }
 
 // update takes the upstream's newest entry. A process that started anew knows nothing of what was sent before.
@@ -136,8 +119,3 @@
 	n.rest = min(max(firstRest, 2*n.rest), maxRest)
 	n.resting = now.Add(n.rest)
 }
-
-// answered learns from the time until an answer or its first event.
-func (n *instance) answered(now time.Time, took time.Duration) {
-	n.latency.add(now, float64(took)/float64(time.Millisecond), latencyWeight)
-}
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -62,7 +62,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if n := p.instances[w.ID]; n != nil {
-		n.answered(now, now.Sub(w.Began))
+		n.answers.add(now, now.Sub(w.Began))
 		n.cache.add(now, w.prompt, true)
 	}
 }
@@ -90,7 +90,7 @@
 			n.prefills.add(now, w.Began, w.Tokens)
 			n.cache.add(now, w.prompt, true)
 		case fighollow.RequestWhole:
-			n.answered(now, now.Sub(w.Began))
+			n.answers.add(now, now.Sub(w.Began))
 		}
 	case Failed:
 		n.failed(now, p.medianFailures())
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -210,9 +210,9 @@
 	case fighollow.RequestPrefill:
 		c.CostMs = prefillOverhead + (ahead+p.toCompute(now, n, q, found, &c))/n.prefills.rate(now) + p.transferMs(c.Fetched)
 	case fighollow.RequestDecode:
-		c.CostMs = runningMs*float64(n.running) + n.latency.at(now)
+		c.CostMs = runningMs*float64(n.running) + n.answers.at(now)
 	default:
-		c.CostMs = n.latency.at(now) * (1 + float64(n.running)/float64(max(1, n.up.Slots)))
+		c.CostMs = n.answers.at(now) * (1 + float64(n.running)/float64(max(1, n.up.Slots)))
 		if q.PromptTokens > 0 {
 			c.CostMs += wholeSlowdown * p.toCompute(now, n, q, found, &c) / n.prefills.rate(now)
 		}
