--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -268,10 +268,7 @@
 func (p *gatewayProcess) serveMetrics() error {
 	p.registerGauges()
 	r := chi.NewRouter()
-	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-		admin.WriteMetrics(w, p.registry)
-	})
+	r.Get("/metrics", admin.MetricsHandler(p.registry))
 	address := net.JoinHostPort(p.cfg.Address, strconv.Itoa(p.metricsPort))
 	s := &http.Server{Addr: address, Handler: r, ReadHeaderTimeout: callerHeaderTimeout}
 	if err := s.ListenAndServe(); err != nil {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -19,6 +19,14 @@
 	Status func() Status
 }
 
+// MetricsHandler serves the metrics of a registry in the Prometheus text format.
+func MetricsHandler(registry metrics.Registry) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		WriteMetrics(w, registry)
+	}
+}
+
 // Handler serves /healthz (200 while the process runs), /readyz (200 while it takes new work, else 503) /metrics (the
 // Prometheus text format) and /status (Status as JSON).
 func Handler(opts Options) http.Handler {
@@ -31,10 +39,7 @@
 		}
 		w.Write([]byte(state + "\n"))
 	})
-	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-		WriteMetrics(w, opts.Registry)
-	})
+	r.Get("/metrics", MetricsHandler(opts.Registry))
 	r.Get("/status", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(opts.Status()) // an error means that the reader has left
--- a/internal/emulator/clock.go
+++ b/internal/emulator/clock.go
@@ -5,9 +5,10 @@
 	"time"
 )
 
-// clock runs events in the order of their times, and those of one time in the order in which they were planned.
-type clock struct {
-	now    time.Time
+// Clock runs events in the order of their times, and those of one time in the order in which they were planned. It is not
+// safe for concurrent use.
+type Clock struct {
+	Now    time.Time
 	queue  eventQueue
 	number int
 }
@@ -18,20 +19,20 @@
 	do     func()
 }
 
-// after plans do for a time from now on.
-func (c *clock) after(d time.Duration, do func()) {
+// After plans do for a time from now on.
+func (c *Clock) After(d time.Duration, do func()) {
 	c.number++
-	heap.Push(&c.queue, event{c.now.Add(max(0, d)), c.number, do})
+	heap.Push(&c.queue, event{c.Now.Add(max(0, d)), c.number, do})
 }
 
-// run advances the time until end.
-func (c *clock) run(end time.Time) {
+// Run runs the events until end, and those that they plan.
+func (c *Clock) Run(end time.Time) {
 	for len(c.queue) > 0 && !c.queue[0].at.After(end) {
 		e := heap.Pop(&c.queue).(event)
-		c.now = e.at
+		c.Now = e.at
 		e.do()
 	}
-	c.now = end
+	c.Now = end
 }
 
 // eventQueue is a heap.Interface.
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -11,7 +11,7 @@
 
 // engine computes prompts one after the other in chunks, the most urgent first, or generates answers in a batch.
 type engine struct {
-	*clock
+	*Clock
 	model EngineModel
 	up    fighollow.Upstream
 	rate  float64 // prompt tokens per millisecond
@@ -29,7 +29,6 @@
 	cache    partCache
 
 	computed, fetched int // prompt tokens
-	mostRunning       int
 }
 
 // job is an attempt at an engine.
@@ -93,11 +92,11 @@
 		e.queue = slices.DeleteFunc(e.queue, func(k *job) bool { return k == j })
 		ended = append(ended, j)
 	}
-	e.after(took, func() {
+	e.After(took, func() {
 		e.busy = false
 		for _, j := range ended {
 			e.cache.add(j.prompt, e.model.Traits.KVCapacityTokens)
-			e.after(e.model.Overhead, func() { j.done(!e.down) })
+			e.After(e.model.Overhead, func() { j.done(!e.down) })
 		}
 		e.compute()
 	})
@@ -136,9 +135,8 @@
 		j := e.waiting[0]
 		e.waiting = e.waiting[1:]
 		e.running = append(e.running, j)
-		e.mostRunning = max(e.mostRunning, len(e.running))
 		e.cache.add(j.prompt, e.model.Traits.KVCapacityTokens)
-		e.after(e.transfer(j.tokens)+e.step(), func() {
+		e.After(e.transfer(j.tokens)+e.step(), func() {
 			if !j.cancelled {
 				j.started()
 			}
@@ -161,7 +159,7 @@
 		e.admit()
 		return
 	}
-	e.after(e.step(), func() { e.generate(j, left-1) })
+	e.After(e.step(), func() { e.generate(j, left-1) })
 }
 
 // crash breaks off all work and forgets the cache.
--- a/internal/emulator/request.go
+++ b/internal/emulator/request.go
@@ -72,7 +72,7 @@
 	query := placement.Query{
 		Phase: phase, Prompt: q.prompt, PromptTokens: q.tokens(), Bytes: q.tokens(), Tried: q.tried, Seed: q.seed + uint64(len(q.tried)),
 	}
-	c, _, err := q.fleet.Place(r.now, &query, q.goal)
+	c, _, err := q.fleet.Place(r.Now, &query, q.goal)
 	if err != nil {
 		if errors.Is(err, placement.ErrTooLate) {
 			q.result.Refused++
@@ -82,14 +82,14 @@
 		q.fail()
 		return
 	}
-	w := q.fleet.Begin(r.now, c, query)
+	w := q.fleet.Begin(r.Now, c, query)
 	q.work = w
 	settled := func(result placement.Result, ok bool) {
 		if q.ended {
 			return
 		}
 		q.work, q.job = nil, nil
-		q.fleet.End(r.now, w, result)
+		q.fleet.End(r.Now, w, result)
 		if !ok {
 			q.tried = append(q.tried, c.Upstream.ID)
 		}
@@ -107,7 +107,7 @@
 		},
 	}
 	q.job = j
-	r.after(networkDelay, func() {
+	r.After(networkDelay, func() {
 		if q.ended {
 			return
 		}
@@ -123,8 +123,8 @@
 		return
 	}
 	q.begun, q.goal.Begun = true, true
-	q.fleet.Started(q.run.now, w)
-	q.result.first(q.run.now.Sub(q.goal.Arrived), q.kind)
+	q.fleet.Started(q.run.Now, w)
+	q.result.first(q.run.Now.Sub(q.goal.Arrived), q.kind)
 }
 
 func (q *request) end() {
@@ -146,7 +146,7 @@
 		q.job.cancelled = true
 	}
 	if q.work != nil {
-		q.fleet.End(q.run.now, q.work, placement.Abandoned)
+		q.fleet.End(q.run.Now, q.work, placement.Abandoned)
 	}
 	q.result.Left++
 	q.ended = true
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -7,13 +7,12 @@
 
 // Result is what callers got in a run, and what it took.
 type Result struct {
-	Policy      string
-	Seed        uint64
-	Kinds       map[string]*KindResult
-	Computed    int // prompt tokens
-	Fetched     int // prompt tokens
-	MostRunning int // answers at one engine
-	Orders      int // changes of role
+	Policy   string
+	Seed     uint64
+	Kinds    map[string]*KindResult
+	Computed int // prompt tokens
+	Fetched  int // prompt tokens
+	Orders   int // changes of role
 }
 
 // KindResult is what callers of one kind of request got.
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -29,7 +29,7 @@
 
 // run is one play of a load.
 type run struct {
-	clock
+	Clock
 	cfg     Config
 	rng     *rand.Rand
 	engines []*engine
@@ -45,30 +45,30 @@
 // Run plays cfg and returns what callers got.
 func Run(cfg Config) Result {
 	r := &run{
-		clock: clock{now: start}, cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0)),
+		Clock: Clock{Now: start}, cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0)),
 		result: Result{Policy: cfg.Policy.Name, Seed: cfg.Seed, Kinds: make(map[string]*KindResult)},
 	}
 	r.build()
 	for _, k := range cfg.Kinds {
 		r.result.Kinds[k.Name] = &KindResult{}
-		r.after(r.gap(k), func() { r.arrive(k) })
+		r.After(r.gap(k), func() { r.arrive(k) })
 	}
 	for _, f := range cfg.Faults {
-		r.after(f.From, func() { r.strike(f) })
+		r.After(f.From, func() { r.strike(f) })
 	}
 	if cfg.Policy.WatchCaches {
-		r.after(lookEvery, r.look)
+		r.After(lookEvery, r.look)
 	}
 	if cfg.Policy.MoveRoles {
 		r.planner = roles.NewPlanner(cfg.Engine.Traits)
 		r.planner.SetPolicy(fighollow.Policy{RoleChangeWeight: cfg.Policy.RoleChangeWeight})
-		r.after(planEvery, r.plan)
+		r.After(planEvery, r.plan)
 	}
 	longest := time.Duration(0)
 	for _, k := range cfg.Kinds {
 		longest = max(longest, k.Patience)
 	}
-	r.run(start.Add(cfg.Duration + longest + time.Second))
+	r.Run(start.Add(cfg.Duration + longest + time.Second))
 	r.summarise()
 	return r.result
 }
@@ -77,7 +77,7 @@
 	byAddress := make(map[string]*engine)
 	for i := range r.cfg.Engines {
 		e := &engine{
-			clock: &r.clock, model: r.cfg.Engine, slow: 1,
+			Clock: &r.Clock, model: r.cfg.Engine, slow: 1,
 			rate: r.cfg.Engine.PrefillRate * (1 + r.cfg.Engine.Spread*(2*r.rng.Float64()-1)),
 		}
 		e.fleet = func(address string) *engine { return byAddress[address] }
@@ -105,7 +105,7 @@
 func (r *run) announce(e *engine) {
 	e.up.Orders++
 	for _, f := range r.entries {
-		f.Put(r.now, e.up, e.up.Orders)
+		f.Put(r.Now, e.up, e.up.Orders)
 	}
 }
 
@@ -113,7 +113,7 @@
 func (r *run) gap(k Kind) time.Duration {
 	rate := k.PerSecond
 	for _, p := range r.cfg.Phases {
-		if factor, ok := p.Load[k.Name]; ok && !r.now.Before(start.Add(p.From)) {
+		if factor, ok := p.Load[k.Name]; ok && !r.Now.Before(start.Add(p.From)) {
 			rate = k.PerSecond * factor
 		}
 	}
@@ -125,10 +125,10 @@
 
 // arrive begins a request and plans the next one of its kind.
 func (r *run) arrive(k Kind) {
-	if r.now.Sub(start) >= r.cfg.Duration {
+	if r.Now.Sub(start) >= r.cfg.Duration {
 		return
 	}
-	r.after(r.gap(k), func() { r.arrive(k) })
+	r.After(r.gap(k), func() { r.arrive(k) })
 	r.next++
 	part := r.rng.IntN(k.Parts)
 	q := &request{
@@ -137,14 +137,14 @@
 			{ID: uint64(k.Priority)<<40 + uint64(part) + 1, Tokens: around(k.Shared, part)},
 			{ID: 1<<50 + r.next, Tokens: max(1, int(float64(k.Own)*r.rng.ExpFloat64()))},
 		},
-		goal: placement.Goal{Arrived: r.now, Target: k.Target, Deadline: r.now.Add(k.Patience), Priority: k.Priority},
+		goal: placement.Goal{Arrived: r.Now, Target: k.Target, Deadline: r.Now.Add(k.Patience), Priority: k.Priority},
 	}
 	q.result = &KindResult{}
-	if r.now.Sub(start) >= r.cfg.MeasureFrom {
+	if r.Now.Sub(start) >= r.cfg.MeasureFrom {
 		q.result = r.result.Kinds[k.Name]
 	}
 	q.result.Asked++
-	r.after(k.Patience, q.leave)
+	r.After(k.Patience, q.leave)
 	q.prefill()
 }
 
@@ -158,7 +158,7 @@
 	e := r.engines[f.Engine]
 	if f.Down {
 		e.crash()
-		r.after(f.For, func() {
+		r.After(f.For, func() {
 			e.down = false
 			e.up.Started++
 			r.announce(e)
@@ -166,12 +166,12 @@
 		return
 	}
 	e.slow = f.Slow
-	r.after(f.For, func() { e.slow = 1 })
+	r.After(f.For, func() { e.slow = 1 })
 }
 
 // look tells all entries what the engines' caches hold.
 func (r *run) look() {
-	r.after(lookEvery, r.look)
+	r.After(lookEvery, r.look)
 	for _, f := range r.entries {
 		for _, e := range r.engines {
 			at := f.CachePosition(service, e.up.ID)
@@ -179,20 +179,20 @@
 			if at < ch.Next {
 				ch.Parts = e.cache.changes[at:]
 			}
-			f.ReportCache(r.now, service, e.up.ID, ch)
+			f.ReportCache(r.Now, service, e.up.ID, ch)
 		}
 	}
 }
 
 // plan has the planner set the roles by the engines' reports.
 func (r *run) plan() {
-	r.after(planEvery, r.plan)
+	r.After(planEvery, r.plan)
 	engines := make([]roles.Engine, len(r.engines))
 	for i, e := range r.engines {
 		engines[i] = roles.Engine{Upstream: e.up, Report: e.report(), Known: !e.down}
 	}
-	r.after(reportLag, func() {
-		orders, _ := r.planner.Plan(r.now, engines)
+	r.After(reportLag, func() {
+		orders, _ := r.planner.Plan(r.Now, engines)
 		for _, o := range orders {
 			r.result.Orders++
 			r.change(r.byID(o.Engine.Upstream.ID), o.Role)
@@ -215,10 +215,10 @@
 	var settle func()
 	settle = func() {
 		if len(e.queue)+len(e.running)+len(e.waiting) > 0 {
-			r.after(10*time.Millisecond, settle)
+			r.After(10*time.Millisecond, settle)
 			return
 		}
-		r.after(r.cfg.Engine.Traits.RoleSwitch, func() {
+		r.After(r.cfg.Engine.Traits.RoleSwitch, func() {
 			e.changing, e.up.Role = false, role
 			r.announce(e)
 		})
@@ -230,6 +230,5 @@
 	for _, e := range r.engines {
 		r.result.Computed += e.computed
 		r.result.Fetched += e.fetched
-		r.result.MostRunning = max(r.result.MostRunning, e.mostRunning)
 	}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -92,7 +92,8 @@
 }
 
 // send places an attempt and sends it. The reply of the leg that it returns has begun. The errors are those of
-// fighollow.Dispatcher, placement.ErrNoUpstream, placement.ErrTooLate, errNoAttempt and errNoBudget; a refused attempt is fighollow.ErrNotRun.
+// fighollow.Dispatcher, placement.ErrNoUpstream, placement.ErrTooLate, errNoAttempt and errNoBudget; a refused attempt is
+// fighollow.ErrNotRun.
 func (x *exchange) send(ctx context.Context, phase fighollow.RequestPhase, kv *fighollow.KVCache) (*leg, error) {
 	now := time.Now()
 	c, q, err := x.place(now, phase)
--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -142,7 +142,6 @@
 			Name: "r", Host: "h", PathPrefix: "/", MaxAttempts: rapid.IntRange(1, 3).Draw(t, "attempts"), Timeout: time.Minute,
 			Repeat: rapid.SampledFrom([]fighollow.Repeat{fighollow.RepeatAny, fighollow.RepeatNever, fighollow.RepeatResume}).Draw(t, "repeat"),
 			Shares: []fighollow.Share{{Service: rapid.SampledFrom([]string{"plain", "models"}).Draw(t, "service"), Weight: 1}},
-			MaxGap: time.Second,
 		}
 		route.Stream = route.Shares[0].Service == "models"
 		g := newGateway(w, route)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -154,13 +154,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expire(now)
-	found := p.findPrefix(now, q)
+	found, maxOpen := p.findPrefix(now, q), p.maxOpen()
 	var best Choice
 	cost := math.Inf(1)
 	// Upstreams that rest, are full or lost their entry are used only when there is no other.
 	for _, lastResort := range []bool{false, true} {
 		for _, n := range p.instances {
-			if !p.usable(now, n, q, lastResort) {
+			if n.open >= maxOpen || !p.usable(now, n, q, lastResort) {
 				continue
 			}
 			c := p.assess(now, n, q, found)
@@ -177,7 +177,7 @@
 }
 
 func (p *Pool) usable(now time.Time, n *instance, q Query, lastResort bool) bool {
-	if n.up.Draining || !servesPhase(n.up.Role, q.Phase) || now.Before(n.denied) || n.open >= p.maxOpen() {
+	if n.up.Draining || !servesPhase(n.up.Role, q.Phase) || now.Before(n.denied) {
 		return false
 	}
 	if !lastResort && (now.Before(n.resting) || now.Before(n.full) || !n.goneAt.IsZero() || q.Single && n.fullFor > 0) {
--- a/internal/roles/runner.go
+++ b/internal/roles/runner.go
@@ -160,7 +160,7 @@
 // look reads the lease; it reports false when the store does not answer.
 func (r *Runner) look(ctx context.Context) bool {
 	// An old answer only delays a claim, which is conditional on the version that it has.
-	o, err := r.getStale(ctx, fighollow.KindRoleLease, fighollow.RoleLeaseName)
+	o, err := fighollow.GetStale(ctx, r.store, fighollow.KindRoleLease, fighollow.RoleLeaseName)
 	now := bootTime()
 	if errors.Is(err, fighollow.ErrNotFound) {
 		r.lease.observed(now, 0, "")
@@ -179,18 +179,10 @@
 	return true
 }
 
-// getStale reads an object cheaply where the store offers that.
-func (r *Runner) getStale(ctx context.Context, kind fighollow.Kind, name string) (fighollow.Object, error) {
-	if s, ok := r.store.(fighollow.StaleReader); ok {
-		return s.GetStale(ctx, kind, name)
-	}
-	return r.store.Get(ctx, kind, name)
-}
-
 // readPreset takes the policy of the preset in force. A choice that cannot be read leaves the former one; choices never go
 // back.
 func (r *Runner) readPreset(ctx context.Context) {
-	o, err := r.getStale(ctx, fighollow.KindInForce, fighollow.InForceName)
+	o, err := fighollow.GetStale(ctx, r.store, fighollow.KindInForce, fighollow.InForceName)
 	if errors.Is(err, fighollow.ErrNotFound) || err == nil && o.Version <= r.preset {
 		return
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -79,7 +79,7 @@
 	if now.Sub(r.renewed) >= renewEvery || r.version == 0 {
 		r.renew(ctx, now)
 	}
-	objects, err := r.list(ctx)
+	objects, err := fighollow.ListStale(ctx, r.store, fighollow.KindEntry)
 	if err != nil {
 		event.RosterUnread.Log(&r.log).Err(err).Send()
 		return
@@ -128,14 +128,6 @@
 	r.version, r.renewed = version, now
 }
 
-func (r *Roster) list(ctx context.Context) ([]fighollow.Object, error) {
-	if s, ok := r.store.(fighollow.StaleReader); ok {
-		return s.ListStale(ctx, fighollow.KindEntry)
-	}
-	objects, _, err := r.store.List(ctx, fighollow.KindEntry)
-	return objects, err
-}
-
 // leaveTimeout bounds the removal of the own object; without it the object lapses.
 const leaveTimeout = 500 * time.Millisecond
 
--- a/pkg/fighollow/attempt.go
+++ b/pkg/fighollow/attempt.go
@@ -27,7 +27,6 @@
 	Model        string
 	Prompt       []PromptPart
 	PromptTokens int
-	MaxTokens    int // of the output
 	// ResumeAfter is the id of the last event that the caller has; empty at the start of a stream.
 	ResumeAfter string
 	Arrived     time.Time
--- a/pkg/fighollow/object.go
+++ b/pkg/fighollow/object.go
@@ -82,3 +82,20 @@
 	// ListStale returns all objects of a kind as they were at some time in the last seconds, at a lower price than List.
 	ListStale(ctx context.Context, kind Kind) ([]Object, error)
 }
+
+// GetStale reads an object cheaply where the store offers that, and as Get does elsewhere.
+func GetStale(ctx context.Context, s ObjectStore, kind Kind, name string) (Object, error) {
+	if r, ok := s.(StaleReader); ok {
+		return r.GetStale(ctx, kind, name)
+	}
+	return s.Get(ctx, kind, name)
+}
+
+// ListStale lists a kind cheaply where the store offers that, and as List does elsewhere.
+func ListStale(ctx context.Context, s ObjectStore, kind Kind) ([]Object, error) {
+	if r, ok := s.(StaleReader); ok {
+		return r.ListStale(ctx, kind)
+	}
+	objects, _, err := s.List(ctx, kind)
+	return objects, err
+}
--- a/pkg/fighollow/routing.go
+++ b/pkg/fighollow/routing.go
@@ -35,8 +35,7 @@
 	Timeout     time.Duration // until the final answer
 	// TargetLatency is the time to the whole answer, or to the first event of a stream.
 	TargetLatency time.Duration
-	MaxGap        time.Duration // between two events of a stream
-	Priority      int           // 0 is the most urgent
+	Priority      int // 0 is the most urgent
 }
 
 // EngineTraits are the properties that all engines of a service share.
