gateway, platform: count second prefills as extra arrivals; list after a failed call of the store

A prefill after the first accepted one counts against the retry budget also when no run has reached an engine in between. The new test fails on the old code.

After a silence, a follower repeated watches, each of which takes 2.4 s to time out on a dead connection, and the transport handed out further dead idle ones.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -30,8 +30,7 @@
 	deadline time.Time
 
 	attemptsSent     int           // attempts that were sent, including an accepted prefill
-	counted          int           // attempts that count against the route's limit and the retry budget
-	prefillUncounted bool          // an accepted prefill was excluded from counted
+	arrivals         arrivals      // attempts that count against the route's limit and the retry budget
 	tried            []string      // ids of upstreams that failed or refused the request
 	mayHaveRun       bool          // an attempt of unknown outcome was sent
 	unreachable      int           // attempts for which no connection could be made
@@ -63,34 +62,13 @@
 	placed     *placement.Attempt
 	upstream   fighollow.Upstream
 	phase      fighollow.RequestPhase
+	charge     charge
 	reply      *fighollow.Reply
 	streaming  bool          // the first event was relayed
 	firstEvent time.Duration // from the dispatch to the first event
 	ended      bool
 }
 
-// countAttempt counts another attempt. It returns an error if the route's limit or the retry budget does not allow it.
-func (x *exchange) countAttempt() error {
-	if x.counted > 0 {
-		if x.counted >= x.route.MaxAttempts {
-			return errAttemptsExhausted
-		}
-		if !x.budget.withdraw() {
-			return errBudgetExhausted
-		}
-	}
-	x.counted++
-	return nil
-}
-
-// uncountAttempt reverts countAttempt for an attempt that did not reach its upstream or does not count.
-func (x *exchange) uncountAttempt() {
-	x.counted--
-	if x.counted > 0 {
-		x.budget.refund()
-	}
-}
-
 // send places an attempt and dispatches it. On success, the status and header of the reply have arrived. It returns the
 // errors of fighollow.Dispatcher, placement.ErrNoUpstream, placement.ErrTooLate, errAttemptsExhausted and
 // errBudgetExhausted; a refused attempt is reported as fighollow.ErrNotRun.
@@ -100,7 +78,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := x.countAttempt(); err != nil {
+	charge, err := x.arrivals.add(phase, x.route.MaxAttempts)
+	if err != nil {
 		return nil, err
 	}
 	req := &fighollow.Attempt{
@@ -111,7 +90,7 @@
 		Str("phase", string(phase)).Float64("costMs", c.CostMs).
 		Int("tokens", x.call.PromptTokens).Int("cached", c.Cached).Int("fetched", c.Fetched).Int("pending", c.Pending).
 		Int("running", c.Running).Int64("leftMs", x.deadline.Sub(now).Milliseconds()).Send()
-	a := &attempt{x: x, placed: x.pool.Begin(now, c, q), upstream: c.Upstream, phase: phase}
+	a := &attempt{x: x, placed: x.pool.Begin(now, c, q), upstream: c.Upstream, phase: phase, charge: charge}
 	x.attemptsSent++
 	a.reply, err = x.g.dispatch.Dispatch(ctx, req)
 	return a, x.recordReply(ctx, a, err)
@@ -128,7 +107,7 @@
 		}
 		a.end(placement.Abandoned, err)
 	case errors.Is(err, fighollow.ErrNotRun):
-		x.uncountAttempt()
+		x.arrivals.undo(a.charge)
 		x.attemptsSent--
 		x.unreachable++
 		x.tried = append(x.tried, a.upstream.ID)
@@ -196,7 +175,7 @@
 		return false
 	}
 	retry, reason := x.retryDecision(ctx, err)
-	event.RequestRetried.Log(&x.log).Bool("again", retry).Str("reason", reason).Int("sent", x.attemptsSent).Int("counted", x.counted).
+	event.RequestRetried.Log(&x.log).Bool("again", retry).Str("reason", reason).Int("sent", x.attemptsSent).Int("counted", x.arrivals.counted).
 		Bool("mayHaveRun", x.mayHaveRun).Send()
 	x.retriesEnded = !retry
 	return retry
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -71,7 +70,8 @@
 }
 
 // listAndWatch lists the objects of a kind and then watches it until ctx is done. It passes each result to apply. Objects
-// that are absent from a listing were removed. It lists again when a watch has expired.
+// that are absent from a listing were removed. It lists again after each failed call: a listing on a silent connection times
+// out sooner than a watch, so that the newest objects are known soon after the store's return.
 func (f *Follower) listAndWatch(ctx context.Context, kind fighollow.Kind, apply func(time.Time, update)) {
 	var version uint64
 	var listed bool
@@ -87,9 +87,7 @@
 		}
 		now := time.Now()
 		if err != nil {
-			if errors.Is(err, fighollow.ErrWatchExpired) {
-				listed = false
-			}
+			listed = false
 			if !down && ctx.Err() == nil {
 				down = true
 				event.StoreLost.Log(&f.log).Str("kind", string(kind)).Err(err).Send()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,6 +160,7 @@
 	}
 	service := pickService(x.route, x.seed)
 	x.pool, x.budget = x.g.fleet.Pool(service), x.g.budget(service)
+	x.arrivals = arrivals{budget: x.budget}
 	x.service, x.traits = service, t.routing.Services[service]
 	x.budget.deposit()
 	x.deadline = x.call.Deadline
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -56,14 +56,14 @@
 	if x.headerSent {
 		return nil, nil // a resumed stream's prompt is fetched from an engine that has it cached
 	}
-	for x.prefillAllowed() {
+	for x.arrivals.allowPrefill(x.route.MaxAttempts) {
 		a, err := x.send(ctx, fighollow.RequestPrefill, nil)
 		switch {
 		case errors.Is(err, placement.ErrNoUpstream) && x.refused == 0:
 			return nil, nil
 		case err == nil && a.reply.KV != nil:
 			a.end(placement.Answered, nil)
-			x.uncountPrefill()
+			x.arrivals.prefillAccepted(a.charge)
 			return a.reply.KV, nil
 		case err == nil:
 			a.reply.Body.Close()
@@ -71,12 +71,7 @@
 			x.tried = append(x.tried, a.upstream.ID)
 			a.end(placement.Failed, err)
 		case errors.Is(err, fighollow.ErrUnknownOutcome) && ctx.Err() == nil:
-			// The engine may have accepted the call and its answer was lost. As it may also have refused the call, excluding
-			// it from the count is charged to the budget.
-			if x.prefillUncounted || !x.budget.withdraw() {
-				break
-			}
-			x.uncountPrefill()
+			x.arrivals.prefillLost()
 		}
 		if !x.shouldRetry(ctx, err) {
 			return nil, err
@@ -85,23 +80,6 @@
 	return nil, nil
 }
 
-// prefillAllowed reports whether the route allows a prefill and the decode that follows it.
-func (x *exchange) prefillAllowed() bool {
-	calls := 1
-	if x.prefillUncounted {
-		calls = 2
-	}
-	return x.counted+calls <= x.route.MaxAttempts || x.attemptsSent == 0
-}
-
-// uncountPrefill excludes one prefill that an engine accepted from the counted attempts. Later calls do nothing.
-func (x *exchange) uncountPrefill() {
-	if !x.prefillUncounted {
-		x.prefillUncounted = true
-		x.uncountAttempt()
-	}
-}
-
 // releaseTimeout bounds the call that releases a KV cache. The engine releases it by itself after some seconds.
 const releaseTimeout = time.Second
 
--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -29,6 +29,7 @@
 	prefills int // prefills that an engine accepted
 	runs     int
 	refused  int
+	mix      []string // behaviours to draw from; all of them if it is empty
 }
 
 // behaviours are the ways in which an upstream handles an attempt.
@@ -55,7 +56,11 @@
 func (f *fakes) Release(context.Context, fighollow.Upstream, *fighollow.KVCache) error { return nil }
 
 func (f *fakes) Dispatch(_ context.Context, a *fighollow.Attempt) (*fighollow.Reply, error) {
-	behaviour := rapid.SampledFrom(behaviours).Draw(f.t, "behaviour")
+	mix := behaviours
+	if len(f.mix) > 0 {
+		mix = f.mix
+	}
+	behaviour := rapid.SampledFrom(mix).Draw(f.t, "behaviour")
 	if behaviour == "notSent" {
 		return nil, fighollow.ErrNotRun
 	}
@@ -157,7 +162,7 @@
 	})
 }
 
-func newGateway(f *fakes, route fighollow.Route) *gateway.Gateway {
+func newGateway(f fighollow.Dispatcher, route fighollow.Route) *gateway.Gateway {
 	fleet := placement.New(placement.Options{DataCentre: "a", DrainTime: time.Second})
 	g := gateway.New(gateway.Options{RetryRatio: 0.2, RetrySlack: 500}, fleet, f, zerolog.Nop())
 	g.Apply(&fighollow.Routing{Version: 1, Routes: []fighollow.Route{route}, Services: map[string]fighollow.ServiceTraits{
@@ -213,3 +218,74 @@
 		t.Fatalf("complete with %q: %s", c.body.String(), ran)
 	}
 }
+
+// arrivalLog is a Dispatcher that records what reached upstreams of each request.
+type arrivalLog struct {
+	*fakes
+	phases map[string][]string // by request: "prefill", "accepted" for a prefill that an engine accepted, or "run"
+}
+
+func (l *arrivalLog) Dispatch(ctx context.Context, a *fighollow.Attempt) (*fighollow.Reply, error) {
+	sends, prefills := l.sends, l.prefills
+	reply, err := l.fakes.Dispatch(ctx, a)
+	switch {
+	case l.sends == sends:
+	case l.prefills > prefills:
+		l.phases[a.Call.ID] = append(l.phases[a.Call.ID], "accepted")
+	case a.Phase == fighollow.RequestPrefill:
+		l.phases[a.Call.ID] = append(l.phases[a.Call.ID], "prefill")
+	default:
+		l.phases[a.Call.ID] = append(l.phases[a.Call.ID], "run")
+	}
+	return reply, err
+}
+
+// extraArrivals returns how many arrivals of a request count against the retry budget: those beyond the first, without the
+// first prefill that an engine accepted. Further prefills count, and so do rejected ones.
+func extraArrivals(phases []string) int {
+	count := make(map[string]int)
+	for _, p := range phases {
+		count[p]++
+	}
+	free := min(1, count["accepted"])
+	prefills := count["prefill"] + count["accepted"]
+	beyondFirst := len(phases) - free - 1
+	byPhase := max(0, count["run"]-1) + max(0, prefills-1)
+	if free == 0 {
+		byPhase = 0
+	}
+	return max(0, beyondFirst, byPhase)
+}
+
+// Guards against arrivals that the retry budget does not pay for, such as the second prefill of a request whose first one
+// was accepted by an engine and whose decode engine could not be reached. Without requests that add to it, a budget must
+// never exceed its slack.
+func TestBudgetPaysForEveryExtraArrival(t *testing.T) {
+	const slack = 10
+	rapid.Check(t, func(t *rapid.T) {
+		route := fighollow.Route{
+			Name: "r", Host: "h", PathPrefix: "/", MaxAttempts: rapid.IntRange(1, 4).Draw(t, "attempts"), Timeout: time.Minute, Stream: true,
+			Repeat:   rapid.SampledFrom([]fighollow.Repeat{fighollow.RepeatAny, fighollow.RepeatNever, fighollow.RepeatResume}).Draw(t, "repeat"),
+			Services: []fighollow.WeightedService{{Service: "models", Weight: 1}},
+		}
+		mix := rapid.SliceOfN(rapid.SampledFrom(behaviours), 2, 4).Draw(t, "mix")
+		l := &arrivalLog{fakes: &fakes{t: t, mix: mix}, phases: make(map[string][]string)}
+		g := newGateway(l, route)
+		g.SetRetries(0, slack)
+		g.SetEntries(1)
+		for i := range 60 {
+			now := time.Now()
+			g.Serve(context.Background(), &fighollow.Call{
+				ID: strconv.Itoa(i), Method: "POST", Target: "/x", Host: "h", Model: "m", PromptTokens: 100, Arrived: now,
+				Deadline: now.Add(time.Minute), Prompt: []fighollow.PromptPart{{ID: 1, Tokens: 60}, {ID: 2, Tokens: 40}},
+			}, &recordingResponder{})
+		}
+		extra := 0
+		for _, phases := range l.phases {
+			extra += extraArrivals(phases)
+		}
+		if extra > slack {
+			t.Fatalf("%d extra arrivals, %d allowed: %v", extra, slack, l.phases)
+		}
+	})
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -86,7 +86,7 @@
 // shouldRetryFailure reports whether to try another upstream after a failure status. If not, the caller gets the failure
 // unchanged.
 func (x *exchange) shouldRetryFailure(a *attempt) bool {
-	if x.counted >= x.route.MaxAttempts || time.Until(x.deadline) <= 0 {
+	if x.arrivals.counted >= x.route.MaxAttempts || time.Until(x.deadline) <= 0 {
 		return false
 	}
 	x.tried = append(x.tried, a.upstream.ID)
@@ -94,7 +94,7 @@
 		return false
 	}
 	if !x.budget.canWithdraw() {
-		return false // countAttempt would fail for the next attempt
+		return false // the next attempt would be refused
 	}
 	x.mayHaveRun = true
 	return true
