placement: learn the times of prompts instead of assuming them

Rates, overheads and the delay of a running answer were constants of the first users' engines. promptTimes fits the time of a prompt that did not wait and the time for which a prompt occupies its engine over the computed tokens; engineSpeed compares each engine with the others; a prior comes from the routes' latency targets. The cost of another data centre is a fraction of the target, that of a running answer and the jitter fractions of the typical latency.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -29,13 +29,13 @@
 	seed     uint64
 	deadline time.Time
 
-	attemptsSent     int           // attempts that were sent, including an accepted prefill
-	arrivals         arrivals      // attempts that count against the route's limit and the retry budget
-	tried            []string      // ids of upstreams that failed or refused the request
-	mayHaveRun       bool          // an attempt of unknown outcome was sent
-	unreachable      int           // attempts for which no connection could be made
-	refused          int           // attempts that upstreams refused
-	overTarget       time.Duration // by how much a request that was refused as too late would have missed its latency target
+	attemptsSent int           // attempts that were sent, including an accepted prefill
+	arrivals     arrivals      // attempts that count against the route's limit and the retry budget
+	tried        []string      // ids of upstreams that failed or refused the request
+	mayHaveRun   bool          // an attempt of unknown outcome was sent
+	unreachable  int           // attempts for which no connection could be made
+	refused      int           // attempts that upstreams refused
+	overTarget   time.Duration // by how much a request that was refused as too late would have missed its latency target
 
 	retriesEnded     bool   // no further attempt is made
 	headerSent       bool   // the status and header of the answer were sent
@@ -88,7 +88,7 @@
 	}
 	event.AttemptPlaced.Log(&x.log).Str("upstream", c.Upstream.ID).Str("dataCentre", c.Upstream.DataCentre).
 		Str("phase", string(phase)).Float64("costMs", c.CostMs).
-		Int("tokens", x.call.PromptTokens).Int("cached", c.Cached).Int("fetched", c.Fetched).Int("pending", c.Pending).
+		Int("tokens", x.call.PromptTokens).Int("cached", c.Cached).Int("fetched", c.Fetched).Float64("pendingMs", c.PendingMs).
 		Int("running", c.Running).Int64("leftMs", x.deadline.Sub(now).Milliseconds()).Send()
 	a := &attempt{x: x, placed: x.pool.Begin(now, c, q), upstream: c.Upstream, phase: phase, charge: charge}
 	x.attemptsSent++
--- a/internal/placement/instance.go
+++ b/internal/placement/instance.go
@@ -32,8 +32,9 @@
 	removedAt        time.Time               // when it was removed from the store; zero while it is listed
 	open             int                     // attempts of this entry in flight, each on its own connection
 	running          int                     // those of them that generate or compute a plain answer
-	pending          [maxUrgency + 1]float64 // prompt tokens of this entry's unfinished prefills, by urgency
-	prefillRate      throughput
+	pending          [maxUrgency + 1]float64 // milliseconds of work of this entry's unfinished prefills, by urgency
+	prefills         int                     // unfinished prefills of this entry
+	speed            engineSpeed
 	latency          latency       // until a plain answer or the first event of a stream
 	failureRate      float64       // moving average, from 0 to 1
 	ejectedUntil     time.Time     // gets no work before, unless there is no other
@@ -54,7 +55,7 @@
 	if u.StartedMs != inst.upstream.StartedMs || u.Address != inst.upstream.Address {
 		inst.cache = newPrefixCache(capacity)
 		inst.failureRate, inst.ejection, inst.ejectedUntil, inst.misdirectedUntil = 0, 0, time.Time{}, time.Time{}
-		inst.prefillRate = throughput{}
+		inst.speed = engineSpeed{}
 	}
 	if u.Role != inst.upstream.Role {
 		inst.misdirectedUntil = time.Time{}
@@ -62,14 +63,13 @@
 	inst.upstream = u
 }
 
-// tokensAhead returns the prompt tokens of this entry that the engine computes before those of a new request of this
-// urgency.
-func (inst *instance) tokensAhead(urgency int) float64 {
-	var tokens float64
-	for _, t := range inst.pending[:urgency+1] {
-		tokens += t
+// workAheadMs returns the work of this entry, in milliseconds, that the engine does before a new request of this urgency.
+func (inst *instance) workAheadMs(urgency int) float64 {
+	var ms float64
+	for _, w := range inst.pending[:urgency+1] {
+		ms += w
 	}
-	return tokens
+	return ms
 }
 
 // recordSuccess records an answer that shows the upstream to be healthy.
--- a/internal/placement/measure.go
+++ b/internal/placement/measure.go
@@ -8,19 +8,9 @@
 const (
 	// latencyWeight is the weight of a new sample in the moving average of a latency.
 	latencyWeight = 0.2
-	// latencyHalfLife and rateHalfLife are the half-lives of the weight of earlier samples. Load and the faults that make an
-	// upstream slow last for seconds.
+	// latencyHalfLife is the half-life of the weight of earlier samples. Load and the faults that make an upstream slow last
+	// for seconds.
 	latencyHalfLife = 600 * time.Millisecond
-	rateHalfLife    = 4 * time.Second
-	// priorPrefillRate, in prompt tokens per millisecond, is the assumed rate of an engine that has no samples. It weighs as
-	// much as priorPrefillMs milliseconds of measured work.
-	priorPrefillRate = 40
-	priorPrefillMs   = 200
-	// minPrefillRate, in prompt tokens per millisecond, bounds a rate from below, so that one slow answer does not rule an
-	// engine out.
-	minPrefillRate = 2
-	// prefillOverheadMs is the fixed part of a prefill's duration in milliseconds: the engine's step and the network.
-	prefillOverheadMs = 100
 )
 
 // decay returns the remaining weight of a sample, from 1 down to 0. Without decay, an upstream that was slow once would get
@@ -46,33 +36,30 @@
 
 // observe adds a sample. The further the earlier samples have decayed, the more it counts.
 func (l *latency) observe(now time.Time, took time.Duration) {
-	ms := float64(took) / float64(time.Millisecond)
+	ms := milliseconds(took)
 	l.ms = ms + (1-latencyWeight)*decay(now, l.measured, latencyHalfLife)*(l.ms-ms)
 	l.measured = now
 }
 
-// throughput is the rate at which an engine computes prompts, as observed by one entry: work of other entries lowers it. The
-// estimate returns to priorPrefillRate without new samples.
-type throughput struct {
-	tokens, ms float64   // prompt tokens computed, and the milliseconds that they took; both decay
-	lastEnd    time.Time // end of the last prefill
-}
+// typicalMemory is the number of recent samples that a typical value weighs most.
+const typicalMemory = 200
 
-// rate returns the estimated rate in prompt tokens per millisecond.
-func (t *throughput) rate(now time.Time) float64 {
-	weight := decay(now, t.lastEnd, rateHalfLife)
-	return max(minPrefillRate, (weight*t.tokens+priorPrefillRate*priorPrefillMs)/(weight*t.ms+priorPrefillMs))
+// typical is the geometric mean of recent samples, which a few very long ones hardly change. The zero value has no samples.
+type typical struct {
+	logMs  float64 // mean of the logarithms
+	weight float64 // of all samples, at most typicalMemory
 }
 
-// observe adds a prefill that was sent at sent and ended at now. An engine computes prompts one at a time, so the
-// computation started no earlier than the end of the previous prefill.
-func (t *throughput) observe(now, sent time.Time, tokens float64) {
-	weight := decay(now, t.lastEnd, rateHalfLife)
-	from := sent.Add(prefillOverheadMs * time.Millisecond)
-	if t.lastEnd.After(from) {
-		from = t.lastEnd
+// ms returns the typical value in milliseconds; 0 if there are no samples.
+func (t *typical) ms() float64 {
+	if t.weight == 0 {
+		return 0
 	}
-	t.tokens = weight*t.tokens + tokens
-	t.ms = weight*t.ms + max(0, float64(now.Sub(from))/float64(time.Millisecond))
-	t.lastEnd = now
+	return math.Exp(t.logMs)
+}
+
+// observe adds a sample in milliseconds.
+func (t *typical) observe(ms float64) {
+	t.weight = min(t.weight+1, typicalMemory)
+	t.logMs += (math.Log(max(ms, 0.01)) - t.logMs) / t.weight
 }
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -31,6 +31,8 @@
 	Phase         fighollow.RequestPhase
 	SentAt        time.Time
 	PrefillTokens float64 // prompt tokens that the engine computes; 0 unless it is a prefill
+	workMs        float64 // expected time for which a prefill occupies the engine
+	backlog       bool    // earlier prefills of this entry were unfinished at the engine
 	prompt        []fighollow.PromptPart
 	urgency       int
 }
@@ -47,7 +49,9 @@
 	inst.open++
 	if q.Phase == fighollow.RequestPrefill {
 		a.PrefillTokens = float64(max(0, q.PromptTokens-c.Cached-c.Fetched))
-		inst.pending[q.Urgency] += a.PrefillTokens
+		a.workMs, a.backlog = p.times.occupiedMs(a.PrefillTokens), inst.prefills > 0
+		inst.pending[q.Urgency] += a.workMs
+		inst.prefills++
 		// The engine holds the prompt only once it has computed it, but requests that follow at once wait for the same part.
 		inst.cache.add(now, q.Prompt, false)
 		return a
@@ -63,6 +67,7 @@
 	defer p.mu.Unlock()
 	if inst := p.instances[a.UpstreamID]; inst != nil {
 		inst.latency.observe(now, now.Sub(a.SentAt))
+		p.firstEvent.observe(milliseconds(now.Sub(a.SentAt)))
 		inst.cache.add(now, a.prompt, true)
 	}
 }
@@ -79,7 +84,11 @@
 	before := inst.unavailableUntil()
 	inst.open = max(0, inst.open-1)
 	if a.Phase == fighollow.RequestPrefill {
-		inst.pending[a.urgency] = max(0, inst.pending[a.urgency]-a.PrefillTokens)
+		inst.prefills = max(0, inst.prefills-1)
+		inst.pending[a.urgency] = max(0, inst.pending[a.urgency]-a.workMs)
+		if inst.prefills == 0 {
+			inst.pending = [maxUrgency + 1]float64{} // drops rounding errors
+		}
 	} else {
 		inst.running = max(0, inst.running-1)
 	}
@@ -88,10 +97,13 @@
 		inst.recordSuccess()
 		switch a.Phase {
 		case fighollow.RequestPrefill:
-			inst.prefillRate.observe(now, a.SentAt, a.PrefillTokens)
+			p.observePrompt(now, a.SentAt, inst, a.PrefillTokens, a.backlog)
 			inst.cache.add(now, a.prompt, true)
 		case fighollow.RequestWhole:
 			inst.latency.observe(now, now.Sub(a.SentAt))
+			if p.traits.Engine == nil {
+				p.firstEvent.observe(milliseconds(now.Sub(a.SentAt)))
+			}
 		}
 	case Failed:
 		inst.recordFailure(now, p.medianFailureRate())
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -28,7 +28,7 @@
 // returns ErrTooLate, so that no prompt is computed in vain, and by how much the answer would miss the target. It returns
 // ErrNoUpstream if no upstream is eligible for the attempt or for the decode after it.
 func (p *Pool) Place(now time.Time, q *Query, slo SLO) (Choice, time.Duration, error) {
-	q.Urgency = urgency(slo.Priority, false)
+	q.Urgency, q.Target = urgency(slo.Priority, false), slo.Target
 	c, ok := p.Choose(now, *q)
 	if !ok {
 		return c, 0, ErrNoUpstream
@@ -36,7 +36,7 @@
 	if q.Phase == fighollow.RequestDecode || slo.Target == 0 {
 		return c, 0, nil
 	}
-	expected := now.Sub(slo.Arrived) + milliseconds(c.CostMs)
+	expected := now.Sub(slo.Arrived) + duration(c.CostMs)
 	if q.Phase == fighollow.RequestPrefill {
 		decodeQuery := *q
 		decodeQuery.Phase = fighollow.RequestDecode
@@ -44,7 +44,7 @@
 		if !ok {
 			return c, 0, ErrNoUpstream
 		}
-		expected += milliseconds(decode.CostMs)
+		expected += duration(decode.CostMs)
 	}
 	if expected > slo.Target {
 		q.Urgency = urgency(slo.Priority, true)
@@ -64,5 +64,3 @@
 	}
 	return u
 }
-
-func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -52,7 +52,7 @@
 // prompt returns the query of a prefill: a part of 10,000 tokens that prompts share, and one of 4,000 tokens of its own.
 func prompt(shared, own uint64) placement.Query {
 	return placement.Query{
-		Phase: fighollow.RequestPrefill, PromptTokens: 14_000, Bytes: 17_000, Seed: own,
+		Phase: fighollow.RequestPrefill, PromptTokens: 14_000, Bytes: 17_000, Target: 800 * time.Millisecond, Seed: own,
 		Prompt: []fighollow.PromptPart{{ID: shared, Tokens: 10_000}, {ID: own, Tokens: 4000}},
 	}
 }
@@ -333,7 +333,7 @@
 	}
 	c, _ := p.Choose(now, prompt(7, 2))
 	qt.Assert(t, c.Upstream.ID, qt.Equals, preferred)
-	qt.Assert(t, c.Pending, qt.Equals, 0)
+	qt.Assert(t, c.PendingMs, qt.Equals, 0.0)
 }
 
 func BenchmarkChoose(b *testing.B) {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -11,14 +11,20 @@
 
 // Terms of the cost of an attempt, in milliseconds or as factors.
 const (
-	// crossDataCentreMs and crossDataCentreMsPerKB are the cost of sending a request to another data centre, for the latency
-	// and for each KB of the request.
-	crossDataCentreMs      = 15
-	crossDataCentreMsPerKB = 5
-	// msPerRunning is the delay that one more running request causes for the others in the batch.
-	msPerRunning = 12
-	// jitterMs spreads attempts over upstreams with nearly equal costs.
-	jitterMs = 2
+	// crossHopMs is the latency of a request and its answer between data centres.
+	crossHopMs = 1
+	// crossTarget and crossTargetPerKB are the cost of sending a request to another data centre, for the latency and for each
+	// KB of the request, as a fraction of the request's latency target.
+	crossTarget      = 0.02
+	crossTargetPerKB = 0.007
+	// crossPlain is the same for a plain service, whose requests are small, as a fraction of its typical latency.
+	crossPlain = 0.5
+	// runningCost is the delay that one more running request causes for the others in the batch, as a fraction of the typical
+	// latency until the first event.
+	runningCost = 0.25
+	// jitterCost spreads attempts over upstreams with nearly equal costs, as a fraction of the typical latency.
+	jitterCost  = 0.05
+	minJitterMs = 0.1 // while no latency is known
 	// decodePrefillSlowdown is how many times longer a decode engine takes to compute a prompt than a prefill engine.
 	decodePrefillSlowdown = 2
 	// expectedPrefixShare is the fraction of a prompt's shared tokens that its preferred engine is expected to hold when no
@@ -42,11 +48,12 @@
 	Phase        fighollow.RequestPhase
 	Prompt       []fighollow.PromptPart
 	PromptTokens int
-	Bytes        int      // size of the request
-	Urgency      int      // as sent to the engine: 0 is served first, maxUrgency last
-	Tried        []string // ids of upstreams that must not be chosen
-	NoRetry      bool     // the request gets no second attempt: upstreams that refused recently are a last resort
-	Seed         uint64   // breaks ties
+	Bytes        int           // size of the request
+	Target       time.Duration // latency target; 0 if there is none
+	Urgency      int           // as sent to the engine: 0 is served first, maxUrgency last
+	Tried        []string      // ids of upstreams that must not be chosen
+	NoRetry      bool          // the request gets no second attempt: upstreams that refused recently are a last resort
+	Seed         uint64        // breaks ties
 }
 
 // maxUrgency is the least urgent value that engines accept.
@@ -59,7 +66,7 @@
 	Cached    int     // prompt tokens that the engine is expected to hold
 	FetchFrom string  // address of an engine that holds more of the prompt; empty if there is none
 	Fetched   int     // prompt tokens to fetch from it, beyond Cached
-	Pending   int     // prompt tokens of this entry that the engine computes first
+	PendingMs float64 // work of this entry that the engine does first, in milliseconds
 	Running   int     // attempts of this entry that the engine runs
 }
 
@@ -72,6 +79,9 @@
 	entries   int // number of entries that share the connections of each upstream
 	traits    fighollow.ServiceTraits
 	instances map[string]*instance
+
+	times      promptTimes
+	firstEvent typical // latency until the first event of an answer, or until a whole plain one
 }
 
 func newPool(dataCentre string, drain time.Duration) *Pool {
@@ -156,7 +166,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expire(now)
-	loc, maxOpen := p.locatePrefix(now, q), p.maxOpen()
+	p.times.assume(q)
+	loc, maxOpen, jitter := p.locatePrefix(now, q), p.maxOpen(), p.jitterMs(q)
 	var best Choice
 	cost := math.Inf(1)
 	// Upstreams that are ejected, full or removed from the store are used only if there is no other.
@@ -166,7 +177,7 @@
 				continue
 			}
 			c := p.estimateCost(now, inst, q, loc)
-			c.CostMs += jitterMs * float64(rendezvous.Score(q.Seed, inst.hash)%1024) / 1024
+			c.CostMs += jitter * float64(rendezvous.Score(q.Seed, inst.hash)%1024) / 1024
 			if c.CostMs < cost {
 				best, cost = c, c.CostMs
 			}
@@ -204,27 +215,43 @@
 	return r != fighollow.RolePrefill
 }
 
+// jitterMs returns the range of the random part of the cost of an attempt.
+func (p *Pool) jitterMs(q Query) float64 {
+	if q.Phase == fighollow.RequestPrefill {
+		return minJitterMs + jitterCost*p.times.aloneMs(0)
+	}
+	return minJitterMs + jitterCost*p.firstEvent.ms()
+}
+
 // estimateCost estimates the cost of an attempt at inst.
 func (p *Pool) estimateCost(now time.Time, inst *instance, q Query, loc prefixLocation) Choice {
-	ahead := inst.tokensAhead(q.Urgency)
-	c := Choice{Upstream: inst.upstream, Pending: int(ahead), Running: inst.running}
+	c := Choice{Upstream: inst.upstream, Running: inst.running}
 	switch q.Phase {
 	case fighollow.RequestPrefill:
-		c.CostMs = prefillOverheadMs + (ahead+p.prefillCostTokens(now, inst, q, loc, &c))/inst.prefillRate.rate(now) + p.transferMs(c.Fetched)
+		c.PendingMs = inst.workAheadMs(q.Urgency)
+		c.CostMs = inst.speed.slowness(now)*(c.PendingMs+p.times.aloneMs(p.prefillCostTokens(now, inst, q, loc, &c))) + p.transferMs(c.Fetched)
 	case fighollow.RequestDecode:
-		c.CostMs = msPerRunning*float64(inst.running) + inst.latency.estimate(now)
+		c.CostMs = runningCost*p.firstEvent.ms()*float64(inst.running) + inst.latency.estimate(now)
 	default:
 		c.CostMs = inst.latency.estimate(now) * (1 + float64(inst.running)/float64(max(1, inst.upstream.Slots)))
 		if q.PromptTokens > 0 {
-			c.CostMs += decodePrefillSlowdown * p.prefillCostTokens(now, inst, q, loc, &c) / inst.prefillRate.rate(now)
+			c.CostMs += decodePrefillSlowdown * p.times.aloneMs(p.prefillCostTokens(now, inst, q, loc, &c))
 		}
 	}
 	if inst.upstream.DataCentre != p.dataCentre {
-		c.CostMs += crossDataCentreMs + crossDataCentreMsPerKB*float64(q.Bytes)/1024
+		c.CostMs += p.crossDataCentreMs(q)
 	}
 	return c
 }
 
+// crossDataCentreMs returns the cost of sending the request to another data centre.
+func (p *Pool) crossDataCentreMs(q Query) float64 {
+	if p.traits.Engine == nil {
+		return crossHopMs + crossPlain*p.firstEvent.ms()
+	}
+	return crossHopMs + (crossTarget+crossTargetPerKB*float64(q.Bytes)/1024)*milliseconds(q.Target)
+}
+
 // prefillCostTokens returns the cost of the prompt at inst as an equivalent number of computed tokens. It sets the cached and
 // fetched tokens of c and the engine to fetch from.
 func (p *Pool) prefillCostTokens(now time.Time, inst *instance, q Query, loc prefixLocation, c *Choice) float64 {
