--- a/internal/roles/plan.go
+++ b/internal/roles/plan.go
@@ -21,7 +21,7 @@
 	prefillQueueTarget = 1.5
 	// decodeUseTarget is the mean share of KV cache or slots in use per decode engine that counts as full load. Above it,
 	// decoding slows down and requests are preempted.
-	decodeUseTarget = 0.35
+	decodeUseTarget = 0.7
 	// decodeQueueTarget is the mean queue length per decode engine that counts as full load.
 	decodeQueueTarget = 2
 	// maxDonorRatio, divided by the preset's role change weight, limits the utilisation of the role that gives up an engine:
