placement: decode engines compute prompts while prefill engines have too many

A request goes to a decode engine for its whole answer if that is expected to begin sooner than a prefill and a decode, the delay of the answers that run there included.

--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -53,7 +53,7 @@
 // prompt, because there is no prefill engine or the route allows no further call. The first call that an engine accepts does
 // not count as an attempt.
 func (x *exchange) prefill(ctx context.Context) (*fighollow.KVCache, error) {
-	if x.headerSent {
+	if x.headerSent || x.path(time.Now()) == fighollow.RequestWhole {
 		return nil, nil // a resumed stream's prompt is fetched from an engine that has it cached
 	}
 	for x.arrivals.allowPrefill(x.route.MaxAttempts) {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -22,12 +22,22 @@
 	}
 }
 
+// slo returns the request's latency target, deadline and priority.
+func (x *exchange) slo() placement.SLO {
+	return placement.SLO{
+		Arrived: x.call.Arrived, Target: x.route.TargetLatency, Deadline: x.deadline, Priority: x.route.Priority, Begun: x.headerSent,
+	}
+}
+
+// path returns the phase of the next attempt at a whole answer.
+func (x *exchange) path(now time.Time) fighollow.RequestPhase {
+	return x.pool.Path(now, x.query(fighollow.RequestPrefill), x.slo())
+}
+
 // place chooses the upstream for the next attempt.
 func (x *exchange) place(now time.Time, phase fighollow.RequestPhase) (placement.Choice, placement.Query, error) {
 	q := x.query(phase)
-	c, overTarget, err := x.pool.Place(now, &q, placement.SLO{
-		Arrived: x.call.Arrived, Target: x.route.TargetLatency, Deadline: x.deadline, Priority: x.route.Priority, Begun: x.headerSent,
-	})
+	c, overTarget, err := x.pool.Place(now, &q, x.slo())
 	x.overTarget = overTarget
 	return c, q, err
 }
--- a/internal/placement/instance.go
+++ b/internal/placement/instance.go
@@ -32,8 +32,8 @@
 	removedAt        time.Time               // when it was removed from the store; zero while it is listed
 	open             int                     // attempts of this entry in flight, each on its own connection
 	running          int                     // those of them that generate or compute a plain answer
-	pending          [maxUrgency + 1]float64 // milliseconds of work of this entry's unfinished prefills, by urgency
-	prefills         int                     // unfinished prefills of this entry
+	pending          [maxUrgency + 1]float64 // milliseconds of work of this entry's unfinished prompts, by urgency
+	prefills         int                     // unfinished prompts of this entry
 	speed            engineSpeed
 	latency          latency       // until a plain answer or the first event of a stream
 	failureRate      float64       // moving average, from 0 to 1
@@ -59,6 +59,7 @@
 	}
 	if u.Role != inst.upstream.Role {
 		inst.misdirectedUntil = time.Time{}
+		inst.speed = engineSpeed{} // measured with the other role
 	}
 	inst.upstream = u
 }
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -30,9 +30,10 @@
 	UpstreamID    string
 	Phase         fighollow.RequestPhase
 	SentAt        time.Time
-	PrefillTokens float64 // prompt tokens that the engine computes; 0 unless it is a prefill
-	workMs        float64 // expected time for which a prefill occupies the engine
-	backlog       bool    // earlier prefills of this entry were unfinished at the engine
+	PrefillTokens float64 // prompt tokens that the engine computes; 0 for a decode
+	workMs        float64 // expected time for which the prompt occupies the engine
+	backlog       bool    // earlier prompts of this entry were unfinished at the engine
+	computing     bool    // the engine has not computed the prompt yet
 	prompt        []fighollow.PromptPart
 	urgency       int
 }
@@ -47,29 +48,57 @@
 		return a
 	}
 	inst.open++
-	if q.Phase == fighollow.RequestPrefill {
-		a.PrefillTokens = float64(max(0, q.PromptTokens-c.Cached-c.Fetched))
-		a.workMs, a.backlog = p.times.occupiedMs(a.PrefillTokens), inst.prefills > 0
-		inst.pending[q.Urgency] += a.workMs
-		inst.prefills++
-		// The engine holds the prompt only once it has computed it, but requests that follow at once wait for the same part.
-		inst.cache.add(now, q.Prompt, false)
-		return a
-	}
-	inst.running++
+	// The engine holds the prompt only once it has computed it, but requests that follow at once wait for the same part.
 	inst.cache.add(now, q.Prompt, false)
+	if q.Phase != fighollow.RequestPrefill {
+		inst.running++
+	}
+	if q.Phase != fighollow.RequestDecode && p.traits.Engine != nil {
+		p.beginPrompt(inst, a, c, q)
+	}
 	return a
 }
 
+// beginPrompt adds the computation of a prompt to the work of its engine.
+func (p *Pool) beginPrompt(inst *instance, a *Attempt, c Choice, q Query) {
+	a.PrefillTokens = float64(max(0, q.PromptTokens-c.Cached-c.Fetched))
+	a.workMs, a.backlog, a.computing = p.times.occupiedMs(a.PrefillTokens), inst.prefills > 0, true
+	if q.Phase == fighollow.RequestWhole {
+		a.workMs = p.times.wholeMs(a.PrefillTokens)
+	}
+	inst.pending[q.Urgency] += a.workMs
+	inst.prefills++
+}
+
+// endPrompt removes the computation of a prompt from the work of its engine. Calls after the first do nothing.
+func (inst *instance) endPrompt(a *Attempt) {
+	if !a.computing {
+		return
+	}
+	a.computing = false
+	inst.prefills = max(0, inst.prefills-1)
+	inst.pending[a.urgency] = max(0, inst.pending[a.urgency]-a.workMs)
+	if inst.prefills == 0 {
+		inst.pending = [maxUrgency + 1]float64{} // drops rounding errors
+	}
+}
+
 // Started records the first event of a stream.
 func (p *Pool) Started(now time.Time, a *Attempt) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if inst := p.instances[a.UpstreamID]; inst != nil {
-		inst.latency.observe(now, now.Sub(a.SentAt))
-		p.firstEvent.observe(milliseconds(now.Sub(a.SentAt)))
-		inst.cache.add(now, a.prompt, true)
+	inst := p.instances[a.UpstreamID]
+	if inst == nil {
+		return
+	}
+	inst.cache.add(now, a.prompt, true)
+	if a.computing {
+		p.observeWhole(now, inst, a)
+		inst.endPrompt(a)
+		return
 	}
+	inst.latency.observe(now, now.Sub(a.SentAt))
+	p.firstEvent.observe(milliseconds(now.Sub(a.SentAt)))
 }
 
 // End records the end of an attempt. It returns for how long the upstream gets no further work because of it; 0 if it stays
@@ -83,13 +112,8 @@
 	}
 	before := inst.unavailableUntil()
 	inst.open = max(0, inst.open-1)
-	if a.Phase == fighollow.RequestPrefill {
-		inst.prefills = max(0, inst.prefills-1)
-		inst.pending[a.urgency] = max(0, inst.pending[a.urgency]-a.workMs)
-		if inst.prefills == 0 {
-			inst.pending = [maxUrgency + 1]float64{} // drops rounding errors
-		}
-	} else {
+	inst.endPrompt(a)
+	if a.Phase != fighollow.RequestPrefill {
 		inst.running = max(0, inst.running-1)
 	}
 	switch r {
@@ -100,10 +124,11 @@
 			p.observePrompt(now, a.SentAt, inst, a.PrefillTokens, a.backlog)
 			inst.cache.add(now, a.prompt, true)
 		case fighollow.RequestWhole:
-			inst.latency.observe(now, now.Sub(a.SentAt))
 			if p.traits.Engine == nil {
+				inst.latency.observe(now, now.Sub(a.SentAt))
 				p.firstEvent.observe(milliseconds(now.Sub(a.SentAt)))
 			}
+		case fighollow.RequestDecode:
 		}
 	case Failed:
 		inst.recordFailure(now, p.medianFailureRate())
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -55,6 +55,26 @@
 	return c, 0, nil
 }
 
+// Path returns the phase of the first attempt of a request: a prefill, which a decode follows elsewhere, or a whole answer,
+// whose prompt the decode engine computes itself. That takes longer and needs no transfer. It answers loads whose prompts
+// exceed what the prefill engines compute while decode engines have time left, for as long as roles do not fit the mix.
+func (p *Pool) Path(now time.Time, q Query, slo SLO) fighollow.RequestPhase {
+	q.Urgency, q.Target = urgency(slo.Priority, false), slo.Target
+	var cost [3]float64
+	for i, phase := range []fighollow.RequestPhase{fighollow.RequestPrefill, fighollow.RequestDecode, fighollow.RequestWhole} {
+		q.Phase = phase
+		c, ok := p.Choose(now, q)
+		if !ok {
+			return fighollow.RequestPrefill
+		}
+		cost[i] = c.CostMs
+	}
+	if cost[2] < cost[0]+cost[1] {
+		return fighollow.RequestWhole
+	}
+	return fighollow.RequestPrefill
+}
+
 // urgency returns the urgency value sent to the engines, which serve lower values first. It orders requests by the route's
 // priority and, within a priority, those that can still meet the latency target before those that cannot.
 func urgency(priority int, late bool) int {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -22,6 +22,9 @@
 	// runningCost is the delay that one more running request causes for the others in the batch, as a fraction of the typical
 	// latency until the first event.
 	runningCost = 0.25
+	// interruptionCost is the cost of delaying a running answer by the computation of a prompt between its tokens, as a
+	// fraction of the delay.
+	interruptionCost = 0.25
 	// jitterCost spreads attempts over upstreams with nearly equal costs, as a fraction of the typical latency.
 	jitterCost  = 0.05
 	minJitterMs = 0.1 // while no latency is known
@@ -233,10 +236,14 @@
 	case fighollow.RequestDecode:
 		c.CostMs = runningCost*p.firstEvent.ms()*float64(inst.running) + inst.latency.estimate(now)
 	default:
-		c.CostMs = inst.latency.estimate(now) * (1 + float64(inst.running)/float64(max(1, inst.upstream.Slots)))
-		if q.PromptTokens > 0 {
-			c.CostMs += decodePrefillSlowdown * p.times.aloneMs(p.prefillCostTokens(now, inst, q, loc, &c))
+		if p.traits.Engine == nil {
+			c.CostMs = inst.latency.estimate(now) * (1 + float64(inst.running)/float64(max(1, inst.upstream.Slots)))
+			break
 		}
+		c.PendingMs = inst.workAheadMs(q.Urgency)
+		ms := p.times.wholeMs(p.prefillCostTokens(now, inst, q, loc, &c))
+		c.CostMs = inst.speed.slowness(now)*(c.PendingMs+ms) + interruptionCost*ms*float64(inst.running*p.entries) +
+			runningCost*p.firstEvent.ms()*float64(inst.running) + inst.latency.estimate(now)
 	}
 	if inst.upstream.DataCentre != p.dataCentre {
 		c.CostMs += p.crossDataCentreMs(q)
--- a/internal/placement/prompttime.go
+++ b/internal/placement/prompttime.go
@@ -86,6 +86,7 @@
 type promptTimes struct {
 	alone lineFit // from dispatch to result of a prompt that did not wait for others of this entry
 	next  lineFit // between the results of two prompts that the engine computed one after the other
+	whole lineFit // from dispatch to first event of a prompt that a decode engine computes itself
 }
 
 // aloneMs returns how long a prompt takes that does not wait, until its result arrives.
@@ -125,6 +126,14 @@
 	}
 }
 
+// wholeMs returns how long a decode engine takes to compute a prompt, until its first event arrives.
+func (t *promptTimes) wholeMs(tokens float64) float64 {
+	if t.whole.weight < minFitSamples {
+		return decodePrefillSlowdown * t.aloneMs(tokens)
+	}
+	return t.whole.estimate(tokens)
+}
+
 // assume sets what is assumed of prompts before there are samples.
 func (t *promptTimes) assume(q Query) {
 	if t.alone.weight == 0 && q.Target > 0 && q.PromptTokens > 0 {
@@ -150,6 +159,16 @@
 	}
 }
 
+// observeWhole adds the first event at now of a prompt that a decode engine computed itself.
+func (p *Pool) observeWhole(now time.Time, inst *instance, a *Attempt) {
+	if a.backlog {
+		return
+	}
+	ms := milliseconds(now.Sub(a.SentAt))
+	inst.speed.observe(now, ms, p.times.whole.known(a.PrefillTokens))
+	p.times.whole.observe(a.PrefillTokens, ms, slowSampleWeight)
+}
+
 // milliseconds returns d in milliseconds.
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
