roles, placement: decode keeps a reserve; paths are compared once prompt times are known

Without measurements the costs of both paths were equal and tests of platform that expect a prefill failed by chance.

--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -59,6 +59,9 @@
 // whose prompt the decode engine computes itself. That takes longer and needs no transfer. It answers loads whose prompts
 // exceed what the prefill engines compute while decode engines have time left, for as long as roles do not fit the mix.
 func (p *Pool) Path(now time.Time, q Query, slo SLO) fighollow.RequestPhase {
+	if !p.promptTimesKnown() {
+		return fighollow.RequestPrefill
+	}
 	q.Urgency, q.Target = urgency(slo.Priority, false), slo.Target
 	var cost [3]float64
 	for i, phase := range []fighollow.RequestPhase{fighollow.RequestPrefill, fighollow.RequestDecode, fighollow.RequestWhole} {
@@ -75,6 +78,13 @@
 	return fighollow.RequestPrefill
 }
 
+// promptTimesKnown reports whether enough prompts were measured to compare paths.
+func (p *Pool) promptTimesKnown() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.times.alone.weight >= minFitSamples
+}
+
 // urgency returns the urgency value sent to the engines, which serve lower values first. It orders requests by the route's
 // priority and, within a priority, those that can still meet the latency target before those that cannot.
 func urgency(priority int, late bool) int {
--- a/internal/roles/plan.go
+++ b/internal/roles/plan.go
@@ -19,9 +19,11 @@
 	maxInitialOrders = 16
 	// prefillQueueTarget is the mean queue length per prefill engine that counts as full load.
 	prefillQueueTarget = 1.5
-	// decodeUseTarget is the mean share of KV cache or slots in use per decode engine that counts as full load. Above it,
-	// decoding slows down and requests are preempted.
+	// decodeUseTarget is the mean share of KV cache or slots in use per decode engine that counts as full load.
 	decodeUseTarget = 0.7
+	// decodeReserveUse is the same share when it is judged whether decode can give up an engine. It is lower, because requests
+	// are preempted when a shift of the mix fills the remaining engines.
+	decodeReserveUse = 0.35
 	// decodeQueueTarget is the mean queue length per decode engine that counts as full load.
 	decodeQueueTarget = 2
 	// maxDonorRatio, divided by the preset's role change weight, limits the utilisation of the role that gives up an engine:
@@ -107,7 +109,7 @@
 	}
 	onPrefill, onDecode := p.utilisation()
 	p.peakPrefill = max(onPrefill, peakDecay*p.peakPrefill)
-	p.peakDecode = max(onDecode, peakDecay*p.peakDecode)
+	p.peakDecode = max(p.decodeUse/decodeReserveUse+p.decodeQueue/decodeQueueTarget, peakDecay*p.peakDecode)
 	if changing > 0 || p.samples < minSamples || now.Sub(p.lastChange) < p.cooldown() {
 		return nil, "settling"
 	}
