--- a/cmd/fighollow/emulate.go
+++ b/cmd/fighollow/emulate.go
@@ -32,9 +32,13 @@
 			&cli.IntFlag{Name: "engines", Value: emulator.Default().Engines, Usage: "`N` engines, of which two thirds start with the prefill role"},
 			&cli.DurationFlag{Name: "duration", Value: emulator.Default().Duration, Usage: "`TIME` during which requests arrive"},
 			&cli.BoolFlag{Name: "faults", Usage: "let engines crash and slow down"},
+			&cli.IntFlag{Name: "draws", Usage: "run on `N` deployments drawn from seeds instead, and compare with the best fixed split of the roles in hindsight"},
 			&cli.StringFlag{Name: "format", Value: "table", Usage: "output format: table, csv or json; csv and json contain a row for each run"},
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
+			if n := cmd.Int("draws"); n != 0 {
+				return runDraws(cmd.Root().Writer, n, cmd.StringSlice("policy"))
+			}
 			cfg, err := emulatorConfig(cmd)
 			if err != nil {
 				return err
@@ -86,17 +90,12 @@
 // runPolicies runs every selected policy with every seed, and returns the results in the order of the policies and seeds. No
 // names select all policies.
 func runPolicies(cfg emulator.Config, names []string, seeds int) ([]emulator.Result, error) {
-	policies := emulator.Policies()
-	for _, name := range names {
-		if !slices.ContainsFunc(policies, func(p emulator.Policy) bool { return p.Name == name }) {
-			return nil, fmt.Errorf("emulate: unknown policy %q", name)
-		}
+	policies, err := selectPolicies(names)
+	if err != nil {
+		return nil, err
 	}
 	var out []emulator.Result
 	for _, p := range policies {
-		if len(names) > 0 && !slices.Contains(names, p.Name) {
-			continue
-		}
 		for seed := range seeds {
 			cfg.Policy, cfg.Seed = p, uint64(seed+1)
 			out = append(out, emulator.Run(cfg))
@@ -105,6 +104,17 @@
 	return out, nil
 }
 
+// selectPolicies returns the policies with these names, or all policies if there are no names.
+func selectPolicies(names []string) ([]emulator.Policy, error) {
+	policies := emulator.Policies()
+	for _, name := range names {
+		if !slices.ContainsFunc(policies, func(p emulator.Policy) bool { return p.Name == name }) {
+			return nil, fmt.Errorf("emulate: unknown policy %q", name)
+		}
+	}
+	return slices.DeleteFunc(policies, func(p emulator.Policy) bool { return len(names) > 0 && !slices.Contains(names, p.Name) }), nil
+}
+
 // runRow is the printed form of a run.
 type runRow struct {
 	Policy        string  `json:"policy"`
