--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -28,7 +28,8 @@
 	// jitterCost spreads attempts over upstreams with nearly equal costs, as a fraction of the typical latency.
 	jitterCost  = 0.05
 	minJitterMs = 0.1 // while no latency is known
-	// decodePrefillSlowdown is how many times longer a decode engine takes to compute a prompt than a prefill engine.
+	// decodePrefillSlowdown is how many times longer a decode engine takes to compute a prompt than a prefill engine, until that
+	// has been measured. The platform's engines compute at half the speed then.
 	decodePrefillSlowdown = 2
 	// expectedPrefixShare is the fraction of a prompt's shared tokens that its preferred engine is expected to hold when no
 	// cache is known to hold more.
@@ -65,7 +66,7 @@
 // Choice is the upstream chosen for an attempt, with the inputs of the decision.
 type Choice struct {
 	Upstream  fighollow.Upstream
-	CostMs    float64 // expected time until the result in milliseconds, penalties included
+	CostMs    float64 // expected time until the result in milliseconds, with what the attempt costs others
 	Cached    int     // prompt tokens that the engine is expected to hold
 	FetchFrom string  // address of an engine that holds more of the prompt; empty if there is none
 	Fetched   int     // prompt tokens to fetch from it, beyond Cached
@@ -83,8 +84,8 @@
 	traits    fighollow.ServiceTraits
 	instances map[string]*instance
 
-	times      promptTimes
-	firstEvent typical // latency until the first event of an answer, or until a whole plain one
+	times      promptTimes // what was measured of prompts
+	firstEvent typical     // latency until the first event of an answer, or until a whole plain one
 }
 
 func newPool(dataCentre string, drain time.Duration) *Pool {
