--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	charge, err := x.arrivals.add(phase, x.route.MaxAttempts)
+	charged, err := x.arrivals.add(phase, x.route.MaxAttempts)
 	if err != nil {
 		return nil, err
 	}
@@ -90,7 +90,7 @@
 		Str("phase", string(phase)).Float64("costMs", c.CostMs).
 		Int("tokens", x.call.PromptTokens).Int("cached", c.Cached).Int("fetched", c.Fetched).Float64("pendingMs", c.PendingMs).
 		Int("running", c.Running).Int64("leftMs", x.deadline.Sub(now).Milliseconds()).Send()
-	a := &attempt{x: x, placed: x.pool.Begin(now, c, q), upstream: c.Upstream, phase: phase, charge: charge}
+	a := &attempt{x: x, placed: x.pool.Begin(now, c, q), upstream: c.Upstream, phase: phase, charge: charged}
 	x.attemptsSent++
 	a.reply, err = x.g.dispatch.Dispatch(ctx, req)
 	return a, x.recordReply(ctx, a, err)
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -63,21 +63,22 @@
 		return fighollow.RequestPrefill
 	}
 	q.Urgency, q.Target = urgency(slo.Priority, false), slo.Target
-	var cost [3]float64
-	for i, phase := range []fighollow.RequestPhase{fighollow.RequestPrefill, fighollow.RequestDecode, fighollow.RequestWhole} {
-		q.Phase = phase
-		c, ok := p.Choose(now, q)
-		if !ok {
-			return fighollow.RequestPrefill
-		}
-		cost[i] = c.CostMs
-	}
-	if cost[2] < cost[0]+cost[1] {
+	prefillMs, hasPrefill := p.costMs(now, q, fighollow.RequestPrefill)
+	decodeMs, hasDecode := p.costMs(now, q, fighollow.RequestDecode)
+	wholeMs, hasWhole := p.costMs(now, q, fighollow.RequestWhole)
+	if hasPrefill && hasDecode && hasWhole && wholeMs < prefillMs+decodeMs {
 		return fighollow.RequestWhole
 	}
 	return fighollow.RequestPrefill
 }
 
+// costMs returns the cost of an attempt of this phase at the upstream with the lowest one. It returns false if there is none.
+func (p *Pool) costMs(now time.Time, q Query, phase fighollow.RequestPhase) (float64, bool) {
+	q.Phase = phase
+	c, ok := p.Choose(now, q)
+	return c.CostMs, ok
+}
+
 // promptTimesKnown reports whether enough prompts were measured to compare paths.
 func (p *Pool) promptTimesKnown() bool {
 	p.mu.Lock()
