--- a/internal/roles/plan_test.go
+++ b/internal/roles/plan_test.go
@@ -149,6 +149,16 @@
 	qt.Assert(t, f.count(fighollow.RoleDecode), qt.Equals, 5)
 }
 
+// Guards against prefill engines that are ordered to decode while decode has room: engines with few slots are half full under a
+// load that they carry with ease, and the next surge of prompts then finds too few prefill engines.
+func TestHalfUsedDecodeGetsNoEngines(t *testing.T) {
+	f := newTestFleet(5, 3)
+	for range 40 {
+		f.round(load(0, 0.6))
+	}
+	qt.Assert(t, f.orders, qt.Equals, 0)
+}
+
 // Guards against engines that change their role back and forth under alternating load. Each change makes an engine
 // unavailable for seconds.
 func TestAlternatingLoadDoesNotFlap(t *testing.T) {
