gateway, answer: log and count how the end of an answer is marked

attemptEnded has framing, bytes, lastEvent and insideEvent; the counters answers.length, answers.chunked, answers.connection and answers.endedInsideEvent say how frequent each is. No decision changes.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -64,9 +65,24 @@
 	phase      fighollow.RequestPhase
 	charge     charge
 	reply      *fighollow.Reply
+	body       *countingBody // body of reply
 	streaming  bool          // the first event was relayed
 	firstEvent time.Duration // from the dispatch to the first event
-	ended      bool
+	// insideEvent reports that the stream ended without an error after an incomplete event.
+	insideEvent bool
+	ended       bool
+}
+
+// countingBody counts the bytes that were read of a body.
+type countingBody struct {
+	io.ReadCloser
+	n int64
+}
+
+func (b *countingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.n += int64(n)
+	return n, err
 }
 
 // send places an attempt and dispatches it. On success, the status and header of the reply have arrived. It returns the
@@ -93,6 +109,10 @@
 	a := &attempt{x: x, placed: x.pool.Begin(now, c, q), upstream: c.Upstream, phase: phase, charge: charged}
 	x.attemptsSent++
 	a.reply, err = x.g.dispatch.Dispatch(ctx, req)
+	if err == nil {
+		a.body = &countingBody{ReadCloser: a.reply.Body}
+		a.reply.Body = a.body
+	}
 	return a, x.recordReply(ctx, a, err)
 }
 
@@ -162,12 +182,28 @@
 	if a.reply != nil {
 		line.Int("status", a.reply.Status)
 	}
+	if a.body != nil && a.phase != fighollow.RequestPrefill && !a.reply.NotRun {
+		a.logBody(line)
+	}
 	if err != nil {
 		line.Err(err)
 	}
 	line.Send()
 }
 
+// logBody adds to the line how the answer's body is framed and where it ended, and counts both.
+func (a *attempt) logBody(line *zerolog.Event) {
+	line.Str("framing", string(a.reply.Framing)).Int64("bytes", a.body.n)
+	a.x.g.metrics.count("answers." + string(a.reply.Framing))
+	if a.streaming {
+		line.Str("lastEvent", a.x.resumeAfter)
+	}
+	if a.insideEvent {
+		line.Bool("insideEvent", true)
+		a.x.g.metrics.count("answers.endedInsideEvent")
+	}
+}
+
 // shouldRetry reports whether to make another attempt after err, and logs the reason. After it has returned false once, it
 // returns false without logging.
 func (x *exchange) shouldRetry(ctx context.Context, err error) bool {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -34,6 +34,7 @@
 			continue
 		case errors.Is(err, io.EOF):
 			// Bytes after the last event are part of the answer if the stream ends without an error.
+			a.insideEvent = len(pending) > 0
 			if len(pending) > 0 {
 				return x.writeEvents(a, pending)
 			}
--- a/pkg/fighollow/attempt.go
+++ b/pkg/fighollow/attempt.go
@@ -57,14 +57,26 @@
 	Deadline    time.Time // when the sender stops waiting
 }
 
+// Framing is how the end of a message's body is marked.
+type Framing string
+
+// Framings of HTTP/1 bodies.
+const (
+	FramingLength  Framing = "length"  // the header has the length
+	FramingChunked Framing = "chunked" // a last chunk follows the body
+	// FramingConnection means that the body ends with its connection, which also ends when the sender crashes.
+	FramingConnection Framing = "connection"
+)
+
 // Reply is the start of an upstream's response: status and header, with the body still to be read. The receiver closes
 // Body.
 type Reply struct {
 	Status int
 	Header Header // without hop-by-hop fields
 	// Length is the length of Body in bytes, or -1 if it is unknown: a chunked body, or one that ends with the connection.
-	Length int64
-	Body   io.ReadCloser
+	Length  int64
+	Framing Framing
+	Body    io.ReadCloser
 	// NotRun reports that the upstream guarantees that it did not run the call and never will.
 	NotRun bool
 	// Misdirected reports that another instance answered at the address, or that the engine has another role. NotRun is
