--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -24,9 +24,30 @@
 echo "== build"
 mkdir -p bin
 go build -o bin/ ./cmd/...
+# Tests that are known to fail are skipped by their exact names, in their own package only, and printed.
+known_red() { sed -n 's/^- \([^ ]*\) \([^ ]*\)$/\1 \2/p' KNOWN-RED.txt; }
+run_tests() { # run_tests FLAGS PACKAGE...
+  local flags=$1 red package skip
+  shift
+  red=$(known_red)
+  local green=()
+  for package in "$@"; do
+    skip=$(awk -v p="$package" '$1 == p { printf "%s^%s$", sep, $2; sep = "|" }' <<<"$red" | sed 's|/|$/^|g')
+    if [ -z "$skip" ]; then
+      green+=("$package")
+      continue
+    fi
+    echo "known to fail, skipped in $package: $skip"
+    go test $flags -skip "$skip" "$package"
+  done
+  if [ "${#green[@]}" -gt 0 ]; then
+    go test $flags "${green[@]}"
+  fi
+}
+packages=$(go list ./... | sed "s|^$(go list -m)|.|")
 echo "== unit tests with the race detector"
-go test -race -count=1 -timeout 5m $(go list ./... | grep -v '/internal/faults$')
+run_tests "-race -count=1 -timeout 5m" $(grep -v '^./internal/faults$' <<<"$packages")
 if [ -d internal/faults ]; then
   echo "== process tests"
-  go test -count=1 -timeout 5m ./internal/faults
+  run_tests "-count=1 -timeout 5m" ./internal/faults
 fi
