answer, gateway: a stream that ends inside an event has been broken off

Cause: an engine may send a stream with neither a length nor chunks. The end of such a body is the end of its connection, also when the engine crashes, and net/http reports both as io.EOF. relayEvents took io.EOF for the end of the answer, passed the bytes of the half event on and ended its own chunked response in order.

Fix: answer.Reader reads the body of an answer and returns io.EOF only if the body is complete: an event stream that ends within an event or a line, whatever its framing, or without a length or chunks before its first event, yields ErrTruncated. The relay passes on whole events only, and a truncated stream goes the way of any broken one: it is resumed where the route allows it, else the caller's response is broken off. One place decides for all relays. Both the caller's view (the response stays chunked, so that the death of this process shows as well) and the bytes of complete answers are unchanged.

What remains: an orderly close between two events cannot be told from the end.

--- /dev/null
+++ b/internal/answer/events.go
@@ -0,0 +1,47 @@
+package answer
+
+// eventScanner finds the ends of server-sent events in a stream that arrives in parts. A line ends with LF, CR or CRLF, and
+// an event with a blank line.
+type eventScanner struct {
+	events     int // complete events
+	lineBytes  int // of the line that has not ended yet
+	hasField   bool
+	afterCR    bool
+	usesCRLF   bool
+	blankAfter bool // the last line end was that of a blank line
+}
+
+// scan reads the next part and returns the offset in it after the last complete event, or 0 if none ends in it.
+func (s *eventScanner) scan(p []byte) (end int) {
+	for i, c := range p {
+		if c == '\n' && s.afterCR {
+			s.afterCR, s.usesCRLF = false, true
+			if s.blankAfter {
+				end = i + 1
+			}
+			continue
+		}
+		s.afterCR = c == '\r'
+		if c != '\n' && c != '\r' {
+			// A line that begins with a colon is a comment, which belongs to no event.
+			s.hasField = s.hasField || (s.lineBytes == 0 && c != ':')
+			s.lineBytes++
+			continue
+		}
+		s.blankAfter = s.lineBytes == 0
+		s.lineBytes = 0
+		if s.blankAfter {
+			end = i + 1
+			if s.hasField {
+				s.events++
+			}
+			s.hasField = false
+		}
+	}
+	return end
+}
+
+// insideEvent reports whether the stream has reached a place where it cannot end: within an event or a line.
+func (s *eventScanner) insideEvent() bool {
+	return s.hasField || s.lineBytes > 0 || (s.afterCR && s.usesCRLF)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -4,11 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
+	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/fighollow/fighollow/internal/answer"
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/placement"
 	"github.com/fighollow/fighollow/pkg/fighollow"
@@ -65,24 +66,10 @@
 	phase      fighollow.RequestPhase
 	charge     charge
 	reply      *fighollow.Reply
-	body       *countingBody // body of reply
-	streaming  bool          // the first event was relayed
-	firstEvent time.Duration // from the dispatch to the first event
-	// insideEvent reports that the stream ended without an error after an incomplete event.
-	insideEvent bool
-	ended       bool
-}
-
-// countingBody counts the bytes that were read of a body.
-type countingBody struct {
-	io.ReadCloser
-	n int64
-}
-
-func (b *countingBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	b.n += int64(n)
-	return n, err
+	body       *answer.Reader // reads reply.Body
+	streaming  bool           // the first event was relayed
+	firstEvent time.Duration  // from the dispatch to the first event
+	ended      bool
 }
 
 // send places an attempt and dispatches it. On success, the status and header of the reply have arrived. It returns the
@@ -110,12 +97,19 @@
 	x.attemptsSent++
 	a.reply, err = x.g.dispatch.Dispatch(ctx, req)
 	if err == nil {
-		a.body = &countingBody{ReadCloser: a.reply.Body}
-		a.reply.Body = a.body
+		a.body = answer.NewReader(a.reply.Body, answer.Options{
+			Framing: a.reply.Framing, Events: a.hasEvents(), Resumed: x.resumeAfter != "",
+		})
 	}
 	return a, x.recordReply(ctx, a, err)
 }
 
+// hasEvents reports whether the answer is a series of events.
+func (a *attempt) hasEvents() bool {
+	generated := a.x.traits.Engine != nil && a.reply.Status == http.StatusOK
+	return a.phase != fighollow.RequestPrefill && answer.IsEventStream(a.reply.Header, generated)
+}
+
 // recordReply records the outcome of a dispatch, as far as the status of the reply or the lack of one shows it. It returns
 // fighollow.ErrNotRun for a refusal, and err otherwise.
 func (x *exchange) recordReply(ctx context.Context, a *attempt, err error) error {
@@ -183,7 +177,7 @@
 		line.Int("status", a.reply.Status)
 	}
 	if a.body != nil && a.phase != fighollow.RequestPrefill && !a.reply.NotRun {
-		a.logBody(line)
+		a.logBody(line, err)
 	}
 	if err != nil {
 		line.Err(err)
@@ -191,16 +185,15 @@
 	line.Send()
 }
 
-// logBody adds to the line how the answer's body is framed and where it ended, and counts both.
-func (a *attempt) logBody(line *zerolog.Event) {
-	line.Str("framing", string(a.reply.Framing)).Int64("bytes", a.body.n)
+// logBody adds to the line how the answer's body is framed and where it ended, and counts framings and truncated bodies.
+func (a *attempt) logBody(line *zerolog.Event, err error) {
+	line.Str("framing", string(a.reply.Framing)).Int64("bytes", a.body.Bytes()).Bool("insideEvent", a.body.InsideEvent())
 	a.x.g.metrics.count("answers." + string(a.reply.Framing))
 	if a.streaming {
 		line.Str("lastEvent", a.x.resumeAfter)
 	}
-	if a.insideEvent {
-		line.Bool("insideEvent", true)
-		a.x.g.metrics.count("answers.endedInsideEvent")
+	if errors.Is(err, answer.ErrTruncated) {
+		a.x.g.metrics.count("answers.truncated")
 	}
 }
 
--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -33,7 +33,7 @@
 }
 
 // behaviours are the ways in which an upstream handles an attempt.
-var behaviours = []string{"whole", "whole", "notSent", "refused", "misdirected", "lostBefore", "lostAfter", "mismatched", "failure", "cut", "cutInEvent"}
+var behaviours = []string{"whole", "whole", "notSent", "refused", "misdirected", "lostBefore", "lostAfter", "mismatched", "failure", "cut", "cutInEvent", "closedInEvent", "closedAtStart"}
 
 var errCut = errors.New("connection reset")
 
@@ -93,30 +93,39 @@
 
 // answer returns the events of a stream after the one that the attempt names, or a plain answer.
 func (f *fakes) answer(a *fighollow.Attempt, behaviour string) *fighollow.Reply {
-	var b bytes.Buffer
-	var end error
+	body := &fakeBody{end: errCut}
+	reply := &fighollow.Reply{Status: 200, Length: -1, Framing: fighollow.FramingConnection, Body: body}
+	if behaviour == "whole" {
+		body.end = nil
+	}
 	if a.Upstream.Service == "plain" {
-		b.WriteString("answer")
-	} else {
-		first := 1
-		if n, err := strconv.Atoi(a.ResumeAfter); err == nil {
-			first = n + 1
-		}
-		last := streamEvents
-		if behaviour != "whole" {
-			last = rapid.IntRange(first-1, streamEvents).Draw(f.t, "last")
-		}
-		for i := first; i <= last; i++ {
-			fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", i, i)
-		}
+		body.Reader = bytes.NewBufferString("answer")
+		return reply
 	}
+	first := 1
+	if n, err := strconv.Atoi(a.ResumeAfter); err == nil {
+		first = n + 1
+	}
+	last := streamEvents
 	if behaviour != "whole" {
-		end = errCut
+		last = rapid.IntRange(first-1, streamEvents).Draw(f.t, "last")
+	}
+	if behaviour == "closedAtStart" && first == 1 {
+		body.end, last = nil, 0
+	}
+	var b bytes.Buffer
+	for i := first; i <= last; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", i, i)
 	}
-	if behaviour == "cutInEvent" {
+	switch behaviour {
+	case "cutInEvent":
+		b.WriteString("id: 9\nda")
+	case "closedInEvent":
 		b.WriteString("id: 9\nda")
+		body.end = nil
 	}
-	return &fighollow.Reply{Status: 200, Length: -1, Body: &fakeBody{Reader: &b, end: end}}
+	body.Reader = &b
+	return reply
 }
 
 // recordingResponder is a Responder that records what the caller gets.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -37,7 +38,7 @@
 // relayPlain relays an answer to the caller. It returns false and the reason if the answer is discarded or breaks off.
 func (x *exchange) relayPlain(ctx context.Context, a *attempt) (bool, error) {
 	defer a.reply.Body.Close()
-	buffered, err := io.ReadAll(io.LimitReader(a.reply.Body, maxBufferedAnswer+1))
+	buffered, err := io.ReadAll(io.LimitReader(a.body, maxBufferedAnswer+1))
 	if err != nil {
 		return false, x.recordInterruption(ctx, a, err)
 	}
@@ -69,11 +70,11 @@
 func (x *exchange) relayRemainder(a *attempt) (bool, error) {
 	buf := make([]byte, 32<<10)
 	for {
-		n, err := a.reply.Body.Read(buf)
+		n, err := a.body.Read(buf)
 		if n > 0 && x.out.Write(buf[:n]) != nil {
 			x.callerLeft = true
 		}
-		if x.callerLeft || err == io.EOF {
+		if x.callerLeft || errors.Is(err, io.EOF) {
 			x.total = time.Since(x.call.Arrived)
 			return true, nil
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
 	"io"
@@ -18,44 +17,30 @@
 var errEventTooLong = errors.New("gateway: event too long")
 
 // relayEvents relays whole events, so that a stream that breaks off can be resumed after the last of them. It returns nil at
-// the end of the stream.
+// the end of a complete stream.
 func (x *exchange) relayEvents(a *attempt) error {
-	r := bufio.NewReaderSize(a.reply.Body, eventBufferBytes)
-	var pending []byte // bytes read but not relayed yet
-	whole := 0         // length of the complete events in pending
+	buf := make([]byte, eventBufferBytes)
+	var pending []byte // bytes of an event that is not complete yet
 	for {
-		line, err := r.ReadSlice('\n')
-		pending = append(pending, line...)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			if len(pending) > maxEventBytes {
-				return errEventTooLong
+		n, err := a.body.Read(buf)
+		if end := a.body.EventEnd(); end > 0 {
+			if err := x.writeEvents(a, append(pending, buf[:end]...)); err != nil {
+				return err
 			}
-			continue
+			pending = append(pending[:0], buf[end:n]...)
+		} else {
+			pending = append(pending, buf[:n]...)
+		}
+		switch {
 		case errors.Is(err, io.EOF):
-			// Bytes after the last event are part of the answer if the stream ends without an error.
-			a.insideEvent = len(pending) > 0
 			if len(pending) > 0 {
-				return x.writeEvents(a, pending)
+				return x.writeEvents(a, pending) // comments after the last event
 			}
 			return nil
 		case err != nil:
-			if whole > 0 {
-				if err := x.writeEvents(a, pending[:whole]); err != nil {
-					return err
-				}
-			}
 			return err
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			whole = len(pending)
-		}
-		if whole > 0 && r.Buffered() == 0 {
-			if err := x.writeEvents(a, pending[:whole]); err != nil {
-				return err
-			}
-			pending = append(pending[:0], pending[whole:]...)
-			whole = 0
+		case len(pending) > maxEventBytes:
+			return errEventTooLong
 		}
 	}
 }
