gateway: a long answer that breaks off is not retried or continued

A caller of a streaming route could get the bytes of two answers in one response, and a request that must not be repeated could run twice.

Cause: a failure (5xx) of an engine that is longer than the 64 KiB that are buffered is relayed as it arrives. When it broke off, relayRemainder returned the error without recording that the request had run, and generate made another attempt although the header of the failure had been sent.

The remainder now records the interruption and ends the retries, so that the caller's response is broken off; its attempt ends with the remainder, not before it, and counts as a failure of the upstream.

TestOutcomesWithFaultyUpstreams draws such failures and checks the bodies of complete failures.

--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -33,7 +34,10 @@
 }
 
 // behaviours are the ways in which an upstream handles an attempt.
-var behaviours = []string{"whole", "whole", "notSent", "refused", "misdirected", "lostBefore", "lostAfter", "mismatched", "failure", "cut", "cutInEvent", "closedInEvent", "closedAtStart"}
+var behaviours = []string{"whole", "whole", "notSent", "refused", "misdirected", "lostBefore", "lostAfter", "mismatched", "failure", "cut", "cutInEvent", "closedInEvent", "closedAtStart", "longFailure"}
+
+// longFailure is the body of a failure that is too long to be buffered and breaks off.
+var longFailure = strings.Repeat("no ", 50_000)
 
 var errCut = errors.New("connection reset")
 
@@ -87,6 +91,8 @@
 		return nil, fighollow.ErrReplyMismatch
 	case "failure":
 		return &fighollow.Reply{Status: 500, Length: 2, Body: &fakeBody{Reader: bytes.NewBufferString("no")}}, nil
+	case "longFailure":
+		return &fighollow.Reply{Status: 500, Length: -1, Body: &fakeBody{Reader: strings.NewReader(longFailure), end: errCut}}, nil
 	}
 	return f.answer(a, behaviour), nil
 }
@@ -213,7 +219,13 @@
 	if answers != 1 {
 		t.Fatalf("%d answers: %s", answers, ran)
 	}
-	if c.status != 200 || c.aborted {
+	if c.aborted {
+		return
+	}
+	if c.status != 200 {
+		if c.refusal == nil && c.body.String() != "no" {
+			t.Fatalf("complete failure with %d bytes: %s", c.body.Len(), ran)
+		}
 		return
 	}
 	if !route.Stream && c.body.String() != "answer" {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -42,48 +42,62 @@
 	if err != nil {
 		return false, x.recordInterruption(ctx, a, err)
 	}
-	failed := a.reply.Status >= http.StatusInternalServerError
-	result := placement.Answered
-	if failed {
-		result = placement.Failed
-	}
-	a.end(result, nil)
-	if failed && x.route.Repeat == fighollow.RepeatAny && x.shouldRetryFailure(a) {
+	result := a.statusResult()
+	if result == placement.Failed && x.route.Repeat == fighollow.RepeatAny && x.shouldRetryFailure(a) {
+		a.end(result, nil)
 		return false, fmt.Errorf("%w: status %d", fighollow.ErrUnknownOutcome, a.reply.Status)
 	}
+	long := len(buffered) > maxBufferedAnswer
+	if !long {
+		a.end(result, nil) // frees the upstream's slot before the caller has read the answer
+	}
 	length := a.reply.Length
-	if len(buffered) <= maxBufferedAnswer {
+	if !long && x.call.Method != http.MethodHead {
 		length = int64(len(buffered))
 	}
-	if x.call.Method == http.MethodHead {
-		length = a.reply.Length
-	}
 	x.callerLeft = x.sendHeader(a.reply, length) != nil || x.out.Write(buffered) != nil
-	if x.callerLeft || len(buffered) <= maxBufferedAnswer {
-		x.total = time.Since(x.call.Arrived)
-		return true, nil
+	switch {
+	case long && x.callerLeft:
+		a.end(placement.Abandoned, nil)
+	case long:
+		return x.relayRemainder(ctx, a)
 	}
-	return x.relayRemainder(a)
+	x.total = time.Since(x.call.Arrived)
+	return true, nil
 }
 
-// relayRemainder relays the remainder of a long answer as it arrives.
-func (x *exchange) relayRemainder(a *attempt) (bool, error) {
+// relayRemainder relays the remainder of a long answer as it arrives. The header has been sent, so an answer that breaks off
+// can only be aborted.
+func (x *exchange) relayRemainder(ctx context.Context, a *attempt) (bool, error) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := a.body.Read(buf)
 		if n > 0 && x.out.Write(buf[:n]) != nil {
 			x.callerLeft = true
 		}
-		if x.callerLeft || errors.Is(err, io.EOF) {
+		switch {
+		case x.callerLeft:
+			a.end(placement.Abandoned, err)
+			return true, nil
+		case errors.Is(err, io.EOF):
+			a.end(a.statusResult(), nil)
 			x.total = time.Since(x.call.Arrived)
 			return true, nil
+		case err != nil:
+			x.retriesEnded = true
+			return false, x.recordInterruption(ctx, a, err)
 		}
-		if err != nil {
-			return false, err
-		}
 	}
 }
 
+// statusResult returns the result of an attempt whose whole answer has arrived.
+func (a *attempt) statusResult() placement.Result {
+	if a.reply.Status >= http.StatusInternalServerError {
+		return placement.Failed
+	}
+	return placement.Answered
+}
+
 // shouldRetryFailure reports whether to try another upstream after a failure status. If not, the caller gets the failure
 // unchanged.
 func (x *exchange) shouldRetryFailure(a *attempt) bool {
