gateway: an engine's answer without events is relayed as a plain one

A caller whose engine answered 200 with a JSON document of over 1 MiB got a broken response, and a shorter one lost its length.

Cause: every 200 of a model engine was taken for a series of events; without a blank line the document is one event that never ends, and events are bounded by 1 MiB. Answers whose content type is another than text/event-stream now go the way of plain answers.

TestLongAnswerWithoutEvents failed before (aborted).

--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -100,8 +100,8 @@
 // relay relays an engine's answer to the caller.
 func (x *exchange) relay(ctx context.Context, a *attempt) error {
 	defer a.reply.Body.Close()
-	if a.reply.Status != http.StatusOK {
-		return x.relayFailure(ctx, a)
+	if a.reply.Status != http.StatusOK || !a.hasEvents() {
+		return x.relayUnstreamed(ctx, a)
 	}
 	if !x.headerSent {
 		if err := x.sendHeader(a.reply, -1); err != nil {
@@ -123,8 +123,9 @@
 	return nil
 }
 
-// relayFailure relays an engine's failure to the caller, or returns an error if another engine is to be tried.
-func (x *exchange) relayFailure(ctx context.Context, a *attempt) error {
+// relayUnstreamed relays an engine's failure, or another answer without events, to the caller. It returns an error if another
+// engine is to be tried.
+func (x *exchange) relayUnstreamed(ctx context.Context, a *attempt) error {
 	if x.headerSent {
 		x.mayHaveRun = true
 		x.tried = append(x.tried, a.upstream.ID)
--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
@@ -310,3 +311,34 @@
 		}
 	})
 }
+
+// jsonEngine is a Dispatcher to engines that answer with a JSON document in place of a stream.
+type jsonEngine struct {
+	*fakes
+	document string
+}
+
+func (e *jsonEngine) Dispatch(_ context.Context, a *fighollow.Attempt) (*fighollow.Reply, error) {
+	if a.Phase == fighollow.RequestPrefill {
+		return &fighollow.Reply{Status: 200, KV: &fighollow.KVCache{Address: a.Upstream.Address, Handle: "h"}, Body: &fakeBody{Reader: &bytes.Buffer{}}}, nil
+	}
+	return &fighollow.Reply{
+		Status: 200, Header: fighollow.Header{"Content-Type": {"application/json"}}, Length: int64(len(e.document)),
+		Framing: fighollow.FramingLength, Body: &fakeBody{Reader: strings.NewReader(e.document)},
+	}, nil
+}
+
+// Guards against an engine's answer without events that is taken for one endless event and broken off.
+func TestLongAnswerWithoutEvents(t *testing.T) {
+	e := &jsonEngine{document: `{"text":"` + strings.Repeat("word ", 1<<18) + `"}`}
+	g := newGateway(e, fighollow.Route{
+		Name: "r", Host: "h", PathPrefix: "/", MaxAttempts: 2, Timeout: time.Minute, Stream: true, Repeat: fighollow.RepeatNever,
+		Services: []fighollow.WeightedService{{Service: "models", Weight: 1}},
+	})
+	c := &recordingResponder{}
+	now := time.Now()
+	g.Serve(context.Background(), &fighollow.Call{ID: "q", Method: "POST", Target: "/x", Host: "h", Arrived: now, Deadline: now.Add(time.Minute)}, c)
+	qt.Assert(t, c.status, qt.Equals, 200)
+	qt.Assert(t, c.aborted, qt.IsFalse)
+	qt.Assert(t, c.body.String() == e.document, qt.IsTrue)
+}
