callerconn, entry, gateway: an aborted response to an HTTP/1.0 caller ends by a reset

A caller that speaks HTTP/1.0 got an aborted stream or a long plain answer as a complete one.

Cause: such a response has no chunks, and without a length the end of its connection is the end of its body. http.ErrAbortHandler, http.Server.Close at the end of the grace period and the end of the process all close the connection in an orderly way.

Until the handler has returned, the connections of such requests now have a linger time of zero, so that the kernel ends them by a reset whatever closes them. HTTP/1.1 callers are not affected: they see a missing chunk.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/fighollow/fighollow/internal/admin"
+	"github.com/fighollow/fighollow/internal/callerconn"
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/gateway"
 	"github.com/fighollow/fighollow/internal/logging"
@@ -137,8 +138,9 @@
 		return fmt.Errorf("listen for readiness checks: %w", err)
 	}
 	callerServer := &http.Server{
-		Handler: platform.NewIngress(p.gateway, p.stopping.Load), ReadHeaderTimeout: callerHeaderTimeout,
-		IdleTimeout: callerIdleTimeout, ErrorLog: stdlog.New(p.log, "", 0), ConnState: platform.NewConnTimeouts(p.limits).ConnState,
+		Handler:           callerconn.ResetAborted(platform.NewIngress(p.gateway, p.stopping.Load)),
+		ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: stdlog.New(p.log, "", 0),
+		ConnState: platform.NewConnTimeouts(p.limits).ConnState, ConnContext: callerconn.Context,
 	}
 	readinessServer := &http.Server{Handler: p.readiness(), ReadHeaderTimeout: callerHeaderTimeout}
 	serverErrs := make(chan error, 3)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fighollow/fighollow/internal/admission"
+	"github.com/fighollow/fighollow/internal/callerconn"
 	"github.com/fighollow/fighollow/internal/catalog"
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/link"
@@ -153,7 +154,10 @@
 	wg.Go(func() { e.refreshView(background) })
 	wg.Go(func() { e.links.closeIdle(background) })
 
-	callerServer := &http.Server{Handler: e.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	callerServer := &http.Server{
+		Handler: callerconn.ResetAborted(e.routes()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ConnContext: callerconn.Context,
+	}
 	adminServer := &http.Server{Handler: e.adminRoutes(), ReadHeaderTimeout: headerTimeout}
 	serveErrs := make(chan error, 2)
 	go func() { serveErrs <- callerServer.Serve(e.callerListener) }()
