service, sidecar: an event stream of a plain service that ends inside an event has been broken off

A caller of a plain service that streams events got a truncated stream as a complete response, over the sidecar's link, and with an idempotency key the truncated response was stored for repeats.

The sidecar finished an attempt as completed at io.EOF, which a body without a length or chunks also yields when its sender crashed. The service client now reads bodies through answer.Reader.

TestTruncatedPlainAnswerIsUnknown failed before: cut at 8 bytes, 'completed'.

--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -6,10 +6,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/fighollow/fighollow/internal/answer"
 	"github.com/fighollow/fighollow/internal/httpheader"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
@@ -55,5 +57,14 @@
 		}
 		return nil, fmt.Errorf("service: %w: %w", fighollow.ErrUnknownOutcome, err)
 	}
-	return &fighollow.ServiceResponse{Status: res.StatusCode, Header: httpheader.EndToEnd(res.Header), Body: res.Body}, nil
+	body := answer.NewReader(res.Body, answer.Options{Framing: answer.FramingOf(res), Events: answer.IsEventStream(res.Header, false)})
+	return &fighollow.ServiceResponse{
+		Status: res.StatusCode, Header: httpheader.EndToEnd(res.Header), Body: checkedBody{body, res.Body},
+	}, nil
+}
+
+// checkedBody is a body that is read through an answer.Reader.
+type checkedBody struct {
+	io.Reader
+	io.Closer
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/fighollow/fighollow/internal/link"
 	"github.com/fighollow/fighollow/internal/sidecar"
+	"github.com/fighollow/fighollow/internal/standin/answers"
 	"github.com/fighollow/fighollow/internal/standin/engine"
 	"github.com/fighollow/fighollow/internal/standin/plain"
 	"github.com/fighollow/fighollow/pkg/fighollow"
@@ -91,6 +93,29 @@
 	qt.Assert(t, len(f.recordedPosts()), qt.Equals, 2)
 }
 
+// Guards against a plain service's event stream that ended with its connection inside an event and is finished as completed.
+func TestTruncatedPlainAnswerIsUnknown(t *testing.T) {
+	stream := answers.Answer{
+		Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: "data: a\n\ndata: b\n\n", Framing: fighollow.FramingConnection,
+	}
+	for cut, want := range map[int]fighollow.Outcome{
+		answers.Whole: fighollow.OutcomeCompleted, 0: fighollow.OutcomeUnknown, 8: fighollow.OutcomeUnknown, 17: fighollow.OutcomeUnknown,
+	} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+				_ = stream.Send(c, cut, false) // the sidecar has the error
+			}
+		}))
+		t.Cleanup(srv.Close)
+		f := newFixture(t, "service")
+		f.cfg.Upstream.Service, f.cfg.Upstream.Address = "orders", strings.TrimPrefix(srv.URL, "http://")
+		f.start()
+		got := f.run(f.dialServing(), serviceCall(http.MethodGet))
+		qt.Assert(t, got.finish, qt.IsNotNil)
+		qt.Assert(t, got.finish.Outcome, qt.Equals, want, qt.Commentf("cut at %d: %q", cut, got.text))
+	}
+}
+
 // Guards against a second run of an attempt whose call arrives twice. A plain service has no attempt ids, so the
 // sidecar must detect the repetition.
 func TestRepeatedPlainCallRunsOnce(t *testing.T) {
--- a/pkg/fighollow/service.go
+++ b/pkg/fighollow/service.go
@@ -13,7 +13,8 @@
 	Body   []byte              `msgpack:"body"`
 }
 
-// ServiceResponse is the response of a plain service, with the body still to be read. The receiver closes Body.
+// ServiceResponse is the response of a plain service, with the body still to be read. The receiver closes Body. Reading Body
+// ends with io.EOF only if it is complete, as far as the response tells.
 type ServiceResponse struct {
 	Status int // HTTP status
 	Header map[string][]string
