link, sidecar, entry: the end of an answer carries its offset

An entry could not tell a complete answer from one whose last chunks the sidecar had left out: chunks were checked for gaps, the end was not.

Finish has the offset after the whole answer, as the sidecar received it from its upstream, and the entry treats another one as a gap: the outcome is unknown. A sidecar of an older version sends none and is believed as before.

TestOutcomesAreTrue draws sidecars that leave the last word out. Without the check it fails.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -298,6 +298,9 @@
 		a.recordFlush() // the remaining parts are written with the end of the answer
 	}
 	if m.Outcome == fighollow.OutcomeCompleted {
+		if m.End > 0 && m.End != a.q.offset {
+			return nil, nil, fmt.Errorf("%w: it ends at offset %d after %d", errOffset, m.End, a.q.offset)
+		}
 		if a.q.kind == link.CallGenerate && m.Result == nil {
 			return nil, fighollow.UnknownRefusal(fighollow.CodeUpstreamFailed, "the upstream finished without a result"), nil
 		}
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -227,7 +227,7 @@
 }
 
 func finishCompleted(s *link.ServerStream, n int) {
-	_ = s.Finish(link.Finish{Outcome: fighollow.OutcomeCompleted, Result: &fighollow.GenerateResult{
+	_ = s.Finish(link.Finish{Outcome: fighollow.OutcomeCompleted, End: uint64(n), Result: &fighollow.GenerateResult{
 		FinishReason: "stop", PromptTokens: 3, OutputTokens: n,
 	}})
 }
--- a/internal/entry/script_test.go
+++ b/internal/entry/script_test.go
@@ -27,6 +27,7 @@
 	stepLose       step = "lose"    // closes the link before it accepts; a resume is refused as not run
 	stepForget     step = "forget"  // accepts and closes the link; a resume is refused with the outcome unknown
 	stepSkip       step = "gap"     // accepts, skips an offset and finishes
+	stepShort      step = "short"   // accepts, leaves the last word out and finishes
 	stepHang       step = "nothing" // accepts and never answers
 )
 
@@ -92,6 +93,9 @@
 		case step == stepSkip:
 			_ = st.Chunk(call.Offset+1, 1, []byte("gap"))
 			finishCompleted(st, scriptWords)
+		case step == stepShort:
+			_ = sendWords(call, st, scriptWords-1)
+			finishCompleted(st, scriptWords)
 		case step == stepHang:
 			<-ctx.Done()
 		default:
@@ -114,7 +118,7 @@
 		serveOnce := func(ctx context.Context, call *link.Call, st *link.ServerStream) { s.serve(&other)(ctx, call, st) }
 		other = f.add(fmt.Sprintf("once-%d", i), "once", serveOnce)
 	}
-	steps := []step{stepAnswer, stepRefuse, stepFail, stepNotRun, stepDisconnect, stepLose, stepForget, stepSkip, stepHang}
+	steps := []step{stepAnswer, stepRefuse, stepFail, stepNotRun, stepDisconnect, stepLose, stepForget, stepSkip, stepShort, stepHang}
 	failures := 0
 	rapid.Check(t, func(r *rapid.T) {
 		s = &script{attempts: make(map[string]step), steps: rapid.SliceOfN(rapid.SampledFrom(steps), 0, 4).Draw(r, "steps")}
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -113,6 +113,8 @@
 	Stream  uint32             `msgpack:"stream"`
 	Outcome fighollow.Outcome  `msgpack:"outcome"`
 	Refusal *fighollow.Refusal `msgpack:"refusal,omitempty"` // set unless the outcome is OutcomeCompleted
+	// End is the offset in tokens or bytes after the whole answer; 0 if it is empty, or unknown to a sender of an older version.
+	End uint64 `msgpack:"end,omitempty"`
 	// Result is set for a completed CallGenerate.
 	Result *fighollow.GenerateResult `msgpack:"result,omitempty"`
 	Load   fighollow.Load            `msgpack:"load"`
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -81,13 +81,16 @@
 	return 0
 }
 
-// nextToken returns the index of the next token that the engine must send.
-func (a *attempt) nextToken() int {
+// received returns the offset after the last token or byte received from the upstream.
+func (a *attempt) received() uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return int(a.endOffset())
+	return a.endOffset()
 }
 
+// nextToken returns the index of the next token that the engine must send.
+func (a *attempt) nextToken() int { return int(a.received()) }
+
 func (a *attempt) setFirstToken(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -173,7 +173,7 @@
 			err, headSent = st.Head(item.head.Status, item.head.Header), true
 		case item.finish != nil:
 			f := *item.finish
-			f.Load = s.load()
+			f.Load, f.End = s.load(), a.received()
 			return st.Finish(f)
 		default:
 			err = st.Chunk(offset, item.units, item.chunk)
