--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -129,6 +130,29 @@
 	qt.Assert(t, http.Header(call.Header).Get("X-Workspace-Key"), qt.Equals, "")
 }
 
+// Guards against a truncated request that reaches an upstream as a complete one.
+func TestTruncatedRequestIsNotSent(t *testing.T) {
+	f := startFleet(t)
+	s := f.add("engine-1", "m", serveWords(1))
+	in := fighollow.Instance{Kind: fighollow.InstanceService, Service: "orders", DataCentre: "dc"}
+	orders := f.addInstance("orders-1", in, "", refuseOverloaded)
+	for _, path := range []string{"/v1/chat/completions", "/services/orders/a"} {
+		for _, body := range []string{
+			"Content-Length: 90\r\n\r\n{\"model\": \"m\", \"messages\": []}", "Transfer-Encoding: chunked\r\n\r\n20\r\n{\"model\":",
+			"Transfer-Encoding: chunked\r\n\r\n1e\r\n{\"model\": \"m\", \"messages\": []}\r\n",
+		} {
+			c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+			qt.Assert(t, err, qt.IsNil)
+			_, _ = io.WriteString(c, "POST "+path+" HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "+workspaceKey+"\r\n"+body)
+			qt.Assert(t, c.(*net.TCPConn).CloseWrite(), qt.IsNil)
+			got, _ := io.ReadAll(c)
+			c.Close()
+			qt.Assert(t, strings.Contains(string(got), " 200 "), qt.IsFalse, qt.Commentf("%q: %s", body, got))
+		}
+	}
+	qt.Assert(t, len(s.received())+len(orders.received()), qt.Equals, 0)
+}
+
 // Guards against workspace keys that are written to the log.
 func TestKeysAreNotLogged(t *testing.T) {
 	f := startFleet(t)
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/fighollow/fighollow/internal/standin/answers"
 	"github.com/fighollow/fighollow/pkg/client"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
@@ -126,3 +127,43 @@
 	defer res.Body.Close()
 	qt.Assert(t, res.StatusCode, qt.Equals, http.StatusServiceUnavailable)
 }
+
+// Guards against a response that ended with its connection before it was complete and is returned as a complete one.
+func TestTruncatedResponseIsAnError(t *testing.T) {
+	for _, c := range []struct {
+		body string
+		read func(ctx context.Context, cl *client.Client) error
+	}{
+		{`{"id": "r", "choices": [{"message": {"content": "text"}, "finish_reason": "stop"}]}`, func(ctx context.Context, cl *client.Client) error {
+			_, err := cl.Chat(ctx, client.ChatRequest{Model: "m"})
+			return err
+		}},
+		{`{"data": [{"id": "m"}, {"id": "n"}]}`, func(ctx context.Context, cl *client.Client) error {
+			_, err := cl.Models(ctx)
+			return err
+		}},
+		{"data: " + chunk + "\n\ndata: [DONE]", func(ctx context.Context, cl *client.Client) error {
+			s, err := cl.ChatStream(ctx, client.ChatRequest{Model: "m"})
+			if err != nil {
+				return err
+			}
+			defer s.Close()
+			for err == nil {
+				_, err = s.Next()
+			}
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}},
+	} {
+		for cut := range len(c.body) {
+			_, cl, ctx := newClient(t, func(w http.ResponseWriter) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				qt.Assert(t, err, qt.IsNil)
+				_ = answers.Answer{Body: c.body, Framing: fighollow.FramingConnection}.Send(conn, cut, false) // the client has the error
+			})
+			qt.Assert(t, c.read(ctx, cl), qt.IsNotNil, qt.Commentf("%q", c.body[:cut]))
+		}
+	}
+}
