platform, fighollow: a version of the store's objects is an era and a revision

The store may come back from an older copy; revisions then go back and are given out again, so that a conditional write can replace another's, and a watch can continue past changes. A version now is (era, revision), packed into one number that only grows; the adapter takes the era from the header of each answer, errors and watches included.

An answer of an earlier era than one already seen, or whose era is missing or no number after one was named, changes nothing and is logged (8035); a write's outcome is then unknown. A write whose condition is of an earlier era is not sent; one that was in flight when the era changed is of unknown outcome. A watch ends with its era, and so does a list between two pages. 8034 and the gauge store.eras tell of each return. A store without the header is in era 0, where nothing changes.

Alternative: a struct of two numbers. It would change each comparison of versions in 12 packages and the link's messages for no other order.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -101,7 +101,7 @@
 func newGatewayProcess(settingsFile string, cfg platform.Settings, metricsPort int, sink *logging.Sink, log zerolog.Logger) *gatewayProcess {
 	p := &gatewayProcess{
 		settingsFile: settingsFile, cfg: cfg, metricsPort: metricsPort, registry: metrics.NewRegistry(), sink: sink, log: log,
-		store: platform.NewStore(cfg.StoreAddress, cfg.Bounds.Stable), pool: upstream.New(),
+		store: platform.NewStore(cfg.StoreAddress, cfg.Bounds.Stable, log), pool: upstream.New(),
 	}
 	dispatcher := platform.NewDispatcher(p.pool)
 	fleet := placement.New(placement.Options{DataCentre: cfg.DataCentre, DrainTime: cfg.Bounds.Drain})
@@ -252,6 +252,7 @@
 	gauge("store.answered", func() int64 { answered, _, _ := p.store.Calls(); return answered })
 	gauge("store.refused", func() int64 { _, refused, _ := p.store.Calls(); return refused })
 	gauge("store.failed", func() int64 { _, _, failed := p.store.Calls(); return failed })
+	gauge("store.eras", p.store.Eras)
 	gauge("store.silentMs", func() int64 { return p.follower.SinceLastAnswer(time.Now()).Milliseconds() })
 	gauge("upstreams.connections", p.pool.Dials)
 	gauge("log.dropped", p.sink.Dropped)
--- a/cmd/fighollow/operator.go
+++ b/cmd/fighollow/operator.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
 	"github.com/fighollow/fighollow/internal/objectapi"
@@ -72,7 +73,7 @@
 	case api != "":
 		return objectapi.New(objectapi.Options{Address: api}), nil
 	case store != "":
-		return platform.NewStore(store, 0), nil
+		return platform.NewStore(store, 0, zerolog.Nop()), nil
 	}
 	return nil, fmt.Errorf("%w: --object-api or --platform-store is missing", errUsage)
 }
--- a/internal/objectapi/call.go
+++ b/internal/objectapi/call.go
@@ -18,28 +18,36 @@
 	MaxBodyBytes int64 // maximum size of a response body in bytes
 }
 
-// Call sends one request and reads the whole response. A body above MaxBodyBytes is an error. connected reports whether
-// there was a connection, so that bytes may have been sent.
-func (c *Caller) Call(ctx context.Context, method, url string, header http.Header, value []byte) (status int, body []byte, connected bool, err error) {
+// Reply is the outcome of one call.
+type Reply struct {
+	Status    int // 0 if there was no response
+	Header    http.Header
+	Body      []byte
+	Connected bool // there was a connection, so that bytes may have been sent
+}
+
+// Call sends one request and reads the whole response. A body above MaxBodyBytes is an error. The Reply is valid also with an
+// error.
+func (c *Caller) Call(ctx context.Context, method, url string, header http.Header, value []byte) (Reply, error) {
 	var gotConn atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }})
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(value))
 	if err != nil {
-		return 0, nil, false, err
+		return Reply{}, err
 	}
 	for name, values := range header {
 		req.Header[name] = values
 	}
 	resp, err := c.HTTP.Do(req)
 	if err != nil {
-		return 0, nil, gotConn.Load(), err
+		return Reply{Connected: gotConn.Load()}, err
 	}
 	defer resp.Body.Close()
-	body, err = io.ReadAll(io.LimitReader(resp.Body, c.MaxBodyBytes+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.MaxBodyBytes+1))
 	if err == nil && int64(len(body)) > c.MaxBodyBytes {
 		err = fmt.Errorf("response exceeds %d bytes", c.MaxBodyBytes)
 	}
-	return resp.StatusCode, body, true, err
+	return Reply{Status: resp.StatusCode, Header: resp.Header, Body: body, Connected: true}, err
 }
 
 // StatusError maps the status of a response to an error of package fighollow. Statuses that do not prove that the
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -151,5 +151,6 @@
 	if c.opts.Writer != "" {
 		header.Set("X-Writer", c.opts.Writer)
 	}
-	return c.caller.Call(ctx, method, "http://"+c.opts.Address+path, header, value)
+	r, err := c.caller.Call(ctx, method, "http://"+c.opts.Address+path, header, value)
+	return r.Status, r.Body, r.Connected, err
 }
