roles: the lease in a store that comes back from an older copy

The copy can name a holder that has been succeeded since, or none, while the last holder gives orders until it notices: two senders of orders at one engine.

The holder stops with the first answer of a new era and takes the lease anew; it may do so at once while nobody else can have taken it since its last renewal. Everybody else waits out what earlier holders may still do, also where the copy names the entry itself or no holder. The record names the era in which it was written, so that within an era nothing is slower than before. Fences grow, as versions do.

--- a/internal/roles/lease.go
+++ b/internal/roles/lease.go
@@ -1,6 +1,10 @@
 package roles
 
-import "time"
+import (
+	"time"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
 
 const (
 	// validShare is the share of the lease duration, counted from the last renewal, in which the holder may send orders.
@@ -12,44 +16,57 @@
 
 // lease decides when this entry may send orders to engines. Its times must come from a clock that keeps running while
 // the machine is suspended. It is not safe for concurrent use.
+//
+// The store may come back from an older copy, which begins a new era. The copy can name a holder that has since been
+// succeeded, or none, while the last holder goes on until it notices. What the copy says is therefore no authority: in a new
+// era the lease is free only after all that earlier holders may still do.
 type lease struct {
 	self     string
 	duration time.Duration
 
+	observed   bool
+	era        uint64 // in which the lease was last read or written
 	version    uint64 // newest version read or written; 0 if the object does not exist
 	holder     string
-	observedAt time.Duration // when version was first read or written
-	observed   bool
+	writtenIn  uint64        // era in which the holder wrote the lease, by its own record
+	observedAt time.Duration // when version was first read or written, or the lease first read in era
 
 	term      uint64        // version at which this entry acquired the lease; 0 if it does not hold it
+	renewed   bool          // there was a successful renewal
 	renewedAt time.Duration // when the last successful renewal was sent
 }
 
-// observe records the lease as read from the store; version 0 means that the object does not exist.
-func (l *lease) observe(now time.Duration, version uint64, holder string) {
-	if l.observed && version == l.version {
+// observe records the lease as read from the store in an era; version 0 means that the object does not exist.
+func (l *lease) observe(now time.Duration, era, version uint64, holder string, writtenIn uint64) {
+	if era < l.era {
 		return
 	}
-	if l.observed && version < l.version {
-		return // a stale read
+	if l.observed && era == l.era && version <= l.version {
+		return // unchanged, or a stale read
 	}
-	l.observed, l.version, l.holder, l.observedAt = true, version, holder, now
+	l.observed, l.era, l.version, l.holder, l.writtenIn, l.observedAt = true, era, version, holder, writtenIn, now
 	if holder != l.self {
 		l.term = 0
 	}
 }
 
-// canAcquire reports whether this entry may try to acquire the lease: no lease exists, this entry was the last
-// holder, or the holder has not renewed it for long enough.
+// canAcquire reports whether this entry may try to acquire the lease: no lease ever existed, this entry was the last holder, or
+// the last holder has not renewed it for long enough.
 func (l *lease) canAcquire(now time.Duration) bool {
 	if !l.observed || l.term != 0 {
 		return false
 	}
-	if l.version == 0 || l.holder == l.self {
+	// The holder may send orders for its validity time. For one lease duration after that, nobody may.
+	idle := l.validity() + l.duration
+	switch {
+	case l.version == 0 && l.era == 0:
+		return true // the store has never come back from a copy, so the lease was never held
+	case l.holder == l.self && l.version > 0 && l.writtenIn == l.era:
 		return true
+	case l.renewed && now-l.renewedAt <= idle:
+		return true // nobody can have acquired the lease since the last renewal, whatever the store has lost
 	}
-	// The holder may send orders for its validity time. For one lease duration after that, nobody may.
-	return now-l.observedAt > l.validity()+l.duration+takeoverMargin
+	return now-l.observedAt > idle+takeoverMargin
 }
 
 // recordWrite records that this entry's acquisition or renewal, sent at the given time, was stored as version.
@@ -57,7 +74,9 @@
 	if l.term == 0 {
 		l.term = version
 	}
-	l.observed, l.version, l.holder, l.observedAt, l.renewedAt = true, version, l.self, sent, sent
+	l.era = fighollow.VersionEra(version)
+	l.observed, l.version, l.holder, l.writtenIn, l.observedAt = true, version, l.self, l.era, sent
+	l.renewed, l.renewedAt = true, sent
 }
 
 // markLost records that this entry no longer holds the lease, or cannot tell whether it does. The lease has to be read
@@ -66,9 +85,10 @@
 	l.term, l.observed = 0, false
 }
 
-// fence returns the fencing token for an order sent at now. It reports false when this entry may not send orders then.
-func (l *lease) fence(now time.Duration) (uint64, bool) {
-	return l.term, l.term != 0 && now-l.renewedAt < l.validity()
+// fence returns the fencing token for an order sent at now, when era is the newest one known of the store. It reports false
+// when this entry may not send orders then.
+func (l *lease) fence(now time.Duration, era uint64) (uint64, bool) {
+	return l.term, l.term != 0 && era == l.era && now-l.renewedAt < l.validity()
 }
 
 // validity returns how long after a renewal the holder may send orders.
--- a/internal/roles/runner.go
+++ b/internal/roles/runner.go
@@ -118,19 +118,24 @@
 // leaseRecord is the stored value of the lease.
 type leaseRecord struct {
 	Holder string `json:"holder"`
-	Round  uint64 `json:"round"` // differs in each write, so that every renewal changes the object
+	Round  uint64 `json:"round"`         // differs in each write, so that every renewal changes the object
+	Era    uint64 `json:"era,omitempty"` // of the store when the holder wrote this; an older copy names an earlier one
 }
 
 // acquireOrRenew renews the lease, or tries to acquire it if this entry does not hold it. It reports whether this
 // entry may now send orders.
 func (r *Runner) acquireOrRenew(ctx context.Context) bool {
+	if r.lease.term != 0 && fighollow.StoreEra(r.store) != r.lease.era {
+		r.lease.markLost()
+		event.RoleLeaseLost.Log(&r.log).Str("reason", "newEra").Uint64("era", fighollow.StoreEra(r.store)).Send()
+	}
 	if r.lease.term == 0 {
 		if !r.readLease(ctx) || !r.lease.canAcquire(bootTime()) {
 			return false
 		}
 	}
 	sent := bootTime()
-	value, err := json.Marshal(leaseRecord{Holder: r.opts.Self, Round: uint64(sent)})
+	value, err := json.Marshal(leaseRecord{Holder: r.opts.Self, Round: uint64(sent), Era: r.lease.era})
 	if err != nil {
 		panic(err) // strings and numbers always encode
 	}
@@ -158,7 +163,7 @@
 		// Nothing was written. The lease stays valid until it expires.
 		event.RoleLeaseUnread.Log(&r.log).Err(err).Send()
 	}
-	_, ok := r.lease.fence(bootTime())
+	_, ok := r.lease.fence(bootTime(), fighollow.StoreEra(r.store))
 	return ok
 }
 
@@ -168,7 +173,7 @@
 	o, err := fighollow.GetStale(ctx, r.store, fighollow.KindRoleLease, fighollow.RoleLeaseName)
 	now := bootTime()
 	if errors.Is(err, fighollow.ErrNotFound) {
-		r.lease.observe(now, 0, "")
+		r.lease.observe(now, fighollow.StoreEra(r.store), 0, "", 0)
 		return true
 	}
 	if err != nil {
@@ -180,7 +185,7 @@
 		event.RoleLeaseUnread.Log(&r.log).Err(err).Send()
 		v.Holder = "" // another entry acquires the lease once it has not changed for long enough
 	}
-	r.lease.observe(now, o.Version, v.Holder)
+	r.lease.observe(now, fighollow.VersionEra(o.Version), o.Version, v.Holder, v.Era)
 	return true
 }
 
@@ -286,7 +291,7 @@
 		if time.Now().Before(r.pausedUntil[u.ID]) {
 			continue
 		}
-		fence, ok := r.lease.fence(bootTime() + orderTimeout)
+		fence, ok := r.lease.fence(bootTime()+orderTimeout, fighollow.StoreEra(r.store))
 		if !ok {
 			return
 		}
