gateway, placement: upstreams and configuration across a return of the store

After a return from an older copy the list of upstreams lacks those that registered since, and names some as ready that drain or have left. Entries would drop engines that serve and send work to those that leave.

What it knows of an upstream stands if it is newer within the same run: a drain is not taken back, the number of orders only grows. Upstreams that had left are believed again only when their object changes or still stands after three heartbeats. The configuration never goes back in a process.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -67,21 +67,29 @@
 	objects  []fighollow.Object
 	version  uint64
 	snapshot bool // objects are all objects of the kind at version
+	newEra   bool // the first list after the store came back from an older copy
+	settling bool // the list may still lack objects that are written again after the store's return
 }
 
 // listAndWatch lists the objects of a kind and then watches it until ctx is done. It passes each result to apply. Objects
-// that are absent from a listing were removed. It lists again after each failed call: a listing on a silent connection times
-// out sooner than a watch, so that the newest objects are known soon after the store's return.
+// that are absent from a listing were removed, except while the store's content settles after its return from a copy. It lists
+// again after each failed call: a listing on a silent connection times out sooner than a watch, so that the newest objects are
+// known soon after the store's return.
 func (f *Follower) listAndWatch(ctx context.Context, kind fighollow.Kind, apply func(time.Time, update)) {
 	var version uint64
 	var listed bool
+	var era eraSync
 	lastAnswer, backoff := time.Now(), minStoreBackoff
 	down := false
 	for ctx.Err() == nil {
 		u := update{snapshot: !listed}
 		var err error
 		if listed {
-			u.objects, u.version, err = f.store.Watch(ctx, kind, version)
+			var due bool
+			if u.objects, u.version, due, err = f.watch(ctx, kind, version, era.nextList()); due {
+				listed = false
+				continue
+			}
 		} else {
 			u.objects, u.version, err = f.store.List(ctx, kind)
 		}
@@ -92,7 +100,11 @@
 				down = true
 				event.StoreLost.Log(&f.log).Str("kind", string(kind)).Err(err).Send()
 			}
-			wait(ctx, backoff/2+rand.N(backoff))
+			pause := backoff/2 + rand.N(backoff)
+			if fighollow.StoreEra(f.store) != fighollow.VersionEra(version) {
+				pause = rand.N(eraListSpread)
+			}
+			wait(ctx, pause)
 			backoff = min(2*backoff, maxStoreBackoff)
 			continue
 		}
@@ -100,12 +112,29 @@
 			down = false
 			event.StoreRegained.Log(&f.log).Str("kind", string(kind)).Int64("downMs", now.Sub(lastAnswer).Milliseconds()).Send()
 		}
+		if u.snapshot {
+			u.newEra, u.settling = era.listed(now, fighollow.VersionEra(u.version))
+		}
 		lastAnswer, backoff = now, minStoreBackoff
 		listed, version = true, u.version
 		apply(now, u)
 	}
 }
 
+// watch calls the store's Watch until the next list is due, unless until is zero. due reports that it is.
+func (f *Follower) watch(ctx context.Context, kind fighollow.Kind, after uint64, until time.Time) (
+	objects []fighollow.Object, version uint64, due bool, err error,
+) {
+	watchCtx, cancel := ctx, context.CancelFunc(func() {})
+	if !until.IsZero() {
+		watchCtx, cancel = context.WithDeadline(ctx, until)
+	}
+	defer cancel()
+	objects, version, err = f.store.Watch(watchCtx, kind, after)
+	due = err != nil && watchCtx.Err() != nil && ctx.Err() == nil
+	return objects, version, due, err
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -134,6 +163,9 @@
 
 func (f *Follower) applyUpstreams(now time.Time, up update) {
 	f.lastAnswer.Store(now.UnixMilli())
+	if up.newEra {
+		f.fleet.BeginEra(now)
+	}
 	ids := make(map[string]bool, len(up.objects))
 	for _, o := range up.objects {
 		if o.Deleted {
@@ -144,7 +176,9 @@
 		u, err := f.decode.Upstream(o)
 		if err != nil {
 			event.UpstreamInvalid.Log(&f.log).Str("upstream", o.Name).Uint64("revision", o.Version).Err(err).Send()
-			f.fleet.Remove(now, o.Name, o.Version)
+			if !up.settling { // else it can be older than what is known
+				f.fleet.Remove(now, o.Name, o.Version)
+			}
 			continue
 		}
 		ids[o.Name] = true
@@ -152,8 +186,16 @@
 			Bool("draining", u.Draining).Str("role", string(u.Role)).Uint64("orders", u.AcceptedOrders).Int64("started", u.StartedMs).Send()
 		f.fleet.Put(now, u, o.Version)
 	}
-	if up.snapshot {
-		f.fleet.Retain(now, ids, up.version)
-		f.synced.Store(true)
+	if !up.snapshot {
+		return
+	}
+	f.synced.Store(true)
+	if up.settling {
+		return
+	}
+	removed := f.fleet.Retain(now, ids, up.version)
+	if era := fighollow.VersionEra(up.version); era > 0 && removed > 0 {
+		event.UpstreamsSettled.Log(&f.log).Uint64("era", era).Uint64("revision", fighollow.VersionRevision(up.version)).
+			Int("removed", removed).Send()
 	}
 }
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -21,16 +21,59 @@
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
-// historyStore is an object store that keeps its history and fails like the platform's store.
+// historyStore is an object store that keeps its history, fails, and comes back from copies like the platform's store. Its
+// objects are kept with their revisions and handed out with their versions.
 type historyStore struct {
 	fighollow.ObjectStore
 	mu        sync.Mutex
-	version   uint64
+	era       uint64
+	answered  uint64 // era of the last answer
+	version   uint64 // revision
 	objects   map[fighollow.Kind]map[string]fighollow.Object
 	history   []fighollow.Object
-	compacted uint64        // watches from before this version have expired
+	compacted uint64        // watches from before this revision have expired
 	changed   chan struct{} // closed at each change
 	down      bool
+	copied    func() // restores the last copy
+}
+
+func (s *historyStore) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answered
+}
+
+// copy keeps the content for a later comeBack.
+func (s *historyStore) copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	version, history, objects := s.version, slices.Clone(s.history), make(map[fighollow.Kind]map[string]fighollow.Object)
+	for kind, of := range s.objects {
+		objects[kind] = maps.Clone(of)
+	}
+	s.copied = func() {
+		s.version, s.history, s.objects = version, slices.Clone(history), make(map[fighollow.Kind]map[string]fighollow.Object)
+		for kind, of := range objects {
+			s.objects[kind] = maps.Clone(of)
+		}
+	}
+}
+
+// comeBack replaces the content by the last copy and begins a new era.
+func (s *historyStore) comeBack() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied()
+	s.era++
+	s.compacted = min(s.compacted, s.version)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// answer returns an object as the store hands it out now.
+func (s *historyStore) answer(o fighollow.Object) fighollow.Object {
+	o.Version = fighollow.NewVersion(s.era, o.Version)
+	return o
 }
 
 func newHistoryStore() *historyStore {
@@ -69,27 +112,32 @@
 	}
 	var out []fighollow.Object
 	for _, o := range s.objects[kind] {
-		out = append(out, o)
+		out = append(out, s.answer(o))
 	}
-	return out, s.version, nil
+	s.answered = s.era
+	return out, fighollow.NewVersion(s.era, s.version), nil
 }
 
 func (s *historyStore) Watch(ctx context.Context, kind fighollow.Kind, after uint64) ([]fighollow.Object, uint64, error) {
 	end := time.Now().Add(2 * time.Second)
 	for {
 		s.mu.Lock()
-		down, compacted, version, changed := s.down, s.compacted, s.version, s.changed
+		down, changed, version := s.down, s.changed, fighollow.NewVersion(s.era, s.version)
+		expired := fighollow.VersionEra(after) != s.era || fighollow.VersionRevision(after) < s.compacted
 		var out []fighollow.Object
 		for _, o := range s.history {
-			if o.Kind == kind && o.Version > after {
+			if o = s.answer(o); o.Kind == kind && o.Version > after {
 				out = append(out, o)
 			}
 		}
+		if !down {
+			s.answered = s.era
+		}
 		s.mu.Unlock()
 		switch {
 		case down:
 			return nil, after, fighollow.ErrUnavailable
-		case after < compacted:
+		case expired:
 			return nil, after, fighollow.ErrWatchExpired
 		case len(out) > 0:
 			return out, version, nil
@@ -138,7 +186,7 @@
 	return storeStep{
 		after: time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond,
 		op: rapid.SampledFrom([]string{
-			"put", "put", "put", "remove", "garbage", "routing", "badRouting", "forget", "down", "up",
+			"put", "put", "put", "remove", "garbage", "routing", "badRouting", "forget", "down", "up", "copy", "return",
 		}).Draw(t, "what"),
 		upstream: fighollow.Upstream{
 			ID: fmt.Sprint("e", rapid.IntRange(0, 5).Draw(t, "id")), Service: rapid.SampledFrom([]string{"one", "two"}).Draw(t, "service"),
@@ -148,8 +196,8 @@
 	}
 }
 
-// Guards against missed changes when the store is down, compacts its history, or holds undecodable objects and versions that
-// decrease. The oracle is what the test wrote.
+// Guards against missed changes when the store is down, compacts its history, comes back from an older copy, or holds
+// undecodable objects and versions that decrease. The oracle is what the test wrote.
 func TestFollowerEndsWithWhatTheStoreHas(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		steps := rapid.SliceOfN(rapid.Custom(drawStep), 1, 60).Draw(rt, "steps")
@@ -175,33 +223,13 @@
 		cancel()
 		wg.Wait()
 	}()
-	want := make(map[string]fighollow.Upstream)
-	var inForce, newest uint64
-	for _, step := range steps {
+	o := &owners{store: s, fleet: fleet, want: make(map[string]fighollow.Upstream), seen: make(map[string]int64)}
+	s.copy()
+	var inForce uint64
+	for i, step := range steps {
 		time.Sleep(step.after)
-		id := step.upstream.ID
-		switch step.op {
-		case "put":
-			want[id] = step.upstream
-			s.write(fighollow.KindInstance, id, step.upstream)
-		case "remove":
-			delete(want, id)
-			s.write(fighollow.KindInstance, id, nil)
-		case "garbage":
-			delete(want, id)
-			s.write(fighollow.KindInstance, id, 7)
-		case "routing":
-			newest = step.version
-			s.write(fighollow.KindRouting, fighollow.RoutingName, fighollow.Routing{Version: step.version})
-		case "badRouting":
-			newest = 0
-			s.write(fighollow.KindRouting, fighollow.RoutingName, 7)
-		case "forget":
-			s.set(func(s *historyStore) { s.history, s.compacted = nil, s.version })
-		case "down":
-			s.set(func(s *historyStore) { s.down = true })
-		case "up":
-			s.set(func(s *historyStore) { s.down = false })
+		if fault := o.step(int64(i), step); fault != "" {
+			return fault
 		}
 		if r := g.Routing(); r != nil {
 			if r.Version < inForce {
@@ -211,16 +239,109 @@
 		}
 	}
 	s.set(func(s *historyStore) { s.down = false })
-	time.Sleep(3 * time.Second) // long enough for a pending watch to end or a failed call to be repeated
+	time.Sleep(8 * time.Second) // long enough for a pending watch to end, a failed call to be repeated, or a copy to be trusted
+	if got := o.known(); !maps.Equal(got, o.want) {
+		return fmt.Sprintf("the fleet has %v, the store %v", got, o.want)
+	}
+	if r := g.Routing(); o.newest > 0 && (r == nil || r.Version < o.newest) {
+		return fmt.Sprintf("version %d is not in force", o.newest)
+	}
+	return ""
+}
+
+// owners are the operator and the upstreams, who write their objects to the store.
+type owners struct {
+	store  *historyStore
+	fleet  *placement.Fleet
+	want   map[string]fighollow.Upstream // what the upstreams last wrote
+	seen   map[string]int64              // newest run of each upstream that the fleet had after some step
+	newest uint64                        // version of the configuration; 0 if it is undecodable or there is none
+}
+
+// known returns the fleet's upstreams by id.
+func (o *owners) known() map[string]fighollow.Upstream {
 	got := make(map[string]fighollow.Upstream)
-	for _, u := range slices.Concat(fleet.Upstreams("one"), fleet.Upstreams("two")) {
+	for _, u := range slices.Concat(o.fleet.Upstreams("one"), o.fleet.Upstreams("two")) {
 		got[u.ID] = u
+		o.seen[u.ID] = max(o.seen[u.ID], u.StartedMs)
 	}
-	if !maps.Equal(got, want) {
-		return fmt.Sprintf("the fleet has %v, the store %v", got, want)
+	return got
+}
+
+func (o *owners) step(i int64, step storeStep) (fault string) {
+	s, u := o.store, step.upstream
+	old, exists := o.want[u.ID]
+	switch step.op {
+	case "put":
+		u.StartedMs = old.StartedMs
+		if !exists || old.Draining && !u.Draining {
+			u.StartedMs = i + 1 // only another run of the upstream takes work again
+		}
+		o.want[u.ID] = u
+		s.write(fighollow.KindInstance, u.ID, u)
+	case "remove":
+		delete(o.want, u.ID)
+		s.write(fighollow.KindInstance, u.ID, nil)
+	case "garbage":
+		delete(o.want, u.ID)
+		s.write(fighollow.KindInstance, u.ID, 7)
+	case "routing":
+		o.newest = step.version
+		s.write(fighollow.KindRouting, fighollow.RoutingName, fighollow.Routing{Version: step.version})
+	case "badRouting":
+		o.newest = 0
+		s.write(fighollow.KindRouting, fighollow.RoutingName, 7)
+	case "forget":
+		s.set(func(s *historyStore) { s.history, s.compacted = nil, s.version })
+	case "down":
+		s.set(func(s *historyStore) { s.down = true })
+	case "up":
+		s.set(func(s *historyStore) { s.down = false })
+	case "copy":
+		s.copy()
+	case "return":
+		return o.comeBack()
 	}
-	if r := g.Routing(); newest > 0 && (r == nil || r.Version < newest) {
-		return fmt.Sprintf("version %d is not in force", newest)
+	o.known()
+	return ""
+}
+
+// comeBack lets the store come back from its copy and writes again what is missing in it. Meanwhile the fleet must keep the
+// upstreams that it had, and must not believe the copy about those that drain or have left.
+func (o *owners) comeBack() (fault string) {
+	time.Sleep(3 * time.Second) // what was written before is known, unless the store is down
+	before := o.known()
+	seen := maps.Clone(o.seen)
+	o.store.comeBack()
+	for i := range 50 {
+		time.Sleep(100 * time.Millisecond)
+		now := o.known()
+		for id, u := range before {
+			if want, ok := o.want[id]; ok && want == u && now[id].ID == "" {
+				return fmt.Sprintf("%s was dropped %d ms after the return", id, 100*i)
+			}
+			if u.Draining && now[id].ID != "" && now[id].StartedMs == u.StartedMs && !now[id].Draining {
+				return fmt.Sprintf("%s is not draining any more %d ms after the return", id, 100*i)
+			}
+		}
+		if i == 15 {
+			for id, u := range o.want {
+				o.store.write(fighollow.KindInstance, id, u)
+			}
+			if o.newest > 0 {
+				o.store.write(fighollow.KindRouting, fighollow.RoutingName, fighollow.Routing{Version: o.newest})
+			}
+		}
+		for id, u := range now {
+			if _, ok := o.want[id]; !ok && before[id].ID == "" && u.StartedMs <= seen[id] {
+				return fmt.Sprintf("%s came back %d ms after the return", id, 100*i)
+			}
+		}
+	}
+	for id := range map[string]bool{"e0": true, "e1": true, "e2": true, "e3": true, "e4": true, "e5": true} {
+		if _, ok := o.want[id]; !ok {
+			o.store.write(fighollow.KindInstance, id, nil)
+		}
 	}
 	return ""
 }
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -22,11 +22,17 @@
 	pools    map[string]*Pool
 	services map[string]string // service by upstream id
 	versions map[string]uint64 // store version of the upstream's object, by upstream id
+	departed map[string]departure
+	// distrustUntil is when the store's objects of upstreams that have left are believed again after its return from a copy.
+	distrustUntil time.Time
 }
 
 // New returns an empty Fleet that assumes a single entry.
 func New(opts Options) *Fleet {
-	return &Fleet{opts: opts, entries: 1, pools: make(map[string]*Pool), services: make(map[string]string), versions: make(map[string]uint64)}
+	return &Fleet{
+		opts: opts, entries: 1, pools: make(map[string]*Pool), services: make(map[string]string), versions: make(map[string]uint64),
+		departed: make(map[string]departure),
+	}
 }
 
 // Pool returns the pool of a service's upstreams. It creates an empty one for an unknown service.
@@ -63,16 +69,24 @@
 	}
 }
 
-// Put adds or updates an upstream. It ignores a version older than the one already stored.
+// Put adds or updates an upstream. It ignores a version that is not newer than the one already stored, and what an older copy
+// of the store says of an upstream that has changed or left since.
 func (f *Fleet) Put(now time.Time, u fighollow.Upstream, version uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if version < f.versions[u.ID] {
+	service, known := f.services[u.ID]
+	if known && version <= f.versions[u.ID] || !known && f.isRelic(now, u, version) {
 		return
 	}
-	if service, ok := f.services[u.ID]; ok && service != u.Service {
+	if known && fighollow.VersionEra(version) > fighollow.VersionEra(f.versions[u.ID]) {
+		if old, ok := f.pool(service).upstream(u.ID); ok {
+			u = newerState(old, u)
+		}
+	}
+	if known && service != u.Service {
 		f.pool(service).remove(now, u.ID)
 	}
+	delete(f.departed, u.ID)
 	f.services[u.ID], f.versions[u.ID] = u.Service, version
 	f.pool(u.Service).put(u)
 }
@@ -81,25 +95,23 @@
 func (f *Fleet) Remove(now time.Time, id string, version uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if service, ok := f.services[id]; ok && version >= f.versions[id] {
-		f.pool(service).remove(now, id)
-		delete(f.services, id)
-		delete(f.versions, id)
+	if _, ok := f.services[id]; ok && version >= f.versions[id] {
+		f.depart(now, id, fighollow.VersionEra(version))
 	}
 }
 
-// Retain removes the upstreams that are absent from ids, the content of a store listing at version. Upstreams with a newer
-// version stay.
-func (f *Fleet) Retain(now time.Time, ids map[string]bool, version uint64) {
+// Retain removes the upstreams that are absent from ids, the content of a store listing at version, and returns their number.
+// Upstreams with a newer version stay.
+func (f *Fleet) Retain(now time.Time, ids map[string]bool, version uint64) (removed int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for id, service := range f.services {
+	for id := range f.services {
 		if !ids[id] && f.versions[id] <= version {
-			f.pool(service).remove(now, id)
-			delete(f.services, id)
-			delete(f.versions, id)
+			f.depart(now, id, fighollow.VersionEra(version))
+			removed++
 		}
 	}
+	return removed
 }
 
 // Upstreams returns all upstreams of a service that are present in the store, in no particular order.
