roles: the preset in force does not go back with the store

A copy of the store may hold an older choice of the preset, or none. The holder of the lease took the higher version for the newer choice.

The first object of a new era is taken only if it was not chosen before the newest choice known, which the lease's record also tells to the next holder; otherwise the known policy stays, 8037 and the gauge presets.lost tell the operator, and whatever is written afterwards is taken. Nothing is written on the operator's behalf, because an entry cannot tell an older choice from a new one made by a slow clock.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -253,6 +253,7 @@
 	gauge("store.refused", func() int64 { _, refused, _ := p.store.Calls(); return refused })
 	gauge("store.failed", func() int64 { _, _, failed := p.store.Calls(); return failed })
 	gauge("store.eras", p.store.Eras)
+	gauge("presets.lost", p.planner.PresetsLost)
 	gauge("store.silentMs", func() int64 { return p.follower.SinceLastAnswer(time.Now()).Milliseconds() })
 	gauge("upstreams.connections", p.pool.Dials)
 	gauge("log.dropped", p.sink.Dropped)
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -33,8 +33,7 @@
 	StoreEraBegan    = Event{8034, "storeEraBegan", zerolog.WarnLevel, "the metadata store came back from an older copy: everything is read again, and what this process wrote since the copy is written again; oldRevision is the newest one seen before"}
 	StoreEraInvalid  = Event{8035, "storeEraInvalid", zerolog.WarnLevel, "an answer of the metadata store names no era, or one before the newest; it is not used, and a write is of unknown outcome"}
 	UpstreamsSettled = Event{8036, "upstreamsSettled", zerolog.InfoLevel, "some time after the store's return its list of upstreams is in force in full; the line has how many known ones are missing in it, which now are gone"}
-	PresetRestored   = Event{8037, "presetRestored", zerolog.WarnLevel, "the store came back with an older preset in force, or none; the newest one known is written again"}
-	PresetLost       = Event{8038, "presetLost", zerolog.ErrorLevel, "the preset that was in force before the store's return is not in force any more; an operator has to choose it again"}
+	PresetLost       = Event{8037, "presetLost", zerolog.ErrorLevel, "the store came back from an older copy without the preset in force, or with an older choice; the known one stays in force in this process until an operator chooses again"}
 	RoleOrdered      = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is ordered to change its role; the line has the reason and the load that the decision was based on"}
 	RoleOrderEnded   = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "the engine accepted or refused an order for a role change, or its answer was lost; in the last case it may still carry out the order, and gets no other for some time"}
 	ReportMissing    = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
@@ -46,5 +45,5 @@
 	RoleLeaseTaken, RoleLeaseLost, RoleOrdered, RoleOrderEnded, ReportMissing, RoleLeaseUnread, CacheUnread,
 	PolicyApplied, PolicyUnread,
 	EntriesCounted, EntryLapsed, EntryLeft, RosterUnread,
-	StoreEraBegan, StoreEraInvalid, UpstreamsSettled, PresetRestored, PresetLost,
+	StoreEraBegan, StoreEraInvalid, UpstreamsSettled, PresetLost,
 }
--- a/internal/roles/runner.go
+++ b/internal/roles/runner.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -60,9 +61,10 @@
 	ordered     map[string]fighollow.Role // role in the last order sent, by engine
 	reports     map[string]report         // newest report by engine
 
-	policy        fighollow.Policy // policy of the preset in force
-	presetVersion uint64           // object version of the preset in force; 0 if none was read
-	presetReadAt  time.Time        // when the preset in force was last read
+	policy       fighollow.Policy // policy of the preset in force
+	preset       choice
+	presetReadAt time.Time    // when the preset in force was last read
+	presetsLost  atomic.Int64 // choices that the store has lost
 }
 
 // report is an engine's report with the time at which it was read.
@@ -120,6 +122,8 @@
 	Holder string `json:"holder"`
 	Round  uint64 `json:"round"`         // differs in each write, so that every renewal changes the object
 	Era    uint64 `json:"era,omitempty"` // of the store when the holder wrote this; an older copy names an earlier one
+	// ChosenMs is when the preset that the holder applies was chosen, in Unix milliseconds; 0 if it knows none.
+	ChosenMs int64 `json:"chosenMs,omitempty"`
 }
 
 // acquireOrRenew renews the lease, or tries to acquire it if this entry does not hold it. It reports whether this
@@ -135,7 +139,7 @@
 		}
 	}
 	sent := bootTime()
-	value, err := json.Marshal(leaseRecord{Holder: r.opts.Self, Round: uint64(sent), Era: r.lease.era})
+	value, err := json.Marshal(leaseRecord{Holder: r.opts.Self, Round: uint64(sent), Era: r.lease.era, ChosenMs: r.preset.chosenMs})
 	if err != nil {
 		panic(err) // strings and numbers always encode
 	}
@@ -186,29 +190,43 @@
 		v.Holder = "" // another entry acquires the lease once it has not changed for long enough
 	}
 	r.lease.observe(now, fighollow.VersionEra(o.Version), o.Version, v.Holder, v.Era)
+	r.preset.heard(fighollow.VersionEra(o.Version), v.ChosenMs)
 	return true
 }
 
-// readPreset applies the policy of the preset in force. It keeps the current policy if the object cannot be read or its
-// version is not newer.
+// readPreset applies the policy of the preset in force. It keeps the current policy if the object cannot be read, its version is
+// not newer, or the store came back with an older choice.
 func (r *Runner) readPreset(ctx context.Context) {
 	o, err := fighollow.GetStale(ctx, r.store, fighollow.KindInForce, fighollow.InForceName)
-	if errors.Is(err, fighollow.ErrNotFound) || err == nil && o.Version <= r.presetVersion {
+	if errors.Is(err, fighollow.ErrNotFound) {
+		o.Version, err = fighollow.NewVersion(fighollow.StoreEra(r.store), 0), nil
+	}
+	if err == nil && o.Version <= r.preset.version {
 		return
 	}
 	var v fighollow.InForce
-	if err == nil {
+	if err == nil && o.Value != nil {
 		err = json.Unmarshal(o.Value, &v)
 	}
 	if err != nil {
 		event.PolicyUnread.Log(&r.log).Err(err).Send()
 		return
 	}
-	r.presetVersion, r.policy = o.Version, v.Preset.Policy
-	event.PolicyApplied.Log(&r.log).Uint64("version", o.Version).Str("preset", v.Preset.Name).Str("by", v.ChosenBy).
-		Float64("roleChangeWeight", r.policy.RoleChangeWeight).Send()
+	switch verdict := r.preset.read(o.Version, v.ChosenMs); {
+	case verdict == choiceLost:
+		r.presetsLost.Add(1)
+		event.PresetLost.Log(&r.log).Uint64("version", o.Version).Str("preset", v.Preset.Name).Int64("chosenMs", v.ChosenMs).
+			Int64("knownChosenMs", r.preset.chosenMs).Send()
+	case verdict == choiceTaken && o.Value != nil:
+		r.policy = v.Preset.Policy
+		event.PolicyApplied.Log(&r.log).Uint64("version", o.Version).Str("preset", v.Preset.Name).Str("by", v.ChosenBy).
+			Float64("roleChangeWeight", r.policy.RoleChangeWeight).Send()
+	}
 }
 
+// PresetsLost returns the number of operators' choices that were lost by the store and have not been seen again.
+func (r *Runner) PresetsLost() int64 { return r.presetsLost.Load() }
+
 // round reads the engines' reports, runs the planner of each service and sends its orders.
 func (r *Runner) round(ctx context.Context) {
 	if now := time.Now(); now.Sub(r.presetReadAt) >= presetInterval {
