--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -79,7 +79,8 @@
 
 // round renews this entry's object if it is due, polls the objects of all entries, and removes those that have lapsed.
 func (r *Roster) round(ctx context.Context, now time.Time) {
-	if now.Sub(r.renewedAt) >= renewInterval || r.version == 0 {
+	// In a new era, the registration may be missing in the store.
+	if now.Sub(r.renewedAt) >= renewInterval || r.version == 0 || fighollow.VersionEra(r.version) != fighollow.StoreEra(r.store) {
 		r.renew(ctx, now)
 	}
 	objects, err := fighollow.ListStale(ctx, r.store, fighollow.KindEntry)
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -20,6 +20,7 @@
 type fakeStore struct {
 	fighollow.ObjectStore
 	mu        sync.Mutex
+	era       uint64
 	version   uint64
 	objects   map[string]fighollow.Object
 	loseReply bool // the next write takes effect, but its reply is lost
@@ -28,6 +29,12 @@
 
 func newStore() *fakeStore { return &fakeStore{objects: make(map[string]fighollow.Object)} }
 
+func (s *fakeStore) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 func (s *fakeStore) Get(_ context.Context, _ fighollow.Kind, name string) (fighollow.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -48,13 +55,13 @@
 		return 0, fighollow.ErrConflict
 	}
 	s.version++
-	o.Version = s.version
+	o.Version = fighollow.NewVersion(s.era, s.version)
 	s.objects[o.Name] = o
 	if s.loseReply {
 		s.loseReply = false
 		return 0, fighollow.ErrUnknownOutcome
 	}
-	return s.version, nil
+	return o.Version, nil
 }
 
 func (s *fakeStore) Delete(_ context.Context, _ fighollow.Kind, name string, expected uint64) (uint64, error) {
@@ -219,3 +226,29 @@
 		}
 	})
 }
+
+// Guards against a retry budget that is given twice: an entry whose registration was lost with the store's return is missing
+// in the counts of the others until its next renewal, and in those of an entry that starts meanwhile.
+func TestEntryRegistersAgainInANewEra(t *testing.T) {
+	s := newStore()
+	ctx, now := context.Background(), time.Now()
+	counts := make(map[string]int)
+	entry := func(name string) *Roster {
+		return New(Options{Self: name}, s, func(n int) { counts[name] = n }, zerolog.Nop())
+	}
+	a, b := entry("a"), entry("b")
+	a.round(ctx, now)
+	b.round(ctx, now)
+	a.round(ctx, now.Add(pollInterval))
+	qt.Assert(t, counts["a"], qt.Equals, 2)
+	s.mu.Lock()
+	s.era, s.objects, s.version = 1, make(map[string]fighollow.Object), 0
+	s.mu.Unlock()
+	later := now.Add(2 * pollInterval)
+	a.round(ctx, later)
+	qt.Assert(t, counts["a"], qt.Equals, 2, qt.Commentf("a lost registration lowered the count at once"))
+	b.round(ctx, later)
+	c := entry("c")
+	c.round(ctx, later)
+	qt.Assert(t, counts["c"], qt.Equals, 3)
+}
