soak: the real programs as separate processes under random faults

internal/soak and cmd/soak start entries, the stand-ins of the platform's store, engines and plain services, and callers as processes, with proxies between them, and inject faults drawn from a seed by signals, proxies and the store's modes. Answers are drawn too, in all framings, cut at any byte by a close or a reset. The oracle reads what callers and upstreams recorded and shares no code with the product.

--- /dev/null
+++ b/internal/soak/caller.go
@@ -0,0 +1,197 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Entry names the addresses of one entry.
+type Entry struct {
+	Ingress   string // of the proxy in front of it
+	Readiness string
+}
+
+// Callers sends requests to the entries that report themselves ready, over connections that each worker keeps open until the
+// entry closes them.
+type Callers struct {
+	Name     string
+	Entries  []Entry
+	Workers  int
+	Seed     uint64
+	Rude     bool // some callers cut their requests, read slowly or speak HTTP/1.0
+	Recorder *Recorder
+
+	mu     sync.Mutex
+	misses []int // consecutive failed readiness checks of each entry
+}
+
+// Run sends requests until ctx is done, and waits for the answers.
+func (c *Callers) Run(ctx context.Context) {
+	c.misses = make([]int, len(c.Entries))
+	var wg sync.WaitGroup
+	wg.Go(func() { c.checkReadiness(ctx) })
+	for i := range c.Workers {
+		wg.Go(func() {
+			w := &worker{c: c, name: fmt.Sprintf("%s-%d", c.Name, i), rnd: rand.New(rand.NewPCG(c.Seed, uint64(i)))}
+			for ctx.Err() == nil {
+				w.request()
+				time.Sleep(time.Duration(w.rnd.ExpFloat64() * float64(40*time.Millisecond)))
+			}
+			w.hangUp()
+		})
+	}
+	wg.Wait()
+}
+
+// checkReadiness asks each entry once a second, as the platform's load balancer does.
+func (c *Callers) checkReadiness(ctx context.Context) {
+	client := &http.Client{Timeout: 800 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	for ctx.Err() == nil {
+		for i, e := range c.Entries {
+			resp, err := client.Get("http://" + e.Readiness + "/api/readyz")
+			ok := err == nil && resp.StatusCode == http.StatusOK
+			if err == nil {
+				resp.Body.Close()
+			}
+			c.mu.Lock()
+			if c.misses[i]++; ok {
+				c.misses[i] = 0
+			}
+			c.mu.Unlock()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+// pick returns an entry in rotation, or any if none is.
+func (c *Callers) pick(r *rand.Rand) Entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ready []Entry
+	for i, e := range c.Entries {
+		if c.misses[i] < 2 {
+			ready = append(ready, e)
+		}
+	}
+	if len(ready) == 0 {
+		ready = c.Entries
+	}
+	return ready[r.IntN(len(ready))]
+}
+
+// worker sends one request at a time.
+type worker struct {
+	c    *Callers
+	name string
+	rnd  *rand.Rand
+	n    int
+	nc   net.Conn
+	br   *bufio.Reader
+}
+
+func (w *worker) hangUp() {
+	if w.nc != nil {
+		w.nc.Close()
+		w.nc = nil
+	}
+}
+
+const requestDeadline = 3 * time.Second
+
+// request sends one request and records what came of it.
+func (w *worker) request() {
+	w.n++
+	id := fmt.Sprintf("%s-%d", w.name, w.n)
+	route := soakRoutes[w.rnd.IntN(len(soakRoutes))]
+	got := Record{Kind: KindGot, Request: id, Route: route}
+	if w.nc == nil {
+		nc, err := net.DialTimeout("tcp", w.c.pick(w.rnd).Ingress, time.Second)
+		if err != nil {
+			got.NotSent, got.Text = true, err.Error()
+			w.c.Recorder.Add(got)
+			return
+		}
+		w.nc, w.br = nc, bufio.NewReader(nc)
+	}
+	text, proto, cut := w.message(id, route)
+	w.c.Recorder.Add(Record{Kind: KindSent, Request: id, Route: route, NotSent: cut})
+	// The caller waits longer than its deadline, to see what the entry does at it.
+	_ = w.nc.SetDeadline(time.Now().Add(requestDeadline + time.Second))
+	_, err := io.WriteString(w.nc, text)
+	if cut {
+		w.hangUp()
+		return
+	}
+	if err == nil {
+		err = w.read(&got, proto)
+	}
+	if err != nil {
+		got.Text = err.Error()
+	}
+	if err != nil || proto == "HTTP/1.0" {
+		w.hangUp()
+	}
+	w.c.Recorder.Add(got)
+}
+
+// message returns a request as it is sent. cut reports that its end is left out.
+func (w *worker) message(id, route string) (text, proto string, cut bool) {
+	proto = "HTTP/1.1"
+	if w.c.Rude && w.rnd.IntN(10) == 0 {
+		proto = "HTTP/1.0"
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "POST /%s/x %s\r\nHost: %s\r\nRequest-Id: %s\r\nRequest-Deadline-Ms: %d\r\n", route, proto, soakHost, id, requestDeadline.Milliseconds())
+	if isStream(route) {
+		b.WriteString("Model: m\r\nToken-Usage: 1460,80\r\nPrompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n")
+	}
+	body := strings.Repeat("b", 1+w.rnd.IntN(20_000))
+	if w.rnd.IntN(2) == 0 || proto == "HTTP/1.0" {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	} else {
+		fmt.Fprintf(&b, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	}
+	text = b.String()
+	if w.c.Rude && w.rnd.IntN(25) == 0 {
+		return text[:w.rnd.IntN(len(text)-5)], proto, true
+	}
+	return text, proto, false
+}
+
+// read reads the answer. An error means that it did not look complete.
+func (w *worker) read(got *Record, proto string) error {
+	resp, err := http.ReadResponse(w.br, &http.Request{Method: http.MethodPost, Proto: proto})
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	got.Status = resp.StatusCode
+	got.Instance = strings.TrimPrefix(resp.Header.Get("Server-Signature"), "sig-")
+	if w.c.Rude && w.rnd.IntN(20) == 0 {
+		time.Sleep(200 * time.Millisecond)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	got.Complete = true
+	got.Whole = string(body) == expectedBody(got.Route, got.Request) && resp.Header.Get("Request-Id") == got.Request
+	if !got.Whole && got.Status == http.StatusOK {
+		got.Text = fmt.Sprintf("%d bytes for %q", len(body), resp.Header.Get("Request-Id"))
+	}
+	if resp.Close {
+		w.hangUp()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/soak/oracle_test.go
@@ -0,0 +1,98 @@
+package soak
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// testRules are rules with round numbers.
+var testRules = Rules{
+	Lease: 3 * time.Second, Thaw: 300 * time.Millisecond, BudgetWindow: 10 * time.Second, BudgetRatio: 0.2, BudgetSlack: 2,
+	Recovery: 12 * time.Second, LossSlack: 200 * time.Millisecond, MemoryKiB: 1000, Files: 100,
+}
+
+// at returns a record at a time after the start of the run.
+func at(d time.Duration, r Record) Record {
+	r.AtMicros = (1000*time.Second + d).Microseconds()
+	return r
+}
+
+// served returns the records of a request q that is served without a fault.
+func served(d time.Duration, route string) []Record {
+	const id = "q"
+	return []Record{
+		at(d, Record{Kind: KindSent, Request: id, Route: route}), at(d+1, Record{Kind: KindArrive, Request: id, Route: route}),
+		at(d+2, Record{Kind: KindRun, Request: id, Route: route}),
+		at(d+3, Record{Kind: KindGot, Request: id, Route: route, Status: 200, Complete: true, Whole: true}),
+	}
+}
+
+// Guards against checks of the oracle that no longer fire.
+func TestOracleFindsPlantedFaults(t *testing.T) {
+	many := func(kind RecordKind, n int) (out []Record) {
+		for i := range n {
+			out = append(out, at(time.Duration(i)*time.Millisecond, Record{Kind: kind, Request: "q", Route: routeAny}))
+		}
+		return out
+	}
+	var lost []Record
+	for i := range 8 {
+		lost = append(lost, at(20*time.Second, Record{Kind: KindSent, Request: fmt.Sprint("l", i), Route: routeAny}))
+	}
+	for _, c := range []struct {
+		name    string
+		planned bool
+		records []Record
+		want    string
+	}{
+		{"served", true, served(time.Second, routeOnce), ""},
+		{"short", false, append(served(0, routeAny), at(time.Second, Record{Kind: KindGot, Request: "q", Route: routeAny, Status: 200, Complete: true})), "complete"},
+		{"broken", false, append(served(0, routeAny), at(time.Second, Record{Kind: KindGot, Request: "q", Route: routeAny, Status: 200})), ""},
+		{"cut by a stop", true, append(served(0, routeAny), at(time.Second, Record{Kind: KindGot, Request: "q", Route: routeAny, Status: 200})), "planned"},
+		{"crossed a close", true, []Record{at(0, Record{Kind: KindSent, Request: "q"}), at(1, Record{Kind: KindGot, Request: "q"})}, ""},
+		{"lost after it was passed on", true, []Record{at(0, Record{Kind: KindSent, Request: "q"}), at(1, Record{Kind: KindArrive, Request: "q"}), at(2, Record{Kind: KindGot, Request: "q"})}, "planned"},
+		{"ran twice", false, append(served(0, routeOnce), at(5, Record{Kind: KindRun, Request: "q", Route: routeOnce})), "once"},
+		{"ran again", false, append(served(0, routeAny), at(5, Record{Kind: KindRun, Request: "q", Route: routeAny})), ""},
+		{"refused and ran", false, append(served(0, routeStream)[:3], at(5, Record{Kind: KindGot, Request: "q", Route: routeStream, Status: 503})), "notRun"},
+		{"cut request ran", false, []Record{at(0, Record{Kind: KindSent, Request: "q", NotSent: true}), at(1, Record{Kind: KindRun, Request: "q", Route: routeAny})}, "unasked"},
+		{"repeats", false, append(many(KindArrive, 5), at(0, Record{Kind: KindSent, Request: "q"})), "budget"},
+		{"repeats within the slack", false, append(many(KindArrive, 3), at(0, Record{Kind: KindSent, Request: "q"})), ""},
+		{"two senders", false, []Record{at(0, Record{Kind: KindOrder, Instance: "e", Holder: "a", Fence: 1}), at(2*time.Second, Record{Kind: KindOrder, Instance: "e", Holder: "b", Fence: 2})}, "oneSender"},
+		{"a lease apart", false, []Record{at(0, Record{Kind: KindOrder, Instance: "e", Holder: "a", Fence: 1}), at(4*time.Second, Record{Kind: KindOrder, Instance: "e", Holder: "b", Fence: 2})}, ""},
+		{"old fence", false, []Record{at(0, Record{Kind: KindOrder, Instance: "e", Holder: "a", Fence: 2}), at(4*time.Second, Record{Kind: KindOrder, Instance: "e", Holder: "a", Fence: 1})}, "fence"},
+		{"resumed sender", false, []Record{at(0, Record{Kind: KindOrder, Instance: "e", Holder: "a", Fence: 2}), at(time.Second, Record{Kind: KindFault, Instance: "b", Text: "resume"}), at(1100*time.Millisecond, Record{Kind: KindOrder, Instance: "e", Holder: "b", Fence: 1})}, ""},
+		{"no recovery", false, append(lost, at(time.Second, Record{Kind: KindFault})), "recover"},
+		{"old configuration", false, []Record{at(0, Record{Kind: KindFinal, Instance: "e", Text: "the newest route is not known"})}, "config"},
+		{"memory", false, []Record{at(0, Record{Kind: KindFinal, Instance: "e", Number: 2000})}, "growth"},
+		{"files", false, []Record{at(0, Record{Kind: KindFinal, Instance: "e", Files: 200})}, "growth"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			rules := testRules
+			rules.PlannedOnly = c.planned
+			found := Check(rules, c.records)
+			if c.want == "" {
+				qt.Assert(t, found, qt.HasLen, 0)
+				return
+			}
+			qt.Assert(t, found, qt.HasLen, 1)
+			qt.Assert(t, found[0].Rule, qt.Equals, c.want)
+		})
+	}
+}
+
+// Guards against a schedule that differs when it is played again, and against unplanned faults in a run of planned work.
+func TestPlanFollowsItsSeed(t *testing.T) {
+	top := TopologyOf(12)
+	for seed := range uint64(200) {
+		p := DrawPlan(seed, top, 20*time.Second)
+		qt.Assert(t, DrawPlan(seed, top, 20*time.Second), qt.DeepEquals, p)
+		qt.Assert(t, len(p.Faults) > 0, qt.IsTrue)
+		for _, f := range p.Faults {
+			qt.Assert(t, f.At+f.For <= 20*time.Second, qt.IsTrue)
+			qt.Assert(t, !p.Planned || f.Kind == FaultStop || f.Kind == FaultConfig, qt.IsTrue)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,120 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+)
+
+// FaultKind is a kind of fault that the soak injects.
+type FaultKind string
+
+// Kinds of faults. Processes are entries and upstreams, links the proxies in front of processes.
+const (
+	FaultStop     FaultKind = "stop"     // SIGTERM, and a start once the process has ended
+	FaultKill     FaultKind = "kill"     // SIGKILL, and a start after a pause
+	FaultPause    FaultKind = "pause"    // SIGSTOP and SIGCONT
+	FaultConfig   FaultKind = "config"   // a new version of the configuration with one more route
+	FaultDelay    FaultKind = "delay"    // each piece of a link's bytes is late
+	FaultTrickle  FaultKind = "trickle"  // a link passes a few bytes at a time
+	FaultReset    FaultKind = "reset"    // a link's connections are reset
+	FaultTruncate FaultKind = "truncate" // a link's connections are reset after some bytes
+	FaultSilence  FaultKind = "silence"  // a link's connections pass nothing any more
+	FaultOneWay   FaultKind = "oneWay"   // a link's connections pass nothing towards the caller any more
+	FaultStore    FaultKind = "store"    // the store is silent, down, without its history, or comes back from a copy
+)
+
+// plannedFaults are those that must cut no request.
+var plannedFaults = []FaultKind{FaultStop, FaultConfig}
+
+var allFaults = []FaultKind{
+	FaultStop, FaultKill, FaultPause, FaultConfig, FaultDelay, FaultTrickle, FaultReset, FaultTruncate, FaultSilence, FaultOneWay, FaultStore,
+}
+
+// Modes of FaultStore.
+var storeModes = []string{storeSilent, storeDown, storeCompact, storeReturn}
+
+// Fault is one planned fault.
+type Fault struct {
+	At     time.Duration // from the start of traffic
+	Kind   FaultKind
+	Target string        // name of the process or link; empty for the configuration
+	For    time.Duration // how long it lasts
+	Bytes  int           // of FaultTruncate
+	Mode   string        // of FaultStore
+}
+
+func (f Fault) String() string {
+	return fmt.Sprintf("%6.2f s %-8s %s %s for %v", f.At.Seconds(), f.Kind, f.Target, f.Mode, f.For.Round(time.Millisecond))
+}
+
+// Topology is the size of a run.
+type Topology struct {
+	Entries, Prefill, Decode, Services, Callers int
+}
+
+// TopologyOf returns the topology of about so many processes.
+func TopologyOf(processes int) Topology {
+	n := max(1, processes/12)
+	return Topology{Entries: 3 * n, Prefill: 2 * n, Decode: 2 * n, Services: 3 * n, Callers: n}
+}
+
+func (t Topology) entries() []string { return names("entry", t.Entries) }
+
+func (t Topology) upstreams() []string {
+	return append(append(names("prefill", t.Prefill), names("decode", t.Decode)...), names("plain", t.Services)...)
+}
+
+func names(prefix string, n int) (out []string) {
+	for i := range n {
+		out = append(out, fmt.Sprintf("%s%d", prefix, i+1))
+	}
+	return out
+}
+
+// Plan is what happens in one run.
+type Plan struct {
+	Seed    uint64
+	Planned bool // only planned faults
+	Faults  []Fault
+}
+
+// DrawPlan draws the faults of a run, which all end before its duration. Every fourth seed has planned faults only.
+func DrawPlan(seed uint64, t Topology, duration time.Duration) Plan {
+	r := rand.New(rand.NewPCG(seed, 1))
+	p := Plan{Seed: seed, Planned: seed%4 == 0}
+	kinds, n := allFaults, 4+r.IntN(4*t.Entries)
+	if p.Planned {
+		kinds, n = plannedFaults, 2+r.IntN(3)
+	}
+	for i := range n {
+		f := Fault{At: time.Duration(r.Int64N(int64(duration * 3 / 4))), Kind: kinds[r.IntN(len(kinds))]}
+		f.For = time.Duration(r.Int64N(int64(duration/4))) + 50*time.Millisecond
+		if p.Planned && i == 0 {
+			f.Kind = FaultStop // a run of planned work has one stop at least
+		}
+		processes := append(t.entries(), t.upstreams()...)
+		switch f.Kind {
+		case FaultConfig:
+		case FaultStore:
+			f.Target, f.Mode = "store", storeModes[r.IntN(len(storeModes))]
+		case FaultStop, FaultKill, FaultPause:
+			f.Target = processes[r.IntN(len(processes))]
+			if p.Planned {
+				f.Target = t.entries()[r.IntN(t.Entries)]
+			}
+		default:
+			f.Target, f.Bytes = append(processes, "store")[r.IntN(len(processes)+1)], r.IntN(30_000)
+		}
+		p.Faults = append(p.Faults, f)
+	}
+	if !p.Planned && r.IntN(6) == 0 { // all entries at once
+		at := time.Duration(r.Int64N(int64(duration / 2)))
+		for _, e := range t.entries() {
+			p.Faults = append(p.Faults, Fault{At: at, Kind: FaultKill, Target: e, For: 100 * time.Millisecond})
+		}
+	}
+	sort.SliceStable(p.Faults, func(i, j int) bool { return p.Faults[i].At < p.Faults[j].At })
+	return p
+}
--- /dev/null
+++ b/internal/soak/traffic.go
@@ -0,0 +1,97 @@
+package soak
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+
+	"github.com/fighollow/fighollow/internal/standin/answers"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// Routes of the soak's configuration. A route's path prefix is its name between slashes.
+const (
+	routeOnce   = "once"   // plain, must not be repeated
+	routeAny    = "any"    // plain, may be repeated
+	routeStream = "stream" // must not be repeated
+	routeResume = "resume" // may be resumed
+	soakHost    = "callers.example"
+)
+
+var soakRoutes = []string{routeOnce, routeAny, routeStream, routeResume}
+
+func isStream(route string) bool { return route == routeStream || route == routeResume }
+
+// routeOf returns the route of a target.
+func routeOf(target string) string { return strings.SplitN(strings.TrimPrefix(target, "/"), "/", 2)[0] }
+
+// size returns a number below n that depends on the request only.
+func size(request string, n uint64) int {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(request)) // never fails
+	return int(h.Sum64() % n)
+}
+
+// streamEvents returns the events of a stream after the first ones.
+func streamEvents(request string, after int) []string {
+	var out []string
+	for i := after + 1; i <= 2+size(request, 12); i++ {
+		out = append(out, fmt.Sprintf("id: %d\ndata: %s %d\n\n", i, request, i))
+	}
+	return out
+}
+
+// expectedBody returns the whole body of the answer to a request.
+func expectedBody(route, request string) string {
+	if isStream(route) {
+		return strings.Join(streamEvents(request, 0), "")
+	}
+	n := 1 + size(request, 40)
+	if n > 36 {
+		n *= 200 // above what is buffered
+	}
+	return strings.Repeat("answer to "+request+"\n", n)
+}
+
+// atomicBytes is the size up to which a socket takes a body at once, so that the death of its sender does not cut it.
+const atomicBytes = 8 << 10
+
+// delivery is how an upstream sends one answer.
+type delivery struct {
+	answer answers.Answer
+	cut    int
+	reset  bool
+	late   string // bytes after the answer
+}
+
+// drawDelivery draws how to send a body. A body without framing that is cut in an orderly way is cut where the cut shows: the
+// end of such a connection between two events, or within a plain body, is the end of the answer.
+func drawDelivery(r *rand.Rand, faulty float64, header http.Header, body string, stream bool) delivery {
+	framings := []fighollow.Framing{fighollow.FramingLength, fighollow.FramingChunked, fighollow.FramingChunked, fighollow.FramingConnection}
+	d := delivery{
+		answer: answers.Answer{Header: header, Body: body, Framing: framings[r.IntN(len(framings))], ChunkBytes: 1 + r.IntN(4000)},
+		cut:    answers.Whole,
+	}
+	if !stream && len(body) > atomicBytes && d.answer.Framing == fighollow.FramingConnection {
+		d.answer.Framing = fighollow.FramingChunked // the end of a killed process would look like that of the answer
+	}
+	if r.Float64() >= faulty {
+		return d
+	}
+	if r.IntN(4) == 0 && d.answer.Framing != fighollow.FramingConnection {
+		d.late = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1\r\n\r\nx"
+		return d
+	}
+	d.cut = r.IntN(max(1, len(d.answer.Encoded())))
+	d.reset = r.IntN(2) == 0
+	if d.answer.Framing == fighollow.FramingConnection && !d.reset {
+		if !stream {
+			d.reset = true
+		} else if strings.HasSuffix(body[:d.cut], "\n\n") {
+			d.cut++
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/internal/soak/upstream.go
@@ -0,0 +1,245 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// heartbeat is the pause between two writes of an upstream's object.
+const heartbeat = 1200 * time.Millisecond
+
+// Upstream is an engine, or a plain service if its role is empty, that serves as drawn from a seed.
+type Upstream struct {
+	ID       string
+	Service  string
+	Role     string
+	Address  string // that it registers: of the proxy in front of it
+	Listen   string
+	Store    string // address of the store
+	Seed     uint64
+	Faulty   float64 // share of the answers that are cut or followed by other bytes
+	Recorder *Recorder
+
+	mu       sync.Mutex
+	rnd      *rand.Rand
+	born     int64
+	role     string
+	orders   uint64
+	handles  map[string]bool
+	running  int
+	draining bool
+}
+
+// Run serves until ctx is done. Then it reports that it drains, serves for drainTime and removes its object.
+func (u *Upstream) Run(ctx context.Context, drainTime time.Duration) error {
+	u.rnd, u.born, u.role, u.handles = rand.New(rand.NewPCG(u.Seed, uint64(time.Now().UnixNano()))), time.Now().UnixMilli(), u.Role, make(map[string]bool)
+	l, err := net.Listen("tcp", u.Listen)
+	if err != nil {
+		return fmt.Errorf("soak: %w", err)
+	}
+	srv := &http.Server{Handler: u, ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = srv.Serve(l) }()
+	u.register()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(heartbeat):
+			u.register()
+		}
+	}
+	u.mu.Lock()
+	u.draining = true
+	u.mu.Unlock()
+	for end := time.Now().Add(drainTime); time.Now().Before(end); time.Sleep(heartbeat / 4) {
+		u.register()
+	}
+	u.call(http.MethodDelete, "/api/objects/servers/"+u.ID, nil)
+	time.Sleep(drainTime)
+	return srv.Close()
+}
+
+// register writes the upstream's object.
+func (u *Upstream) register() {
+	u.mu.Lock()
+	state := "ready"
+	if u.draining {
+		state = "draining"
+	}
+	spec := map[string]any{
+		"service": u.Service, "address": u.Address, "zone": "a", "version": "v1", "slots": 16, "state": state, "sequence": u.orders,
+		"coldRemainingMs": 0, "born": u.born,
+	}
+	if u.role != "" {
+		spec["stage"] = u.role
+	}
+	u.mu.Unlock()
+	object := map[string]any{"metadata": map[string]any{"name": u.ID}, "spec": spec}
+	if u.call(http.MethodPut, "/api/objects/servers/"+u.ID, object) == http.StatusNotFound {
+		u.call(http.MethodPost, "/api/objects/servers", object)
+	}
+}
+
+// call sends a call to the store and returns the status, or 0 without an answer.
+func (u *Upstream) call(method, path string, body any) int {
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err) // maps of strings and numbers always encode
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+u.Store+path, bytes.NewReader(data))
+	if err != nil {
+		panic(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0 // written again with the next heartbeat
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// ServeHTTP implements http.Handler.
+func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != u.ID {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch {
+	case r.URL.Path == "/api/report":
+		u.report(w)
+	case r.URL.Path == "/api/order":
+		u.order(w, r)
+	case r.URL.Path == "/api/kv-events":
+		writeJSON(w, map[string]any{"epoch": u.born, "next": 0, "lost": false, "events": []any{}})
+	case strings.HasPrefix(r.URL.Path, "/api/kv-handle/"):
+		w.WriteHeader(http.StatusOK)
+	default:
+		u.serve(w, r)
+	}
+}
+
+func (u *Upstream) report(w http.ResponseWriter) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	writeJSON(w, map[string]any{
+		"stage": u.role, "busy": false, "sequence": u.orders, "born": u.born, "queued": 0, "active": u.running, "kvUsed": 0, "kvTotal": 1000,
+	})
+}
+
+func (u *Upstream) order(w http.ResponseWriter, r *http.Request) {
+	var o struct {
+		Stage  string  `json:"stage"`
+		Holder string  `json:"holder"`
+		Fence  uint64  `json:"fencingToken"`
+		Expect *uint64 `json:"expect"`
+	}
+	if json.NewDecoder(r.Body).Decode(&o) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	u.Recorder.Add(Record{Kind: KindOrder, Instance: u.ID, Holder: o.Holder, Fence: o.Fence})
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if o.Expect != nil && *o.Expect != u.orders {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	u.role = o.Stage
+	u.orders++
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// serve runs a request, or refuses it.
+func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
+	id, route := r.Header.Get("Request-Id"), routeOf(r.URL.Path)
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return // a request that is not whole does not run
+	}
+	prefill := r.Header.Get("Inference-Stage") == "prefill"
+	status := u.admit(prefill, r.Header.Get("Kv-Source"))
+	u.Recorder.Add(Record{Kind: KindArrive, Request: id, Route: route, Instance: u.ID, Prefill: prefill, Accepted: prefill && status == 0})
+	if status != 0 {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(status)
+		return
+	}
+	defer func() {
+		u.mu.Lock()
+		u.running--
+		u.mu.Unlock()
+	}()
+	if prefill {
+		u.pause(20)
+		w.Header().Set("Request-Id", id)
+		writeJSON(w, map[string]any{"handle": u.addHandle(), "tokens": 10, "version": 1})
+		return
+	}
+	u.Recorder.Add(Record{Kind: KindRun, Request: id, Route: route, Instance: u.ID})
+	u.pause(40)
+	header := http.Header{"Request-Id": {id}, "Server-Signature": {"sig-" + u.ID}}
+	body := expectedBody(route, id)
+	if isStream(route) {
+		header.Set("Content-Type", "text/event-stream")
+		after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if there is none
+		body = strings.Join(streamEvents(id, after), "")
+	}
+	u.mu.Lock()
+	d := drawDelivery(u.rnd, u.Faulty, header, body, isStream(route))
+	u.mu.Unlock()
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	if d.answer.Send(c, d.cut, d.reset) == nil && d.late != "" {
+		_, _ = io.WriteString(c, d.late) // the caller may have closed the connection
+	}
+}
+
+// admit returns 0, or the status with which the upstream refuses.
+func (u *Upstream) admit(prefill bool, source string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch {
+	case u.role != "" && prefill != (u.role == "prefill"):
+		return http.StatusMisdirectedRequest
+	case u.running >= 16, source != "" && u.rnd.IntN(50) == 0:
+		return http.StatusServiceUnavailable
+	}
+	u.running++
+	return 0
+}
+
+func (u *Upstream) addHandle() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	h := fmt.Sprintf("%s-%d", u.ID, u.rnd.Uint64())
+	u.handles[h] = true
+	return h
+}
+
+// pause works for a drawn time of this mean, in milliseconds.
+func (u *Upstream) pause(meanMs float64) {
+	u.mu.Lock()
+	d := time.Duration(u.rnd.ExpFloat64() * meanMs * float64(time.Millisecond))
+	u.mu.Unlock()
+	time.Sleep(min(d, 2*time.Second))
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // an error means that the caller has left
+}
