soak, gateway: drawn roles and late orders; one spread after a return of the store

The soak draws how many engines start with each role, so that entries give orders, and carries some out late and unanswered.

The follower's spread of 300 ms after a new era replaced the growing pause of an entry that had not listed yet while the store was down. It now applies to the first try of an entry that has.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -101,8 +101,8 @@
 				event.StoreLost.Log(&f.log).Str("kind", string(kind)).Err(err).Send()
 			}
 			pause := backoff/2 + rand.N(backoff)
-			if fighollow.StoreEra(f.store) != fighollow.VersionEra(version) {
-				pause = rand.N(eraListSpread)
+			if version > 0 && backoff == minStoreBackoff && fighollow.StoreEra(f.store) != fighollow.VersionEra(version) {
+				pause = rand.N(eraListSpread) // all entries list again
 			}
 			wait(ctx, pause)
 			backoff = min(2*backoff, maxStoreBackoff)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -51,19 +51,19 @@
 
 // Topology is the size of a run.
 type Topology struct {
-	Entries, Prefill, Decode, Services, Callers int
+	Entries, Engines, Services, Callers int
 }
 
 // TopologyOf returns the topology of about so many processes.
 func TopologyOf(processes int) Topology {
 	n := max(1, processes/12)
-	return Topology{Entries: 3 * n, Prefill: 2 * n, Decode: 2 * n, Services: 3 * n, Callers: n}
+	return Topology{Entries: 3 * n, Engines: 4 * n, Services: 3 * n, Callers: n}
 }
 
 func (t Topology) entries() []string { return names("entry", t.Entries) }
 
 func (t Topology) upstreams() []string {
-	return append(append(names("prefill", t.Prefill), names("decode", t.Decode)...), names("plain", t.Services)...)
+	return append(names("engine", t.Engines), names("plain", t.Services)...)
 }
 
 func names(prefix string, n int) (out []string) {
@@ -77,13 +77,15 @@
 type Plan struct {
 	Seed    uint64
 	Planned bool // only planned faults
+	// Prefill is the number of engines that start with role prefill. The entries order others where it fits badly.
+	Prefill int
 	Faults  []Fault
 }
 
 // DrawPlan draws the faults of a run, which all end before its duration. Every fourth seed has planned faults only.
 func DrawPlan(seed uint64, t Topology, duration time.Duration) Plan {
 	r := rand.New(rand.NewPCG(seed, 1))
-	p := Plan{Seed: seed, Planned: seed%4 == 0}
+	p := Plan{Seed: seed, Planned: seed%4 == 0, Prefill: r.IntN(t.Engines + 1)}
 	kinds, n := allFaults, 4+r.IntN(4*t.Entries)
 	if p.Planned {
 		kinds, n = plannedFaults, 2+r.IntN(3)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -181,9 +181,12 @@
 	if err != nil {
 		return err
 	}
-	service, role := "models", strings.TrimRight(name, "0123456789")
-	if role == "plain" {
-		service, role = "plain", ""
+	service, role := "plain", ""
+	if number, ok := strings.CutPrefix(name, "engine"); ok {
+		service, role = "models", "decode"
+		if n, err := strconv.Atoi(number); err == nil && n <= r.plan.Prefill {
+			role = "prefill"
+		}
 	}
 	faulty := faultyShare
 	if r.plan.Planned {
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -151,15 +151,31 @@
 		return
 	}
 	u.Recorder.Add(Record{Kind: KindOrder, Instance: u.ID, Holder: o.Holder, Fence: o.Fence})
+	u.mu.Lock()
+	late := u.Faulty > 0 && u.rnd.IntN(lateOrders) == 0
+	u.mu.Unlock()
+	if late { // without an answer, and perhaps after newer orders
+		time.AfterFunc(lateOrderDelay, func() { u.execute(o.Stage, o.Expect) })
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(u.execute(o.Stage, o.Expect))
+}
+
+const (
+	lateOrders     = 8 // one order in so many is carried out late
+	lateOrderDelay = 4 * time.Second
+)
+
+// execute carries out an order if its condition holds, and returns the status of the answer.
+func (u *Upstream) execute(role string, expect *uint64) int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if o.Expect != nil && *o.Expect != u.orders {
-		w.WriteHeader(http.StatusConflict)
-		return
+	if expect != nil && *expect != u.orders {
+		return http.StatusConflict
 	}
-	u.role = o.Stage
+	u.role = role
 	u.orders++
-	w.WriteHeader(http.StatusAccepted)
+	return http.StatusAccepted
 }
 
 // serve runs a request, or refuses it.
