--- a/internal/answer/events.go
+++ b/internal/answer/events.go
@@ -3,12 +3,12 @@
 // eventScanner finds the ends of server-sent events in a stream that arrives in parts. A line ends with LF, CR or CRLF, and
 // an event with a blank line.
 type eventScanner struct {
-	events     int // complete events
-	lineBytes  int // of the line that has not ended yet
-	hasField   bool
-	afterCR    bool
-	usesCRLF   bool
-	blankAfter bool // the last line end was that of a blank line
+	events     int  // complete events
+	lineBytes  int  // of the line that has not ended yet
+	hasField   bool // a field has begun since the last complete event
+	afterCR    bool // the last byte was a CR, which a LF can follow in the same line end
+	usesCRLF   bool // some line ended with CRLF
+	blankAfter bool // the last line that ended was blank
 }
 
 // scan reads the next part and returns the offset in it after the last complete event, or 0 if none ends in it.
--- a/internal/answer/reader.go
+++ b/internal/answer/reader.go
@@ -37,9 +37,9 @@
 	body     io.Reader
 	opts     Options
 	events   eventScanner
-	eventEnd int
-	n        int64
-	err      error
+	eventEnd int   // see EventEnd
+	n        int64 // bytes read
+	err      error // that ended the body; nil before its end
 }
 
 // NewReader returns a Reader of body, which the caller closes.
