--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -89,7 +89,11 @@
 		opts: opts, topology: t, plan: DrawPlan(opts.Seed, t, opts.Duration), processes: make(map[string]*process),
 		links: make(map[string]*Proxy), readiness: make(map[string]string), ingress: make(map[string]string),
 	}
-	if err := os.MkdirAll(opts.Dir, 0o755); err != nil {
+	if err := os.MkdirAll(filepath.Dir(opts.Dir), 0o755); err != nil {
+		return nil, fmt.Errorf("soak: %w", err)
+	}
+	// The records of an earlier run in the same directory would be judged with those of this one.
+	if err := os.Mkdir(opts.Dir, 0o755); err != nil {
 		return nil, fmt.Errorf("soak: %w", err)
 	}
 	var err error
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -52,4 +52,4 @@
   run_tests "-count=1 -timeout 5m" ./internal/faults
 fi
 echo "== fault soak"
-bin/soak --seed 1 --seeds 4 --parallel 4 --duration 10s --gateway bin/fighollow
+bin/soak --seed 1 --seeds 8 --parallel 4 --duration 10s --gateway bin/fighollow
