--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -76,6 +76,9 @@
 	var failed error
 	for i := range n {
 		slots <- struct{}{}
+		if ctx.Err() != nil {
+			break
+		}
 		wg.Go(func() {
 			defer func() { <-slots }()
 			seed := first + uint64(i)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -108,6 +108,9 @@
 	r.heal()
 	sleep(ctx, recoveryS*time.Second+tailTime)
 	r.stopCallers()
+	if ctx.Err() != nil {
+		return nil, fmt.Errorf("soak: %w", ctx.Err())
+	}
 	r.inspect()
 	return r.report()
 }
