--- /dev/null
+++ b/internal/soak/inject.go
@@ -0,0 +1,96 @@
+package soak
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// play injects the faults at their times. Faults of one process or link can overlap.
+func (r *run) play(ctx context.Context) {
+	start := time.Now()
+	var wg sync.WaitGroup
+	for _, f := range r.plan.Faults {
+		sleep(ctx, time.Until(start.Add(f.At)))
+		if ctx.Err() != nil {
+			break
+		}
+		r.note(f, "begin")
+		wg.Go(func() {
+			r.inject(ctx, f)
+			r.note(f, "end")
+		})
+	}
+	wg.Wait()
+	sleep(ctx, time.Until(start.Add(r.opts.Duration)))
+}
+
+func (r *run) note(f Fault, what string) {
+	r.recorder.Add(Record{Kind: KindFault, Instance: f.Target, Text: what + " " + string(f.Kind) + " " + f.Mode})
+}
+
+func (r *run) inject(ctx context.Context, f Fault) {
+	p := r.processes[f.Target]
+	switch f.Kind {
+	case FaultConfig:
+		_ = r.configure() // the store may be away; the operator writes again at the end
+	case FaultStore:
+		r.storeMode(f.Mode)
+		sleep(ctx, min(f.For, 2*time.Second))
+		r.storeMode(storeUp)
+		r.rewrite()
+	case FaultStop, FaultKill:
+		p.restart.Lock()
+		defer p.restart.Unlock()
+		if f.Kind == FaultStop {
+			p.stop(syscall.SIGTERM, graceS*time.Second)
+		} else {
+			p.stop(syscall.SIGKILL, time.Second)
+			sleep(ctx, f.For)
+		}
+		if err := p.start(); err != nil {
+			r.recorder.Add(Record{Kind: KindFinal, Instance: f.Target, Text: err.Error()})
+		}
+	case FaultPause:
+		p.signal(syscall.SIGSTOP)
+		sleep(ctx, f.For)
+		r.recorder.Add(Record{Kind: KindFault, Instance: f.Target + "@127.0.0.1", Text: "resume"})
+		p.signal(syscall.SIGCONT)
+	default:
+		for _, name := range []string{f.Target, "store-" + f.Target} {
+			if l := r.links[name]; l != nil {
+				l.Inject(f)
+				defer l.Inject(Fault{})
+			}
+		}
+		if f.Target == "store" {
+			for name, l := range r.links {
+				if strings.HasPrefix(name, "store-") {
+					l.Inject(f)
+					defer l.Inject(Fault{})
+				}
+			}
+		}
+		sleep(ctx, f.For)
+	}
+}
+
+// heal ends what is left of the faults and lets the operator write the newest configuration.
+func (r *run) heal() {
+	for _, l := range r.links {
+		l.Inject(Fault{})
+	}
+	for _, p := range r.processes {
+		p.signal(syscall.SIGCONT)
+	}
+	r.storeMode(storeUp)
+	for range 20 {
+		if r.configure() == nil {
+			break
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	r.recorder.Add(Record{Kind: KindFault, Text: "healed"})
+}
--- /dev/null
+++ b/internal/soak/operator.go
@@ -0,0 +1,92 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+)
+
+// configure writes the next version of the configuration, as the platform's operator does. Each has one more route.
+func (r *run) configure() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	version := r.version + 1
+	var routes []map[string]any
+	add := func(name, kind, service string) {
+		route := map[string]any{
+			"name": name, "host": soakHost, "pathPrefix": "/" + name + "/", "kind": kind, "timeoutMs": 2500, "service": service, "maxAttempts": 2,
+		}
+		if service == "models" {
+			route["sessionAffinity"], route["resumable"] = true, name == routeResume
+		}
+		routes = append(routes, route)
+	}
+	add(routeOnce, "non_idempotent", "plain")
+	add(routeAny, "idempotent", "plain")
+	add(routeStream, "streaming", "models")
+	add(routeResume, "streaming", "models")
+	for i := 1; i <= version; i++ {
+		add(fmt.Sprintf("extra%d", i), "idempotent", "plain")
+	}
+	object := map[string]any{"metadata": map[string]any{"name": "main"}, "spec": map[string]any{
+		"version": version, "routes": routes, "services": []any{
+			map[string]any{"name": "plain", "maxConnections": 200},
+			map[string]any{"name": "models", "maxConnections": 200, "engine": map[string]any{
+				"slots": 16, "kvCapacityTokens": 100000, "kvTokenBytes": 1000, "bandwidthMbps": 1000, "roleSwitchS": 3,
+			}},
+		},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	}}
+	status, err := r.callStore(http.MethodPut, "/api/objects/config/main", object)
+	if err == nil && status == http.StatusNotFound {
+		status, err = r.callStore(http.MethodPost, "/api/objects/config", object)
+	}
+	if err == nil && status >= http.StatusMultipleChoices {
+		err = fmt.Errorf("soak: configuration %d: status %d", version, status)
+	}
+	if err == nil {
+		r.version = version
+	}
+	return err
+}
+
+func (r *run) callStore(method, path string, body any) (int, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+r.store+path, bytes.NewReader(data))
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode, nil
+}
+
+func (r *run) storeMode(mode string) {
+	if _, err := r.callStore(http.MethodPost, "/mode/"+mode, nil); err != nil {
+		fmt.Fprintln(os.Stderr, "soak: the store's mode:", err)
+	}
+}
+
+// rewrite writes the newest configuration again, which the store may have lost.
+func (r *run) rewrite() {
+	r.mu.Lock()
+	r.version--
+	r.mu.Unlock()
+	if r.configure() != nil {
+		r.mu.Lock()
+		r.version++
+		r.mu.Unlock()
+	}
+}
