--- a/internal/answer/reader_test.go
+++ b/internal/answer/reader_test.go
@@ -49,8 +49,7 @@
 	return string(body), err
 }
 
-// Guards against a truncated stream that is taken for a complete one, wherever it was cut and however it was framed. Only a
-// cut between two events that closes the connection in an orderly way cannot be told from the end.
+// Guards against a truncated stream that is taken for a complete one, wherever it was cut and however it was framed.
 func TestEveryCutOfAStreamIsSeen(t *testing.T) {
 	for _, newline := range []string{"\n", "\r\n"} {
 		body := strings.ReplaceAll("id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\ndata: d\n\n", "\n", newline)
--- a/internal/roles/choice_test.go
+++ b/internal/roles/choice_test.go
@@ -8,8 +8,7 @@
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
-// Guards against a preset that goes back to an older choice when the store comes back from a copy, and against an operator's
-// new choice that is refused because of a clock.
+// Guards against a preset that goes back with the store, and an operator's new choice that is refused because of a clock.
 func TestChoiceAcrossReturns(t *testing.T) {
 	var c choice
 	qt.Assert(t, c.read(fighollow.NewVersion(1, 5), 1000), qt.Equals, choiceTaken)
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -227,8 +227,7 @@
 	})
 }
 
-// Guards against a retry budget that is given twice: an entry whose registration was lost with the store's return is missing
-// in the counts of the others until its next renewal, and in those of an entry that starts meanwhile.
+// Guards against a retry budget that is given twice because the store lost the registration of an entry.
 func TestEntryRegistersAgainInANewEra(t *testing.T) {
 	s := newStore()
 	ctx, now := context.Background(), time.Now()
