--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -146,7 +146,7 @@
 	callerServer := &http.Server{
 		Handler:           callerconn.ResetAborted(platform.NewIngress(p.gateway, p.stopping.Load)),
 		ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: stdlog.New(p.log, "", 0),
-		ConnState: platform.NewConnTimeouts(p.limits).ConnState, ConnContext: callerconn.Context,
+		ConnState: platform.NewConnTimeouts(p.limits, p.log).ConnState, ConnContext: callerconn.Context,
 	}
 	readinessServer := &http.Server{Handler: p.readiness(), ReadHeaderTimeout: callerHeaderTimeout}
 	serverErrs := make(chan error, 3)
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -39,6 +39,7 @@
 	RegistrationInvalid = Event{8040, "registrationInvalid", zerolog.WarnLevel, "an entry's registration could not be decoded; the entry is counted and has no claim to upstreams' request limits"}
 	LimitReported       = Event{8041, "limitReported", zerolog.InfoLevel, "another entry reports the request limit that an upstream named to it, or that there is none any more; this entry goes by it unless the upstream has answered it lately"}
 	StreamWaits         = Event{8042, "streamWaits", zerolog.InfoLevel, "a stream broke off and waits for waitMs to be resumed, because upstreams' request limits are used up"}
+	CallerTimedOut      = Event{8043, "callerTimedOut", zerolog.InfoLevel, "a caller's connection was closed because it sent no complete header in time, or stayed idle for too long; the line has the caller's address, which requestEnded names too if its caller left"}
 	RoleOrdered         = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is ordered to change its role; the line has the reason and the load that the decision was based on"}
 	RoleOrderEnded      = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "the engine accepted or refused an order for a role change, or its answer was lost; in the last case it may still carry out the order, and gets no other for some time"}
 	ReportMissing       = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
@@ -50,5 +51,5 @@
 	RoleLeaseTaken, RoleLeaseLost, RoleOrdered, RoleOrderEnded, ReportMissing, RoleLeaseUnread, CacheUnread,
 	PolicyApplied, PolicyUnread,
 	EntriesCounted, EntryLapsed, EntryLeft, RosterUnread,
-	StoreEraBegan, StoreEraInvalid, UpstreamsSettled, PresetLost, LimitChanged, LimitMalformed, RegistrationInvalid, LimitReported, StreamWaits,
+	StoreEraBegan, StoreEraInvalid, UpstreamsSettled, PresetLost, LimitChanged, LimitMalformed, RegistrationInvalid, LimitReported, StreamWaits, CallerTimedOut,
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -191,7 +191,7 @@
 	switch {
 	case x.callerLeft:
 		x.g.metrics.countOutcome("left")
-		line.Str("outcome", "callerLeft").Send()
+		line.Str("outcome", "callerLeft").Str("caller", x.call.Caller).Send()
 		x.out.Abort() // a caller that only closed its sending side must not get an empty answer
 	case refusal == nil:
 		x.g.metrics.recordAnswer(x)
