callerconn, fighollow: a timeout never closes a connection on which a request has arrived

Cause: net/http reports a connection as active after it has parsed the whole request. Until then the timer of the operator's idle or header timeout ran, and one that had fired closed the connection although Timer.Stop reported that it was too late. net/http then cancels the request's context, while the handler passes the request on. The window is as long as a process waits for processor time between reading a request and noticing it, which a large configuration on a small share stretches to some 100 ms. Change: the listener's connections take bytes from the socket and judge the timeout under one lock, so that what has arrived is either counted, and then no timeout runs once the header is complete, or unread, and then the timeout waits for the server to read it. A connection that expires is read no more, so a request that crosses its end is not passed on, and its caller may repeat it.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -31,7 +31,6 @@
 	"github.com/fighollow/fighollow/internal/roles"
 	"github.com/fighollow/fighollow/internal/roster"
 	"github.com/fighollow/fighollow/internal/upstream"
-	"github.com/fighollow/fighollow/pkg/fighollow"
 	"github.com/fighollow/fighollow/platform"
 )
 
@@ -143,14 +142,15 @@
 	if err != nil {
 		return fmt.Errorf("listen for readiness checks: %w", err)
 	}
+	callers := callerconn.NewListener(callerListener, p.callerTimeouts, p.log)
 	callerServer := &http.Server{
 		Handler:           callerconn.ResetAborted(platform.NewIngress(p.gateway, p.stopping.Load)),
 		ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: stdlog.New(p.log, "", 0),
-		ConnState: platform.NewConnTimeouts(p.limits, p.log).ConnState, ConnContext: callerconn.Context,
+		ConnState: callers.ConnState, ConnContext: callerconn.Context,
 	}
 	readinessServer := &http.Server{Handler: p.readiness(), ReadHeaderTimeout: callerHeaderTimeout}
 	serverErrs := make(chan error, 3)
-	go func() { serverErrs <- callerServer.Serve(callerListener) }()
+	go func() { serverErrs <- callerServer.Serve(callers) }()
 	go func() { serverErrs <- readinessServer.Serve(readinessListener) }()
 	if p.metricsPort > 0 {
 		go func() { serverErrs <- p.serveMetrics() }()
@@ -224,12 +224,12 @@
 	}
 }
 
-// limits returns the configured limits of callers' requests and connections, or zeros until the configuration is loaded.
-func (p *gatewayProcess) limits() fighollow.IngressLimits {
+// callerTimeouts returns the operator's timeouts of callers' connections, or zeros until the configuration is loaded.
+func (p *gatewayProcess) callerTimeouts() callerconn.Timeouts {
 	if r := p.gateway.Routing(); r != nil {
-		return r.Limits
+		return callerconn.Timeouts{Header: r.Limits.HeaderTimeout, Idle: r.Limits.IdleTimeout}
 	}
-	return fighollow.IngressLimits{}
+	return callerconn.Timeouts{}
 }
 
 // isReady reports whether the process accepts new connections.
--- /dev/null
+++ b/internal/callerconn/listener_test.go
@@ -0,0 +1,114 @@
+package callerconn_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/fighollow/fighollow/internal/callerconn"
+)
+
+func listen(t *testing.T, timeouts callerconn.Timeouts) *callerconn.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { l.Close() })
+	return callerconn.NewListener(l, func() callerconn.Timeouts { return timeouts }, zerolog.Nop())
+}
+
+func dial(t *testing.T, l net.Listener) net.Conn {
+	c, err := net.Dial("tcp", l.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { c.Close() })
+	qt.Assert(t, c.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	return c
+}
+
+// Guards against a timer that closes a connection on which a request has arrived and waits for a stalled process.
+func TestUnreadRequestSurvivesItsTimeout(t *testing.T) {
+	const timeout = 100 * time.Millisecond
+	l := listen(t, callerconn.Timeouts{Header: timeout, Idle: timeout})
+	caller := dial(t, l)
+	nc, err := l.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	defer nc.Close()
+	for range 3 {
+		_, err = io.WriteString(caller, "GET / HTTP/1.1\r\n\r\n")
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(4 * timeout)
+		p := make([]byte, 100)
+		n, err := nc.Read(p)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(p[:n]), qt.Equals, "GET / HTTP/1.1\r\n\r\n")
+		time.Sleep(2 * timeout) // no timeout runs while the request is served
+		_, err = io.WriteString(nc, "HTTP/1.1 204 No Content\r\n\r\n")
+		qt.Assert(t, err, qt.IsNil)
+		l.ConnState(nc, http.StateIdle)
+	}
+	start := time.Now()
+	_, err = nc.Read(make([]byte, 1))
+	qt.Assert(t, err, qt.ErrorIs, net.ErrClosed)
+	qt.Assert(t, time.Since(start) < time.Second, qt.IsTrue)
+}
+
+// Guards against a header that arrives byte by byte and holds a connection for ever, on a new connection or a kept one.
+func TestSlowHeaderEndsItsConnection(t *testing.T) {
+	l := listen(t, callerconn.Timeouts{Header: 150 * time.Millisecond, Idle: 5 * time.Second})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.Listener, s.Config.ConnState = l, l.ConnState
+	s.Start()
+	defer s.Close()
+	for _, kept := range []bool{false, true} {
+		c := dial(t, l)
+		r := bufio.NewReader(c)
+		if kept {
+			_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			qt.Assert(t, err, qt.IsNil)
+			resp, err := http.ReadResponse(r, nil)
+			qt.Assert(t, err, qt.IsNil)
+			resp.Body.Close()
+		}
+		go func() {
+			for _, b := range []byte("GET / HTTP/1.1\r\nHost: h\r\nLong: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa") {
+				if _, err := c.Write([]byte{b}); err != nil {
+					return
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		}()
+		start := time.Now()
+		_, err := r.ReadByte()
+		qt.Assert(t, err, qt.IsNotNil)
+		qt.Assert(t, time.Since(start) < time.Second, qt.IsTrue, qt.Commentf("kept %t: %v", kept, time.Since(start)))
+	}
+}
+
+// Guards against an idle timer that runs while a request is served which arrived together with the one before.
+func TestPipelinedRequestIsNotIdle(t *testing.T) {
+	const idle = 100 * time.Millisecond
+	l := listen(t, callerconn.Timeouts{Idle: idle})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			time.Sleep(3 * idle)
+		}
+	}))
+	s.Listener, s.Config.ConnState = l, l.ConnState
+	s.Start()
+	defer s.Close()
+	c := dial(t, l)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	r := bufio.NewReader(c)
+	for range 2 {
+		resp, err := http.ReadResponse(r, nil)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusOK)
+		resp.Body.Close()
+	}
+}
--- a/internal/callerconn/reset.go
+++ b/internal/callerconn/reset.go
@@ -19,7 +19,7 @@
 // closed or the process is killed.
 func ResetAborted(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		tcp, ok := r.Context().Value(connKey{}).(*net.TCPConn)
+		tcp, ok := r.Context().Value(connKey{}).(interface{ SetLinger(sec int) error })
 		if r.ProtoAtLeast(1, 1) || !ok {
 			h.ServeHTTP(w, r)
 			return
--- /dev/null
+++ b/internal/callerconn/socket_linux.go
@@ -0,0 +1,69 @@
+package callerconn
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+type rawConn = syscall.RawConn
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	n, readErr := 0, error(nil)
+	err := c.raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.closed {
+			readErr = net.ErrClosed
+			return true
+		}
+		n, readErr = ignoreInterrupts(func() (int, error) { return unix.Read(int(fd), p) })
+		if errors.Is(readErr, unix.EAGAIN) {
+			return false // the runtime waits until there is something to read, or the deadline passes
+		}
+		n = max(n, 0)
+		c.received(p[:n])
+		return true
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case errors.Is(readErr, net.ErrClosed):
+		return 0, readErr
+	case readErr != nil:
+		return 0, os.NewSyscallError("read", readErr)
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// hasUnread reports whether bytes have arrived that were not read yet. c.mu must be held.
+func (c *Conn) hasUnread() bool {
+	n := 0
+	var b [1]byte
+	err := c.raw.Control(func(fd uintptr) {
+		n, _ = ignoreInterrupts(func() (int, error) {
+			n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+			return n, err
+		})
+	})
+	return err == nil && n > 0
+}
+
+func ignoreInterrupts(call func() (int, error)) (int, error) {
+	for {
+		n, err := call()
+		if !errors.Is(err, unix.EINTR) {
+			return n, err
+		}
+	}
+}
