--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -193,9 +194,21 @@
 	if err != nil {
 		line.Err(err)
 	}
+	if r == placement.Failed && len(a.x.call.Prompt) > 0 {
+		line.Strs("parts", partIDs(a.x.call.Prompt))
+	}
 	line.Send()
 }
 
+// partIDs returns the ids of the parts as callers write them.
+func partIDs(prompt []fighollow.PromptPart) []string {
+	ids := make([]string, len(prompt))
+	for i, p := range prompt {
+		ids[i] = strconv.FormatUint(p.ID, 16)
+	}
+	return ids
+}
+
 // logBody adds to the line how the answer's body is framed and where it ended, and counts framings and truncated bodies.
 func (a *attempt) logBody(line *zerolog.Event, err error) {
 	line.Str("framing", string(a.reply.Framing)).Int64("bytes", a.body.Bytes()).Bool("insideEvent", a.body.InsideEvent())
