quarantine, gateway, roster: prompts with a part that crashes engines are withheld by all entries

Cause (H1): nothing told a prompt that ends its engine from an engine's failure. Each entry placed such requests like any other and repeated those that may be repeated. Change: internal/quarantine. A part is blamed after three crashes, each of another engine under another prompt and half a second apart, if no answer with it was completed since, and if few other prompts broke off with it: what all prompts have in common is in every crash, but is also answered all the time. What one part explains is not held against others. Entries publish what broke off with their registrations, so that crashes at different entries count together; whichever entry concludes first writes the part to the store, which all watch. Requests with it are refused before their prompt is computed (503, not run). A request that has been in two crashes is not repeated. One entry probes the part after a minute, then less often; a completed answer ends the quarantine for all.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -27,10 +27,12 @@
 	"github.com/fighollow/fighollow/internal/gateway"
 	"github.com/fighollow/fighollow/internal/logging"
 	"github.com/fighollow/fighollow/internal/placement"
+	"github.com/fighollow/fighollow/internal/quarantine"
 	"github.com/fighollow/fighollow/internal/quota"
 	"github.com/fighollow/fighollow/internal/roles"
 	"github.com/fighollow/fighollow/internal/roster"
 	"github.com/fighollow/fighollow/internal/upstream"
+	"github.com/fighollow/fighollow/pkg/fighollow"
 	"github.com/fighollow/fighollow/platform"
 )
 
@@ -93,6 +95,7 @@
 	caches       *gateway.CachePoller
 	roster       *roster.Roster
 	planner      *roles.Runner
+	quarantine   *quarantine.Writer
 	stopping     atomic.Bool
 	wasReady     atomic.Bool // result of the last readiness check
 }
@@ -109,14 +112,16 @@
 	fleet := placement.New(placement.Options{
 		DataCentre: cfg.DataCentre, DrainTime: cfg.Bounds.Drain, Heartbeat: cfg.Heartbeat, Shares: divider,
 	})
+	crashes := quarantine.New(self)
+	p.quarantine = quarantine.NewWriter(crashes, p.store, log)
 	p.gateway = gateway.New(gateway.Options{
-		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: p.registry,
+		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: p.registry, Quarantine: crashes,
 	}, fleet, dispatcher, log)
 	decode := gateway.Decoder{Routing: platform.DecodeRouting, Upstream: platform.DecodeUpstream}
 	p.follower = gateway.NewFollower(p.store, decode, p.gateway, fleet, log)
 	p.caches = gateway.NewCachePoller(dispatcher, p.gateway, fleet, log)
 	p.roster = roster.New(roster.Options{
-		Self: self, DataCentre: cfg.DataCentre, Claims: fleet.LimitClaims, Divider: divider,
+		Self: self, DataCentre: cfg.DataCentre, Claims: fleet.LimitClaims, Divider: divider, Quarantine: crashes,
 	}, p.store, p.gateway.SetEntries, log)
 	p.planner = roles.New(roles.Options{Self: self, LeaseDuration: cfg.Bounds.Lease}, p.store, dispatcher,
 		p.gateway.Routing, fleet.Upstreams, log)
@@ -161,6 +166,8 @@
 	background.Go(func() { p.follower.Run(bgCtx) })
 	background.Go(func() { p.caches.Run(bgCtx) })
 	background.Go(func() { p.roster.Run(bgCtx) })
+	background.Go(func() { p.quarantine.Run(bgCtx) })
+	background.Go(func() { p.follower.Follow(bgCtx, fighollow.KindQuarantine, p.quarantine.Apply) })
 	background.Go(func() { p.reloadOnHangup(bgCtx, hangups) })
 	// ctx ends at the start of the stop: a stopping entry sends no more orders, and another entry takes over the lease.
 	background.Go(func() { p.planner.Run(ctx) })
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -40,6 +40,10 @@
 	LimitReported       = Event{8041, "limitReported", zerolog.InfoLevel, "another entry reports the request limit that an upstream named to it, or that there is none any more; this entry goes by it unless the upstream has answered it lately"}
 	StreamWaits         = Event{8042, "streamWaits", zerolog.InfoLevel, "a stream broke off and waits for waitMs to be resumed, because upstreams' request limits are used up"}
 	CallerTimedOut      = Event{8043, "callerTimedOut", zerolog.InfoLevel, "a caller's connection was closed because it sent no complete header in time, or stayed idle for too long; the line has the caller's address, which requestEnded names too if its caller left"}
+	PartQuarantined     = Event{8044, "partQuarantined", zerolog.WarnLevel, "a part of prompts crashes the service's engines: requests with it are refused. source is what this entry knows it from: its own attempts, the reports of other entries, or the store"}
+	PartReleased        = Event{8045, "partReleased", zerolog.InfoLevel, "a part of prompts is no longer in quarantine: an answer with it was completed, or its entry did not renew it"}
+	QuarantineUnwritten = Event{8046, "quarantineUnwritten", zerolog.InfoLevel, "the store did not accept a change of the quarantine, or another entry was faster; it is tried again if it is still due"}
+	QuarantineInvalid   = Event{8047, "quarantineInvalid", zerolog.WarnLevel, "an object of the quarantine could not be decoded and is ignored"}
 	RoleOrdered         = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is ordered to change its role; the line has the reason and the load that the decision was based on"}
 	RoleOrderEnded      = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "the engine accepted or refused an order for a role change, or its answer was lost; in the last case it may still carry out the order, and gets no other for some time"}
 	ReportMissing       = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
@@ -52,4 +56,5 @@
 	PolicyApplied, PolicyUnread,
 	EntriesCounted, EntryLapsed, EntryLeft, RosterUnread,
 	StoreEraBegan, StoreEraInvalid, UpstreamsSettled, PresetLost, LimitChanged, LimitMalformed, RegistrationInvalid, LimitReported, StreamWaits, CallerTimedOut,
+	PartQuarantined, PartReleased, QuarantineUnwritten, QuarantineInvalid,
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -41,6 +41,8 @@
 	overTarget   time.Duration // by how much a request that was refused as too late would have missed its latency target
 	permitWait   time.Duration // for which a stream that broke off has waited for a permit
 	limitedFor   time.Duration // time until a request that upstreams' limits exclude can be placed
+	isProbe      bool          // the request has a part in quarantine and shows whether it still crashes engines
+	withheldFor  time.Duration // time until a request with the part in quarantine can be tried
 
 	retriesEnded     bool   // no further attempt is made
 	headerSent       bool   // the status and header of the answer were sent
@@ -80,6 +82,9 @@
 // reported as fighollow.ErrNotRun.
 func (x *exchange) send(ctx context.Context, phase fighollow.RequestPhase, kv *fighollow.KVCache) (*attempt, error) {
 	now := time.Now()
+	if err := x.admit(now); err != nil {
+		return nil, err
+	}
 	c, q, err := x.place(now, phase)
 	if err != nil {
 		return nil, err
@@ -140,6 +145,7 @@
 			x.mayHaveRun = true
 		}
 		x.tried = append(x.tried, a.upstream.ID)
+		x.recordBreak(a, err)
 		a.end(placement.Failed, err)
 	case a.reply.NotRun:
 		x.refused++
@@ -162,6 +168,8 @@
 	result := placement.Failed
 	if ctx.Err() != nil {
 		result = placement.Abandoned
+	} else {
+		x.recordBreak(a, err)
 	}
 	a.end(result, err)
 	return fmt.Errorf("%w: %w", fighollow.ErrUnknownOutcome, err)
@@ -245,6 +253,8 @@
 		return false, "limited"
 	case errors.Is(err, errAttemptsExhausted):
 		return false, "noAttempt"
+	case errors.Is(err, errQuarantined):
+		return false, "quarantined"
 	case errors.Is(err, errBudgetExhausted):
 		return false, "noBudget"
 	case errors.Is(err, placement.ErrTooLate):
@@ -253,6 +263,8 @@
 		return false, "unreachable"
 	case errors.Is(err, fighollow.ErrNotRun):
 		return true, "notRun"
+	case x.mayCrashEngines():
+		return false, "quarantined"
 	case !x.mayHaveRun:
 		return true, "promptOnly"
 	case x.mayRepeat():
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -62,6 +62,12 @@
 	wg.Wait()
 }
 
+// Follow lists and watches another kind until ctx is done, and passes what it reads to apply. snapshot means that the objects are
+// all of the kind.
+func (f *Follower) Follow(ctx context.Context, kind fighollow.Kind, apply func(now time.Time, objects []fighollow.Object, snapshot bool)) {
+	f.listAndWatch(ctx, kind, func(now time.Time, u update) { apply(now, u.objects, u.snapshot && !u.settling) })
+}
+
 // update is the result of one List or Watch call of the store.
 type update struct {
 	objects  []fighollow.Object
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/placement"
+	"github.com/fighollow/fighollow/internal/quarantine"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -23,6 +24,7 @@
 	RetryRatio float64 // extra dispatches allowed per request of a service, over all entries
 	RetrySlack int     // extra dispatches allowed beyond that in each window, over all entries
 	Registry   metrics.Registry
+	Quarantine *quarantine.Tracker // parts of prompts that crash engines; nil for one that knows only this gateway's
 }
 
 // Gateway serves the requests of callers. It is safe for concurrent use.
@@ -44,6 +46,9 @@
 
 // New returns a Gateway without a configuration. It refuses every request as not ready until Apply is called.
 func New(opts Options, fleet *placement.Fleet, dispatch fighollow.Dispatcher, log zerolog.Logger) *Gateway {
+	if opts.Quarantine == nil {
+		opts.Quarantine = quarantine.New("")
+	}
 	return &Gateway{
 		opts: opts, fleet: fleet, dispatch: dispatch, log: log, seed: maphash.MakeSeed(), metrics: newMetrics(opts.Registry),
 		entries: assumedEntries, budgets: make(map[string]*retryBudget),
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -141,6 +141,7 @@
 		return x.recordInterruption(ctx, a, err)
 	}
 	x.total = time.Since(x.call.Arrived)
+	x.recordComplete(a)
 	a.end(placement.Answered, nil)
 	return nil
 }
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -23,6 +23,11 @@
 	if x.mayHaveRun {
 		return fighollow.UnknownRefusal(fighollow.CodeUpstreamFailed, err.Error())
 	}
+	if errors.Is(err, errQuarantined) {
+		r := fighollow.NotRunRefusal(fighollow.CodeQuarantined, err.Error())
+		r.RetryAfterMs = (x.withheldFor + time.Duration(x.seed%uint64(retryAfterSpread))).Milliseconds()
+		return r
+	}
 	r := fighollow.NotRunRefusal(fighollow.CodeOverloaded, err.Error())
 	if errors.Is(err, placement.ErrNoUpstream) {
 		r.Code = fighollow.CodeNoUpstream
--- /dev/null
+++ b/internal/quarantine/tracker.go
@@ -0,0 +1,325 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+const (
+	// evidenceTime is how long a break counts.
+	evidenceTime = time.Minute
+	// maxBreaks bounds the breaks of this entry that are kept, and maxPublished those that each entry publishes.
+	maxBreaks    = 128
+	maxPublished = 12
+	// maxParts bounds the parts of a prompt that are looked at.
+	maxParts = 16
+	// maxSound bounds the parts whose last completed answer is remembered, and maxCases those in quarantine.
+	maxSound = 4096
+	maxCases = 256
+	// revokeTime is how long after an answer its engine must not crash for the answer to exonerate its parts. A short answer can
+	// be complete before the engine that it crashes has ended.
+	revokeTime = 500 * time.Millisecond
+	// minHold and maxHold bound the time until one request with a part in quarantine is sent as a probe. It doubles with each
+	// probe that crashes an engine.
+	minHold = time.Minute
+	maxHold = 4 * time.Minute
+	// probeTime is how long a probe may take.
+	probeTime = 30 * time.Second
+	// caseLapse is how long a part stays in quarantine whose entry does not renew it.
+	caseLapse = 10 * time.Minute
+)
+
+// Tracker is one entry's view of the parts that crash engines. It is safe for concurrent use.
+type Tracker struct {
+	self string
+
+	mu       sync.Mutex
+	breaks   []Break // of this entry, oldest first
+	reported []Break // of the others
+	sound    map[Key]soundness
+	cases    map[Key]*quarantined
+	lifts    map[Key]uint64 // versions of cases to delete from the store
+}
+
+// soundness is when an answer to a prompt with a part was last completed.
+type soundness struct {
+	at       time.Time
+	upstream string
+	before   time.Time // the same of the answer before, for when at is revoked
+}
+
+// quarantined is a part in quarantine.
+type quarantined struct {
+	crashedAt time.Time // the first crash that counted
+	changedAt time.Time // the last change that this entry knows of
+	own       bool      // this entry concluded it, probes the part and publishes the result
+	published bool      // the store has the state of this entry
+	version   uint64    // of the store's object; 0 if it is not known
+	probes    int       // that crashed engines
+	probeAt   time.Time // when the next one is due
+	probing   time.Time // when the last one was sent
+	sound     soundness // the answer that ends the quarantine unless its engine crashes; zero if there is none
+}
+
+// New returns an empty Tracker for an entry; self is its name.
+func New(self string) *Tracker {
+	return &Tracker{self: self, sound: make(map[Key]soundness), cases: make(map[Key]*quarantined), lifts: make(map[Key]uint64)}
+}
+
+// Admission says whether a request may be sent to an engine.
+type Admission struct {
+	Withheld bool
+	Part     Key           // in quarantine, if Withheld or Probe is set
+	RetryIn  time.Duration // until a request with the part may be tried, if Withheld is set
+	Probe    bool          // the request is a probe of a part in quarantine: it must not be repeated
+}
+
+// Admit judges a request for a service.
+func (t *Tracker) Admit(now time.Time, service string, prompt []fighollow.PromptPart) Admission {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.cases) == 0 {
+		return Admission{}
+	}
+	var a Admission
+	for _, part := range sharedParts(prompt) {
+		key := Key{service, part}
+		q := t.cases[key]
+		switch {
+		case q == nil:
+		case now.Sub(q.changedAt) > caseLapse:
+			t.drop(key)
+		case q.own && !now.Before(q.probeAt) && now.Sub(q.probing) > probeTime && !a.Withheld:
+			a = Admission{Part: key, Probe: true}
+		default:
+			a = Admission{Withheld: true, Part: key, RetryIn: max(q.probeAt.Sub(now), time.Second)}
+		}
+	}
+	if a.Probe {
+		t.cases[a.Part].probing = now
+	}
+	return a
+}
+
+// MayRepeat reports whether a request that broke off may be sent to another engine: none of its parts is in quarantine or has been
+// in two crashes without a completed answer since.
+func (t *Tracker) MayRepeat(now time.Time, service string, prompt []fighollow.PromptPart) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	parts := sharedParts(prompt)
+	for _, part := range parts {
+		if t.cases[Key{service, part}] != nil {
+			return false
+		}
+	}
+	for key, c := range tallies(t.evidence(now), t.isSound) {
+		if key.Service == service && slices.Contains(parts, key.Part) && len(c.crashes) >= minCrashes-1 && len(c.prompts) <= maxPrompts*len(c.crashes) {
+			return false
+		}
+	}
+	return true
+}
+
+// Completed records that an engine completed an answer.
+func (t *Tracker) Completed(now time.Time, service, upstream string, prompt []fighollow.PromptPart) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, part := range sharedParts(prompt) {
+		key := Key{service, part}
+		t.sound[key] = soundness{at: now, upstream: upstream, before: t.sound[key].at}
+		if q := t.cases[key]; q != nil {
+			q.sound = t.sound[key]
+		}
+	}
+	t.forgetSound(now)
+}
+
+// forgetSound keeps the memory of sound parts bounded. Parts that few requests have are forgotten with the old ones.
+func (t *Tracker) forgetSound(now time.Time) {
+	if len(t.sound) <= maxSound {
+		return
+	}
+	for key, s := range t.sound {
+		if now.Sub(s.at) > evidenceTime || len(t.sound) > maxSound*3/4 && now.Sub(s.at) > soundMargin {
+			delete(t.sound, key)
+		}
+	}
+	for key := range t.sound {
+		if len(t.sound) <= maxSound {
+			return
+		}
+		delete(t.sound, key)
+	}
+}
+
+// Broke records that the connection of an attempt broke while the engine worked on it, and returns the parts that are in quarantine
+// because of it.
+func (t *Tracker) Broke(now time.Time, service, upstream string, prompt []fighollow.PromptPart) []Key {
+	parts := sharedParts(prompt)
+	if len(parts) == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.revoke(now, upstream)
+	for _, part := range parts {
+		if q := t.cases[Key{service, part}]; q != nil && q.own && !q.probing.IsZero() {
+			q.probes++
+			q.probing, q.published, q.changedAt = time.Time{}, false, now
+			q.probeAt = now.Add(hold(q.probes))
+		}
+	}
+	t.breaks = append(t.breaks, Break{At: now, Service: service, Upstream: upstream, Prompt: prompt[len(prompt)-1].ID, Parts: parts})
+	if len(t.breaks) > maxBreaks {
+		t.breaks = slices.Delete(t.breaks, 0, len(t.breaks)-maxBreaks)
+	}
+	return t.judge(now)
+}
+
+// revoke takes back what answers say of their parts that an engine completed just before it crashed.
+func (t *Tracker) revoke(now time.Time, upstream string) {
+	for key, s := range t.sound {
+		if s.upstream == upstream && now.Sub(s.at) < revokeTime {
+			t.sound[key] = soundness{at: s.before}
+		}
+	}
+	for _, q := range t.cases {
+		if q.sound.upstream == upstream && now.Sub(q.sound.at) < revokeTime {
+			q.sound = soundness{}
+		}
+	}
+}
+
+// Observe replaces what other entries have published, and returns the parts that are in quarantine because of it.
+func (t *Tracker) Observe(now time.Time, breaks []Break) []Key {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reported = breaks
+	if len(breaks) == 0 {
+		return nil
+	}
+	return t.judge(now)
+}
+
+// judge puts parts into quarantine.
+func (t *Tracker) judge(now time.Time) []Key {
+	known := make(map[Key]bool, len(t.cases))
+	for key := range t.cases {
+		known[key] = true
+	}
+	evidence := t.evidence(now)
+	blamed := blame(evidence, known, t.isSound)
+	for _, key := range blamed {
+		q := &quarantined{crashedAt: now, changedAt: now, own: true, probeAt: now.Add(minHold)}
+		for _, b := range evidence {
+			if b.has(key) && b.At.Before(q.crashedAt) && !t.isSound(key, b.At) {
+				q.crashedAt = b.At
+			}
+		}
+		t.put(key, q)
+	}
+	return blamed
+}
+
+// put adds a part, in place of the one that has not changed for longest if there are too many.
+func (t *Tracker) put(key Key, q *quarantined) {
+	for len(t.cases) >= maxCases {
+		var oldest Key
+		for k, c := range t.cases {
+			if o := t.cases[oldest]; o == nil || c.changedAt.Before(o.changedAt) {
+				oldest = k
+			}
+		}
+		t.drop(oldest)
+	}
+	delete(t.lifts, key)
+	t.cases[key] = q
+}
+
+// evidence returns the breaks that count.
+func (t *Tracker) evidence(now time.Time) []Break {
+	t.breaks = slices.DeleteFunc(t.breaks, func(b Break) bool { return now.Sub(b.At) > evidenceTime })
+	t.reported = slices.DeleteFunc(t.reported, func(b Break) bool { return now.Sub(b.At) > evidenceTime })
+	return slices.Concat(t.breaks, t.reported)
+}
+
+func (t *Tracker) isSound(key Key, at time.Time) bool {
+	s, ok := t.sound[key]
+	return ok && s.at.After(at.Add(-soundMargin))
+}
+
+// lift ends the quarantine of a part that was answered.
+func (t *Tracker) lift(now time.Time, key Key) {
+	t.sound[key] = soundness{at: now, before: now}
+	t.drop(key)
+}
+
+// drop ends the quarantine of a part and has its object deleted.
+func (t *Tracker) drop(key Key) {
+	if q := t.cases[key]; q != nil && q.version > 0 {
+		t.lifts[key] = q.version
+	}
+	delete(t.cases, key)
+}
+
+// Evidence returns the newest breaks of this entry, with the parts that were not exonerated, for publication.
+func (t *Tracker) Evidence(now time.Time) []Break {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.evidence(now)
+	var out []Break
+	for i := len(t.breaks) - 1; i >= 0 && len(out) < maxPublished; i-- {
+		b := t.breaks[i]
+		b.Parts = slices.DeleteFunc(slices.Clone(b.Parts), func(part uint64) bool { return t.isSound(Key{b.Service, part}, b.At) })
+		if len(b.Parts) > 0 {
+			out = append(out, b)
+		}
+	}
+	slices.Reverse(out)
+	return out
+}
+
+// IsUrgent reports whether some part is likely to be found to crash engines soon, so that what others publish is worth reading often.
+func (t *Tracker) IsUrgent(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.breaks) == 0 || now.Sub(t.breaks[len(t.breaks)-1].At) > evidenceTime/4 {
+		return false
+	}
+	known := t.evidence(now)
+	for key := range t.cases {
+		known = unexplained(known, key)
+	}
+	slices.SortStableFunc(known, func(a, b Break) int { return a.At.Compare(b.At) })
+	for _, c := range tallies(known, t.isSound) {
+		if len(c.crashes) >= minCrashes-1 && len(c.prompts) <= maxPrompts*len(c.crashes) {
+			return true
+		}
+	}
+	return false
+}
+
+// sharedParts returns the parts of a prompt that others can share: all but the last.
+func sharedParts(prompt []fighollow.PromptPart) []uint64 {
+	if len(prompt) < 2 {
+		return nil
+	}
+	parts := make([]uint64, 0, min(len(prompt)-1, maxParts))
+	for _, p := range prompt[:len(prompt)-1] {
+		if len(parts) < maxParts {
+			parts = append(parts, p.ID)
+		}
+	}
+	return parts
+}
+
+// bytes returns the part for logs.
+func (k Key) bytes() []byte {
+	b := make([]byte, 8)
+	binary.BigEndian.PutUint64(b, k.Part)
+	return b
+}
--- /dev/null
+++ b/internal/quarantine/writer.go
@@ -0,0 +1,74 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/fighollow/fighollow/internal/event"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// writeInterval is the pause between two checks for writes that are due.
+const writeInterval = 100 * time.Millisecond
+
+// Writer writes what this entry concludes to the store, and applies what the others do.
+type Writer struct {
+	tracker *Tracker
+	store   fighollow.ObjectStore
+	log     zerolog.Logger
+}
+
+// NewWriter returns a Writer. Run starts it.
+func NewWriter(t *Tracker, store fighollow.ObjectStore, log zerolog.Logger) *Writer {
+	return &Writer{tracker: t, store: store, log: log}
+}
+
+// Run writes until ctx is done.
+func (w *Writer) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(writeInterval):
+		}
+		w.Step(ctx, time.Now())
+	}
+}
+
+// Step makes the writes that are due at now.
+func (w *Writer) Step(ctx context.Context, now time.Time) {
+	for _, due := range w.tracker.Writes(now) {
+		var version uint64
+		var err error
+		if due.Object.Value == nil {
+			version, err = w.store.Delete(ctx, due.Object.Kind, due.Object.Name, due.Expected)
+		} else {
+			version, err = w.store.Put(ctx, due.Object, due.Expected)
+		}
+		w.tracker.Written(due, version, err)
+		if err != nil {
+			event.QuarantineUnwritten.Log(&w.log).Str("object", due.Object.Name).Err(err).Send()
+		}
+	}
+}
+
+// Apply applies objects that were listed or have changed; see Tracker.Apply.
+func (w *Writer) Apply(now time.Time, objects []fighollow.Object, snapshot bool) {
+	added, ended, errs := w.tracker.Apply(now, objects, snapshot)
+	LogQuarantined(&w.log, added, "store")
+	for _, key := range ended {
+		event.PartReleased.Log(&w.log).Str("service", key.Service).Hex("part", key.bytes()).Send()
+	}
+	for _, err := range errs {
+		event.QuarantineInvalid.Log(&w.log).Err(err).Send()
+	}
+}
+
+// LogQuarantined logs parts that are newly in quarantine, and where this entry knows it from.
+func LogQuarantined(log *zerolog.Logger, keys []Key, source string) {
+	for _, key := range keys {
+		event.PartQuarantined.Log(log).Str("service", key.Service).Hex("part", key.bytes()).Str("source", source).Send()
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fighollow/fighollow/internal/event"
+	"github.com/fighollow/fighollow/internal/quarantine"
 	"github.com/fighollow/fighollow/internal/quota"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
@@ -54,6 +55,8 @@
 	Claims func(now time.Time) map[string]fighollow.LimitClaim
 	// Divider divides the limits by the claims of all entries; nil for none.
 	Divider *quota.Divider
+	// Quarantine gets the other entries' reports of attempts that broke off, and its own are published; nil for none.
+	Quarantine *quarantine.Tracker
 }
 
 // Roster registers one entry and counts all entries.
@@ -67,6 +70,7 @@
 	renewedAt time.Time                       // when this entry's object was last written
 	beat      uint64                          // incremented per write, so that every renewal changes the object
 	claims    map[string]fighollow.LimitClaim // as last written
+	breakAt   time.Time                       // of the newest attempt that broke off, as last written
 	triedAt   time.Time                       // when this entry's object was last written, or the attempt failed
 	polledAt  time.Time                       // when the objects were last polled
 	listBytes int                             // size of the last list
@@ -100,16 +104,47 @@
 	if r.isRenewalDue(now, claims) && now.Sub(r.triedAt) >= claimPollInterval {
 		r.renew(ctx, now, claims)
 	}
-	if now.Sub(r.polledAt) >= r.pause(claims) {
+	pause := r.pause(claims)
+	if r.isUrgent(now) {
+		pause = min(pause, r.shortPause())
+	}
+	if now.Sub(r.polledAt) >= pause {
 		r.poll(ctx, now, claims)
 	}
 }
 
+// isUrgent reports whether to read soon what other entries report of attempts that broke off.
+func (r *Roster) isUrgent(now time.Time) bool {
+	return r.opts.Quarantine != nil && r.opts.Quarantine.IsUrgent(now)
+}
+
+// breaks returns the attempts that broke off here, for publication.
+func (r *Roster) breaks(now time.Time) []quarantine.Break {
+	if r.opts.Quarantine == nil {
+		return nil
+	}
+	return r.opts.Quarantine.Evidence(now)
+}
+
+// list lists the registrations. A list that may be seconds old is cheaper.
+func (r *Roster) list(ctx context.Context, now time.Time) ([]fighollow.Object, error) {
+	if !r.isUrgent(now) {
+		return fighollow.ListStale(ctx, r.store, fighollow.KindEntry)
+	}
+	objects, _, err := r.store.List(ctx, fighollow.KindEntry)
+	return objects, err
+}
+
 // pause returns the pause between two polls. It is shorter while upstreams have request limits.
 func (r *Roster) pause(claims map[string]fighollow.LimitClaim) time.Duration {
 	if len(claims) == 0 && len(r.claims) == 0 && (r.opts.Divider == nil || len(r.opts.Divider.Reported()) == 0) {
 		return pollPause(r.lastCount)
 	}
+	return r.shortPause()
+}
+
+// shortPause returns the pause between two polls whose result is used at once.
+func (r *Roster) shortPause() time.Duration {
 	return max(claimPollInterval, time.Duration(r.listBytes)*time.Second/pollBytesPerSecond)
 }
 
@@ -128,7 +163,7 @@
 // poll reads the objects of all entries and removes those that have lapsed.
 func (r *Roster) poll(ctx context.Context, now time.Time, claims map[string]fighollow.LimitClaim) {
 	r.polledAt = now
-	objects, err := fighollow.ListStale(ctx, r.store, fighollow.KindEntry)
+	objects, err := r.list(ctx, now)
 	if err != nil {
 		event.RosterUnread.Log(&r.log).Err(err).Send()
 		return
@@ -144,8 +179,12 @@
 		event.EntriesCounted.Log(&r.log).Int("entries", entries).Send()
 		r.onCount(entries)
 	}
+	registrations := r.decode(objects)
 	if r.opts.Divider != nil {
-		r.divide(now, objects, claims)
+		r.divide(now, objects, registrations, claims)
+	}
+	if r.opts.Quarantine != nil {
+		r.observeBreaks(now, objects, registrations)
 	}
 }
 
@@ -157,7 +196,13 @@
 		interval = min(interval, claimRenewPolls*r.pause(claims))
 	}
 	return now.Sub(r.renewedAt) >= interval || r.version == 0 ||
-		fighollow.VersionEra(r.version) != fighollow.StoreEra(r.store) || !maps.EqualFunc(claims, r.claims, isSameClaim)
+		fighollow.VersionEra(r.version) != fighollow.StoreEra(r.store) || r.hasNewBreak(now) || !maps.EqualFunc(claims, r.claims, isSameClaim)
+}
+
+// hasNewBreak reports whether an attempt broke off that was not published yet.
+func (r *Roster) hasNewBreak(now time.Time) bool {
+	breaks := r.breaks(now)
+	return len(breaks) > 0 && breaks[len(breaks)-1].At.After(r.breakAt)
 }
 
 // isSameClaim reports whether two claims say the same, at whatever time.
@@ -166,18 +211,36 @@
 	return a == b
 }
 
-// divide passes the registrations in a list to the Divider. One that cannot be decoded has no claims.
-func (r *Roster) divide(now time.Time, objects []fighollow.Object, claims map[string]fighollow.LimitClaim) {
+// decode decodes the registrations in a list. One that cannot be decoded is empty.
+func (r *Roster) decode(objects []fighollow.Object) []registration {
 	r.listBytes = 0
-	entries := make([]quota.Entry, 0, len(objects))
-	for _, o := range objects {
+	out := make([]registration, len(objects))
+	for i, o := range objects {
 		r.listBytes += objectBytes + len(o.Value)
-		var reg registration
-		if err := json.Unmarshal(o.Value, &reg); err != nil {
+		if err := json.Unmarshal(o.Value, &out[i]); err != nil {
 			event.RegistrationInvalid.Log(&r.log).Str("entry", o.Name).Err(err).Send()
-			reg = registration{}
+			out[i] = registration{}
+		}
+	}
+	return out
+}
+
+// observeBreaks passes the attempts that broke off at other entries to the Tracker.
+func (r *Roster) observeBreaks(now time.Time, objects []fighollow.Object, registrations []registration) {
+	var breaks []quarantine.Break
+	for i, o := range objects {
+		if o.Name != r.opts.Self {
+			breaks = append(breaks, quarantine.ReadReports(r.view.observations[o.Name].changedAt, registrations[i].Breaks)...)
 		}
-		entries = append(entries, quota.Entry{Name: o.Name, Claims: reg.Limits, ChangedAt: r.view.observations[o.Name].changedAt})
+	}
+	quarantine.LogQuarantined(&r.log, r.opts.Quarantine.Observe(now, breaks), "entries")
+}
+
+// divide passes the registrations to the Divider.
+func (r *Roster) divide(now time.Time, objects []fighollow.Object, registrations []registration, claims map[string]fighollow.LimitClaim) {
+	entries := make([]quota.Entry, 0, len(objects))
+	for i, o := range objects {
+		entries = append(entries, quota.Entry{Name: o.Name, Claims: registrations[i].Limits, ChangedAt: r.view.observations[o.Name].changedAt})
 	}
 	before := r.opts.Divider.Reported()
 	r.opts.Divider.Observe(now, entries, r.pause(claims))
@@ -199,13 +262,15 @@
 	DataCentre string                          `json:"dataCentre"`
 	Beat       uint64                          `json:"beat"`
 	Limits     map[string]fighollow.LimitClaim `json:"limits,omitempty"` // claims to request limits, by upstream
+	Breaks     []quarantine.Report             `json:"breaks,omitempty"` // attempts that broke off
 }
 
 // renew writes the entry's own object.
 func (r *Roster) renew(ctx context.Context, now time.Time, claims map[string]fighollow.LimitClaim) {
 	r.triedAt = now
 	r.beat++
-	value, err := json.Marshal(registration{DataCentre: r.opts.DataCentre, Beat: r.beat, Limits: claims})
+	breaks := r.breaks(now)
+	value, err := json.Marshal(registration{DataCentre: r.opts.DataCentre, Beat: r.beat, Limits: claims, Breaks: quarantine.Reports(now, breaks)})
 	if err != nil {
 		panic(err) // strings and numbers always encode
 	}
@@ -225,6 +290,9 @@
 		return
 	}
 	r.version, r.renewedAt, r.claims = version, now, claims
+	if len(breaks) > 0 {
+		r.breakAt = breaks[len(breaks)-1].At
+	}
 	if r.opts.Divider != nil {
 		r.opts.Divider.Published(now)
 	}
--- a/pkg/fighollow/object.go
+++ b/pkg/fighollow/object.go
@@ -23,6 +23,7 @@
 	KindRouting      Kind = "routing"      // operator; always RoutingName
 	KindRoleLease    Kind = "roleLease"    // entries; always RoleLeaseName
 	KindEntry        Kind = "entry"        // the entry itself; entry name
+	KindQuarantine   Kind = "quarantine"   // entries; service and part of prompts
 )
 
 // InForceName is the name of the only object of KindInForce.
