--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -38,6 +38,7 @@
 			&cli.DurationFlag{Name: "duration", Value: 20 * time.Second, Usage: "`TIME` in which faults are injected"},
 			&cli.IntFlag{Name: "processes", Value: 12, Usage: "about so many processes in a run"},
 			&cli.IntFlag{Name: "parallel", Value: 1, Usage: "`NUMBER` of runs at once"},
+			&cli.BoolFlag{Name: "crash-part", Usage: "add a part of prompts that crashes engines to each run"},
 			&cli.StringFlag{Name: "gateway", Usage: "`FILE` of the fighollow program; built if empty"},
 			&cli.StringFlag{Name: "report", Usage: "`DIRECTORY` for records and logs; a temporary one if empty"},
 		},
@@ -83,7 +84,7 @@
 			defer func() { <-slots }()
 			seed := first + uint64(i)
 			rep, err := soak.Run(ctx, soak.Options{
-				Seed: seed, Duration: c.Duration("duration"), Processes: c.Int("processes"), Gateway: gateway, Self: self,
+				Seed: seed, Duration: c.Duration("duration"), Processes: c.Int("processes"), Gateway: gateway, Self: self, CrashPart: c.Bool("crash-part"),
 				Dir: filepath.Join(dir, fmt.Sprintf("seed%d", seed)),
 			})
 			mu.Lock()
@@ -130,7 +131,11 @@
 		}
 		fmt.Println("  ", f)
 	}
-	fmt.Printf("   records and logs: %s; fighollow logs explain REQUEST %s/entry*.log; play again: --replay %d\n", r.Dir, r.Dir, r.Seed)
+	fmt.Printf("   records and logs: %s; fighollow logs explain REQUEST %s/entry*.log; play again: --replay %d", r.Dir, r.Dir, r.Seed)
+	if r.Plan.CrashPart {
+		fmt.Print(" --crash-part")
+	}
+	fmt.Println()
 	return errFindings
 }
 
@@ -176,7 +181,7 @@
 		Name: "callers", Usage: "run callers", Hidden: true,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "name", Required: true}, &cli.Uint64Flag{Name: "seed"}, &cli.IntFlag{Name: "workers", Value: 1},
-			&cli.BoolFlag{Name: "rude"}, &cli.StringSliceFlag{Name: "entry", Usage: "`INGRESS=READINESS`"}, recordsFlag(),
+			&cli.BoolFlag{Name: "rude"}, &cli.BoolFlag{Name: "crash-part"}, &cli.StringSliceFlag{Name: "entry", Usage: "`INGRESS=READINESS`"}, recordsFlag(),
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			rec, err := soak.NewRecorder(c.String("records"))
@@ -184,7 +189,8 @@
 				return err
 			}
 			callers := &soak.Callers{
-				Name: c.String("name"), Workers: c.Int("workers"), Seed: c.Uint64("seed"), Rude: c.Bool("rude"), Recorder: rec,
+				Name: c.String("name"), Workers: c.Int("workers"), Seed: c.Uint64("seed"), Rude: c.Bool("rude"), CrashPart: c.Bool("crash-part"),
+				Recorder: rec,
 			}
 			for _, e := range c.StringSlice("entry") {
 				ingress, readiness, ok := strings.Cut(e, "=")
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -22,12 +22,14 @@
 // Callers sends requests to the entries that report themselves ready, over connections that each worker keeps open until the
 // entry closes them.
 type Callers struct {
-	Name     string
-	Entries  []Entry
-	Workers  int
-	Seed     uint64
-	Rude     bool // some callers cut their requests, read slowly or speak HTTP/1.0
-	Recorder *Recorder
+	Name    string
+	Entries []Entry
+	Workers int
+	Seed    uint64
+	Rude    bool // some callers cut their requests, read slowly or speak HTTP/1.0
+	// CrashPart lets some streams have a part that can crash engines.
+	CrashPart bool
+	Recorder  *Recorder
 
 	mu     sync.Mutex
 	misses []int // consecutive failed readiness checks of each entry
@@ -40,7 +42,7 @@
 	wg.Go(func() { c.checkReadiness(ctx) })
 	for i := range c.Workers {
 		wg.Go(func() {
-			w := &worker{c: c, name: fmt.Sprintf("%s-%d", c.Name, i), rnd: rand.New(rand.NewPCG(c.Seed, uint64(i)))}
+			w := &worker{c: c, name: fmt.Sprintf("%s-%d", c.Name, i), rnd: rand.New(rand.NewPCG(c.Seed, uint64(i))), prompts: rand.New(rand.NewPCG(c.Seed, uint64(i)<<32+1))}
 			for ctx.Err() == nil {
 				w.request()
 				time.Sleep(time.Duration(w.rnd.ExpFloat64() * float64(40*time.Millisecond)))
@@ -96,8 +98,10 @@
 	name string
 	rnd  *rand.Rand
 	n    int
-	nc   net.Conn
-	br   *bufio.Reader
+	// prompts draws the prompts, so that the other draws do not depend on CrashPart.
+	prompts *rand.Rand
+	nc      net.Conn
+	br      *bufio.Reader
 }
 
 func (w *worker) hangUp() {
@@ -124,8 +128,15 @@
 		}
 		w.nc, w.br = nc, bufio.NewReader(nc)
 	}
-	text, proto, cut := w.message(id, route)
-	w.c.Recorder.Add(Record{Kind: KindSent, Request: id, Route: route, NotSent: cut})
+	prompt := firstPart + ":800," + middlePart + ":410,e4402b7d:250"
+	if w.c.CrashPart {
+		prompt = drawPrompt(w.prompts, id)
+	}
+	if !isStream(route) {
+		prompt = ""
+	}
+	text, proto, cut := w.message(id, route, prompt)
+	w.c.Recorder.Add(Record{Kind: KindSent, Request: id, Route: route, NotSent: cut, Part: partOf(prompt)})
 	// The caller waits longer than its deadline, to see what the entry does at it.
 	_ = w.nc.SetDeadline(time.Now().Add(requestDeadline + time.Second))
 	_, err := io.WriteString(w.nc, text)
@@ -146,15 +157,15 @@
 }
 
 // message returns a request as it is sent. cut reports that its end is left out.
-func (w *worker) message(id, route string) (text, proto string, cut bool) {
+func (w *worker) message(id, route, prompt string) (text, proto string, cut bool) {
 	proto = "HTTP/1.1"
 	if w.c.Rude && w.rnd.IntN(10) == 0 {
 		proto = "HTTP/1.0"
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "POST /%s/x %s\r\nHost: %s\r\nRequest-Id: %s\r\nRequest-Deadline-Ms: %d\r\n", route, proto, soakHost, id, requestDeadline.Milliseconds())
-	if isStream(route) {
-		b.WriteString("Model: m\r\nToken-Usage: 1460,80\r\nPrompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n")
+	if prompt != "" {
+		fmt.Fprintf(&b, "Model: m\r\nToken-Usage: 1460,80\r\nPrompt-Prefix: %s\r\n", prompt)
 	}
 	body := strings.Repeat("b", 1+w.rnd.IntN(20_000))
 	if w.rnd.IntN(2) == 0 || proto == "HTTP/1.0" {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -146,6 +146,9 @@
 	if !r.plan.Planned {
 		args = append(args, "--rude")
 	}
+	if r.plan.CrashPart {
+		args = append(args, "--crash-part")
+	}
 	for _, e := range r.topology.entries() {
 		args = append(args, "--entry", r.ingress[e]+"="+r.readiness[e])
 	}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -42,6 +42,11 @@
 		r.limit(f.Target, f.Limit)
 		sleep(ctx, f.For)
 		r.limit(f.Target, 0)
+	case FaultCrash:
+		for end := time.Now().Add(f.For); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, crashTellTime) {
+			r.tellCrashPart(f.Target)
+		}
+		r.tellCrashPart("")
 	case FaultStore:
 		r.storeMode(f.Mode)
 		sleep(ctx, min(f.For, 2*time.Second))
@@ -92,6 +97,20 @@
 	}
 }
 
+// crashTellTime is the pause between two calls that tell engines the part on which to crash: one that starts knows none.
+const crashTellTime = 300 * time.Millisecond
+
+// tellCrashPart tells all engines the part on which they crash, empty for none. It has no effect on those that do not run.
+func (r *run) tellCrashPart(part string) {
+	client := &http.Client{Timeout: 100 * time.Millisecond}
+	for _, name := range names("engine", r.topology.Engines) {
+		resp, err := client.Post(fmt.Sprintf("http://%s%s?part=%s", r.listen[name], crashPath, part), "", http.NoBody)
+		if err == nil {
+			resp.Body.Close()
+		}
+	}
+}
+
 // heal ends what is left of the faults and lets the operator write the newest configuration.
 func (r *run) heal() {
 	for _, l := range r.links {
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -21,9 +21,13 @@
 	LimitFactor float64
 	LimitSlack  int
 	Stable      time.Duration // after a disturbance, and after the naming of a limit, until it has to be held
-	MemoryKiB   int64
-	Files       int
-	PlannedOnly bool // only planned stops and changes of the configuration: no request may be cut
+	// CountedCrash is the crash of engines by a part of prompts from which on the part has to be withheld, and LateRequests the number
+	// of requests with it that may reach engines later than Stable after that crash.
+	CountedCrash int
+	LateRequests int
+	MemoryKiB    int64
+	Files        int
+	PlannedOnly  bool // only planned stops and changes of the configuration: no request may be cut
 }
 
 // Finding is a broken promise.
@@ -44,6 +48,7 @@
 	out = append(out, checkBudget(rules, records)...)
 	out = append(out, checkOrders(rules, records)...)
 	out = append(out, checkLimits(rules, records)...)
+	out = append(out, checkCrashParts(rules, records)...)
 	return append(out, checkEnd(rules, records)...)
 }
 
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,7 +12,7 @@
 // testRules are rules with round numbers.
 var testRules = Rules{
 	Lease: 3 * time.Second, Thaw: 300 * time.Millisecond, BudgetWindow: 10 * time.Second, BudgetRatio: 0.2, BudgetSlack: 2,
-	LimitWindow: 4 * time.Second, LimitFactor: 1.5, LimitSlack: 5, Stable: 3 * time.Second,
+	LimitWindow: 4 * time.Second, LimitFactor: 1.5, LimitSlack: 5, Stable: 3 * time.Second, CountedCrash: 5, LateRequests: 3,
 	Recovery: 12 * time.Second, LossSlack: 200 * time.Millisecond, MemoryKiB: 1000, Files: 100,
 }
 
@@ -49,6 +50,30 @@
 		}
 		return out
 	}
+	// crashing returns the records of 22 s in which a part of prompts crashes engines from 2 s on, the fifth at 6 s. So many
+	// requests with it arrive in the second after 11 s; of 20 sound streams in each second, so many begin from 12 s on.
+	crashing := func(late, begun int, more ...Record) []Record {
+		out := []Record{
+			at(2*time.Second, Record{Kind: KindFault, Instance: crashPart, Text: "begin crashPart "}),
+			at(20*time.Second, Record{Kind: KindFault, Instance: crashPart, Text: "end crashPart "}),
+		}
+		for i := range 5 {
+			out = append(out, at(time.Duration(i+2)*time.Second, Record{Kind: KindCrash, Instance: "engine1", Part: crashPart}))
+		}
+		for i := range late {
+			id := fmt.Sprint("c", i)
+			out = append(out, at(11*time.Second, Record{Kind: KindSent, Request: id, Route: routeStream, Part: crashPart}),
+				at(11*time.Second+time.Duration(i)*time.Millisecond, Record{Kind: KindArrive, Request: id, Route: routeStream, Instance: "engine1", Part: crashPart}))
+		}
+		for i := range 20 * 22 {
+			d, id := time.Duration(i)*time.Second/20, fmt.Sprint("s", i)
+			out = append(out, at(d, Record{Kind: KindSent, Request: id, Route: routeStream}))
+			if d < 12*time.Second || i%20 < begun {
+				out = append(out, at(d+1, Record{Kind: KindGot, Request: id, Route: routeStream, Status: 200}))
+			}
+		}
+		return append(out, more...)
+	}
 	var lost []Record
 	for i := range 8 {
 		lost = append(lost, at(20*time.Second, Record{Kind: KindSent, Request: fmt.Sprint("l", i), Route: routeAny}))
@@ -80,6 +105,11 @@
 		{"after a limit", false, limited(2, 6, at(1, Record{Kind: KindLimit, Instance: "plain1"})), ""},
 		{"an entry was disturbed", false, limited(2, 6, at(time.Second, Record{Kind: KindFault, Instance: "entry1", Text: "begin kill"})), ""},
 		{"no recovery", false, append(lost, at(time.Second, Record{Kind: KindFault})), "recover"},
+		{"part that crashes engines", false, crashing(4, 20), "crashPart"},
+		{"part withheld", false, crashing(3, 10), ""},
+		{"part withheld and sound requests lost", false, crashing(3, 9), "crashPartSound"},
+		{"part beside a disturbed entry", false, crashing(4, 20, at(9*time.Second, Record{Kind: KindFault, Instance: "entry1", Text: "begin pause "}), at(10*time.Second, Record{Kind: KindFault, Instance: "entry1", Text: "end pause "})), ""},
+		{"part beside a disturbed engine", false, crashing(4, 20, at(9*time.Second, Record{Kind: KindFault, Instance: "engine2", Text: "begin kill "}), at(10*time.Second, Record{Kind: KindFault, Instance: "engine2", Text: "end kill "})), "crashPart"},
 		{"old configuration", false, []Record{at(0, Record{Kind: KindFinal, Instance: "e", Text: "the newest route is not known"})}, "config"},
 		{"memory", false, []Record{at(0, Record{Kind: KindFinal, Instance: "e", Number: 2000})}, "growth"},
 		{"files", false, []Record{at(0, Record{Kind: KindFinal, Instance: "e", Files: 200})}, "growth"},
@@ -105,8 +135,15 @@
 		p := DrawPlan(seed, top, 20*time.Second)
 		qt.Assert(t, DrawPlan(seed, top, 20*time.Second), qt.DeepEquals, p)
 		qt.Assert(t, len(p.Faults) > 0, qt.IsTrue)
+		with := DrawPlan(seed, top, 20*time.Second)
+		with.AddCrashPart()
+		isNew := func(f Fault) bool { return f.Kind == FaultCrash }
+		qt.Assert(t, slices.ContainsFunc(with.Faults, isNew), qt.IsTrue)
+		isLimit := func(f Fault) bool { return p.Planned && f.Kind == FaultLimit }
+		qt.Assert(t, slices.DeleteFunc(with.Faults, isNew), qt.DeepEquals, slices.DeleteFunc(slices.Clone(p.Faults), isLimit))
 		for _, f := range p.Faults {
 			qt.Assert(t, f.At+f.For <= 20*time.Second, qt.IsTrue)
+			qt.Assert(t, f.Kind != FaultCrash, qt.IsTrue)
 			qt.Assert(t, !p.Planned || f.Kind == FaultStop && !p.Calm || f.Kind == FaultConfig || f.Kind == FaultLimit, qt.IsTrue)
 		}
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 )
@@ -12,18 +13,19 @@
 
 // Kinds of faults. Processes are entries and upstreams, links the proxies in front of processes.
 const (
-	FaultStop     FaultKind = "stop"     // SIGTERM, and a start once the process has ended
-	FaultKill     FaultKind = "kill"     // SIGKILL, and a start after a pause
-	FaultPause    FaultKind = "pause"    // SIGSTOP and SIGCONT
-	FaultConfig   FaultKind = "config"   // a new version of the configuration with one more route
-	FaultDelay    FaultKind = "delay"    // each piece of a link's bytes is late
-	FaultTrickle  FaultKind = "trickle"  // a link passes a few bytes at a time
-	FaultReset    FaultKind = "reset"    // a link's connections are reset
-	FaultTruncate FaultKind = "truncate" // a link's connections are reset after some bytes
-	FaultSilence  FaultKind = "silence"  // a link's connections pass nothing any more
-	FaultOneWay   FaultKind = "oneWay"   // a link's connections pass nothing towards the caller any more
-	FaultLimit    FaultKind = "limit"    // an upstream names a request limit in its answers
-	FaultStore    FaultKind = "store"    // the store is silent, down, without its history, or comes back from a copy
+	FaultStop     FaultKind = "stop"      // SIGTERM, and a start once the process has ended
+	FaultKill     FaultKind = "kill"      // SIGKILL, and a start after a pause
+	FaultPause    FaultKind = "pause"     // SIGSTOP and SIGCONT
+	FaultConfig   FaultKind = "config"    // a new version of the configuration with one more route
+	FaultDelay    FaultKind = "delay"     // each piece of a link's bytes is late
+	FaultTrickle  FaultKind = "trickle"   // a link passes a few bytes at a time
+	FaultReset    FaultKind = "reset"     // a link's connections are reset
+	FaultTruncate FaultKind = "truncate"  // a link's connections are reset after some bytes
+	FaultSilence  FaultKind = "silence"   // a link's connections pass nothing any more
+	FaultOneWay   FaultKind = "oneWay"    // a link's connections pass nothing towards the caller any more
+	FaultLimit    FaultKind = "limit"     // an upstream names a request limit in its answers
+	FaultCrash    FaultKind = "crashPart" // each engine that begins an answer on a part of a prompt crashes
+	FaultStore    FaultKind = "store"     // the store is silent, down, without its history, or comes back from a copy
 )
 
 // plannedFaults are those that must cut no request.
@@ -89,7 +91,25 @@
 	Calm    bool // only planned faults that disturb no process
 	// Prefill is the number of engines that start with role prefill. The entries order others where it fits badly.
 	Prefill int
-	Faults  []Fault
+	// CrashPart reports that some requests have a part that crashes engines for a time.
+	CrashPart bool
+	Faults    []Fault
+}
+
+// AddCrashPart adds a fault of a part of prompts that crashes engines, drawn apart from the others, which stay the same except
+// for request limits in runs of planned work: they would keep sound requests from being served. The fault outlasts the others, as
+// it is judged from twice the stable window after the fifth crash on.
+func (p *Plan) AddCrashPart() {
+	r := rand.New(rand.NewPCG(p.Seed, 2))
+	p.CrashPart = true
+	if p.Planned {
+		p.Faults = slices.DeleteFunc(p.Faults, func(f Fault) bool { return f.Kind == FaultLimit })
+	}
+	p.Faults = append(p.Faults, Fault{
+		At: 3*time.Second + time.Duration(r.Int64N(int64(time.Second))), Kind: FaultCrash, Target: crashPart,
+		For: 16*time.Second + time.Duration(r.Int64N(int64(4*time.Second))),
+	})
+	sort.SliceStable(p.Faults, func(i, j int) bool { return p.Faults[i].At < p.Faults[j].At })
 }
 
 // DrawPlan draws the faults of a run, which all end before its duration. Every fourth seed has planned faults only, and every
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -25,6 +25,7 @@
 	KindSent   RecordKind = "sent"   // a caller sent a request
 	KindGot    RecordKind = "got"    // a caller's request ended
 	KindLimit  RecordKind = "limit"  // an upstream began to name a request limit, changed it or ended it
+	KindCrash  RecordKind = "crash"  // a part of a prompt crashed an engine
 	KindFault  RecordKind = "fault"  // the soak injected a fault, or ended one
 	KindFinal  RecordKind = "final"  // state of an entry at the end of the run
 )
@@ -45,6 +46,7 @@
 	Whole    bool       `json:"whole,omitempty"`    // got: the body is the expected one
 	NotSent  bool       `json:"notSent,omitempty"`  // got: no connection, or the request was cut by the caller
 	Text     string     `json:"text,omitempty"`
+	Part     string     `json:"part,omitempty"`   // sent, arrive, crash: the part of the prompt that can crash engines
 	Limit    float64    `json:"limit,omitempty"`  // limit: requests a second; 0 if it ended
 	Number   int64      `json:"number,omitempty"` // final: resident memory in KiB
 	Files    int        `json:"files,omitempty"`  // final: open file descriptors
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -16,6 +16,7 @@
 	Duration  time.Duration // of the faults; traffic goes on for Rules.Recovery and some seconds
 	Processes int           // about so many
 	Gateway   string        // path of the fighollow program
+	CrashPart bool          // add the fault of a part of prompts that crashes engines
 	Self      string        // path of the soak program, which also is each stand-in
 	Dir       string        // for records and logs
 }
@@ -49,6 +50,8 @@
 	limitWindowS = 4
 	limitFactor  = 1.5
 	limitSlack   = 5
+	countedCrash = 5
+	lateRequests = 3
 	tailTime     = 4 * time.Second // of traffic after the recovery
 	workers      = 6               // of each process of callers
 	faultyShare  = 0.05            // of the answers
@@ -58,8 +61,8 @@
 	return Rules{
 		Lease: leaseMs * time.Millisecond, Thaw: thawMs * time.Millisecond, BudgetWindow: budgetS * time.Second, BudgetRatio: retryRatio,
 		BudgetSlack: retrySlack, Recovery: recoveryS * time.Second, LossSlack: lossSlackMs * time.Millisecond, MemoryKiB: memoryMB << 10,
-		Files: maxFiles, PlannedOnly: p.Planned, LimitWindow: limitWindowS * time.Second, LimitFactor: limitFactor, LimitSlack: limitSlack,
-		Stable: stableMs * time.Millisecond,
+		Files: maxFiles, PlannedOnly: p.Planned && !p.CrashPart, LimitWindow: limitWindowS * time.Second, LimitFactor: limitFactor, LimitSlack: limitSlack,
+		Stable: stableMs * time.Millisecond, CountedCrash: countedCrash, LateRequests: lateRequests,
 	}
 }
 
@@ -87,6 +90,9 @@
 		opts: opts, topology: t, plan: DrawPlan(opts.Seed, t, opts.Duration), processes: make(map[string]*process),
 		links: make(map[string]*Proxy), readiness: make(map[string]string), ingress: make(map[string]string), listen: make(map[string]string),
 	}
+	if opts.CrashPart {
+		r.plan.AddCrashPart()
+	}
 	if err := os.MkdirAll(filepath.Dir(opts.Dir), 0o755); err != nil {
 		return nil, fmt.Errorf("soak: %w", err)
 	}
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/fighollow/fighollow/internal/standin/answers"
@@ -22,6 +23,33 @@
 
 var soakRoutes = []string{routeOnce, routeAny, routeStream, routeResume}
 
+// Parts of the prompts. crashPart crashes engines while its fault lasts; it is never the last of a prompt.
+const (
+	firstPart  = "5c1e07a2"
+	middlePart = "91bd3f06"
+	crashPart  = "bad0c0de"
+)
+
+// crashRequests is the share of the streams that have crashPart: one in so many.
+const crashRequests = 12
+
+// drawPrompt draws the parts of a request's prompt.
+func drawPrompt(r *rand.Rand, request string) string {
+	parts := []string{firstPart + ":800", middlePart + ":410"}
+	if r.IntN(crashRequests) == 0 {
+		parts = slices.Insert(parts, r.IntN(len(parts)+1), crashPart+":300")
+	}
+	return fmt.Sprintf("%s,%x:250", strings.Join(parts, ","), 1+size(request, 1<<40))
+}
+
+// partOf returns crashPart if a prompt holds it, and nothing otherwise.
+func partOf(prompt string) string {
+	if strings.Contains(prompt, crashPart+":") {
+		return crashPart
+	}
+	return ""
+}
+
 func isStream(route string) bool { return route == routeStream || route == routeResume }
 
 // routeOf returns the route of a target.
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -30,8 +30,16 @@
 	Faulty   float64 // share of the answers that are cut or followed by other bytes
 	Recorder *Recorder
 
+	restart func() // starts the next incarnation
+
 	mu       sync.Mutex
 	rnd      *rand.Rand
+	id       string // of the incarnation that runs
+	listener net.Listener
+	conns    map[net.Conn]bool
+	crashes  int
+	down     bool   // from a crash to the next incarnation
+	crashOn  string // part of prompts that crashes the engine; empty for none
 	born     int64
 	role     string
 	orders   uint64
@@ -43,14 +51,16 @@
 
 // Run serves until ctx is done. Then it reports that it drains, serves for drainTime and removes its object.
 func (u *Upstream) Run(ctx context.Context, drainTime time.Duration) error {
-	u.rnd, u.born, u.role, u.handles = rand.New(rand.NewPCG(u.Seed, uint64(time.Now().UnixNano()))), time.Now().UnixMilli(), u.Role, make(map[string]bool)
-	l, err := net.Listen("tcp", u.Listen)
-	if err != nil {
-		return fmt.Errorf("soak: %w", err)
+	u.rnd, u.conns = rand.New(rand.NewPCG(u.Seed, uint64(time.Now().UnixNano()))), make(map[net.Conn]bool)
+	srv := &http.Server{Handler: u, ReadHeaderTimeout: 10 * time.Second, ConnState: u.track}
+	u.restart = func() {
+		for u.start(srv) != nil { // the port may be in use for a moment
+			time.Sleep(heartbeat / 4)
+		}
+	}
+	if err := u.start(srv); err != nil {
+		return err
 	}
-	srv := &http.Server{Handler: u, ReadHeaderTimeout: 10 * time.Second}
-	go func() { _ = srv.Serve(l) }()
-	u.register()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -64,14 +74,79 @@
 	for end := time.Now().Add(drainTime); time.Now().Before(end); time.Sleep(heartbeat / 4) {
 		u.register()
 	}
-	u.call(http.MethodDelete, "/api/objects/servers/"+u.ID, nil)
+	u.call(http.MethodDelete, "/api/objects/servers/"+u.instance(), nil)
 	time.Sleep(drainTime)
 	return srv.Close()
 }
 
-// register writes the upstream's object.
+// start listens and registers an incarnation, which knows nothing of those before it.
+func (u *Upstream) start(srv *http.Server) error {
+	l, err := net.Listen("tcp", u.Listen)
+	if err != nil {
+		return fmt.Errorf("soak: %w", err)
+	}
+	u.mu.Lock()
+	u.id, u.listener, u.down, u.crashOn = u.ID, l, false, ""
+	if u.crashes > 0 {
+		u.id = fmt.Sprintf("%s-%d", u.ID, u.crashes)
+	}
+	u.born, u.role, u.orders, u.handles, u.limit = time.Now().UnixMilli(), u.Role, 0, make(map[string]bool), 0
+	u.mu.Unlock()
+	go func() { _ = srv.Serve(l) }()
+	u.register()
+	return nil
+}
+
+// track notes the connections, which a crash resets. One that an answer takes over is noted until its end; see serve.
+func (u *Upstream) track(c net.Conn, state http.ConnState) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch {
+	case state == http.StateClosed:
+		delete(u.conns, c)
+	case state == http.StateNew && u.down:
+		reset(c)
+	case state == http.StateNew:
+		u.conns[c] = true
+	}
+}
+
+// crashDownTime is how long an engine is away after a crash.
+const crashDownTime = 2 * time.Second
+
+// crash resets all connections, and starts the next incarnation after some time.
+func (u *Upstream) crash(request, part string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.down {
+		return
+	}
+	u.Recorder.Add(Record{Kind: KindCrash, Request: request, Instance: u.id, Part: part})
+	u.down = true
+	u.crashes++
+	_ = u.listener.Close()
+	for c := range u.conns {
+		reset(c)
+	}
+	clear(u.conns)
+	time.AfterFunc(crashDownTime, u.restart)
+}
+
+// instance returns the id of the incarnation that runs.
+func (u *Upstream) instance() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.id
+}
+
+// register writes the upstream's object, unless it is down.
 func (u *Upstream) register() {
 	u.mu.Lock()
+	if u.down {
+		u.mu.Unlock()
+		return
+	}
+	id := u.id
 	state := "ready"
 	if u.draining {
 		state = "draining"
@@ -84,8 +159,8 @@
 		spec["stage"] = u.role
 	}
 	u.mu.Unlock()
-	object := map[string]any{"metadata": map[string]any{"name": u.ID}, "spec": spec}
-	if u.call(http.MethodPut, "/api/objects/servers/"+u.ID, object) == http.StatusNotFound {
+	object := map[string]any{"metadata": map[string]any{"name": id}, "spec": spec}
+	if u.call(http.MethodPut, "/api/objects/servers/"+id, object) == http.StatusNotFound {
 		u.call(http.MethodPost, "/api/objects/servers", object)
 	}
 }
@@ -113,7 +188,7 @@
 
 // ServeHTTP implements http.Handler.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if want := r.Header.Get("Expect-Instance"); want != "" && want != u.ID {
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != u.instance() {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -121,6 +196,10 @@
 	switch {
 	case r.URL.Path == limitPath:
 		u.setLimit(r.URL.Query().Get("perSecond"))
+	case r.URL.Path == crashPath:
+		u.mu.Lock()
+		u.crashOn = r.URL.Query().Get("part")
+		u.mu.Unlock()
 	case r.URL.Path == "/api/report":
 		u.report(w)
 	case r.URL.Path == "/api/order":
@@ -134,8 +213,11 @@
 	}
 }
 
-// limitPath is where the soak sets an upstream's request limit.
-const limitPath = "/soak/limit"
+// limitPath and crashPath are where the soak sets an upstream's request limit, and the part of prompts that crashes an engine.
+const (
+	limitPath = "/soak/limit"
+	crashPath = "/soak/crash"
+)
 
 func (u *Upstream) setLimit(text string) {
 	perSecond, err := strconv.ParseFloat(text, 64)
@@ -145,7 +227,7 @@
 	u.mu.Lock()
 	u.limit = perSecond
 	u.mu.Unlock()
-	u.Recorder.Add(Record{Kind: KindLimit, Instance: u.ID, Limit: perSecond})
+	u.Recorder.Add(Record{Kind: KindLimit, Instance: u.instance(), Limit: perSecond})
 }
 
 // nameLimit adds the request limit to the header of an answer.
@@ -176,7 +258,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	u.Recorder.Add(Record{Kind: KindOrder, Instance: u.ID, Holder: o.Holder, Fence: o.Fence})
+	u.Recorder.Add(Record{Kind: KindOrder, Instance: u.instance(), Holder: o.Holder, Fence: o.Fence})
 	u.mu.Lock()
 	late := u.Faulty > 0 && u.rnd.IntN(lateOrders) == 0
 	u.mu.Unlock()
@@ -212,7 +294,10 @@
 	}
 	prefill := r.Header.Get("Inference-Stage") == "prefill"
 	status := u.admit(prefill, r.Header.Get("Kv-Source"))
-	u.Recorder.Add(Record{Kind: KindArrive, Request: id, Route: route, Instance: u.ID, Prefill: prefill, Accepted: prefill && status == 0})
+	instance, prompt := u.instance(), r.Header.Get("Prompt-Prefix")
+	u.Recorder.Add(Record{
+		Kind: KindArrive, Request: id, Route: route, Instance: instance, Prefill: prefill, Accepted: prefill && status == 0, Part: partOf(prompt),
+	})
 	u.nameLimit(w.Header())
 	if status != 0 {
 		w.Header().Set("Not-Executed", "1")
@@ -230,9 +315,13 @@
 		writeJSON(w, map[string]any{"handle": u.addHandle(), "tokens": 10, "version": 1})
 		return
 	}
-	u.Recorder.Add(Record{Kind: KindRun, Request: id, Route: route, Instance: u.ID})
+	u.Recorder.Add(Record{Kind: KindRun, Request: id, Route: route, Instance: instance})
 	u.pause(40)
-	header := http.Header{"Request-Id": {id}, "Server-Signature": {"sig-" + u.ID}}
+	if part := partOf(prompt); part != "" && u.crashesOn(part) {
+		u.crash(id, part)
+		panic(http.ErrAbortHandler)
+	}
+	header := http.Header{"Request-Id": {id}, "Server-Signature": {"sig-" + instance}}
 	u.nameLimit(header)
 	body := expectedBody(route, id)
 	if isStream(route) {
@@ -247,12 +336,21 @@
 	if err != nil {
 		return
 	}
-	defer c.Close()
+	defer func() {
+		c.Close()
+		u.track(c, http.StateClosed)
+	}()
 	if d.answer.Send(c, d.cut, d.reset) == nil && d.late != "" {
 		_, _ = io.WriteString(c, d.late) // the caller may have closed the connection
 	}
 }
 
+func (u *Upstream) crashesOn(part string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.crashOn == part
+}
+
 // admit returns 0, or the status with which the upstream refuses.
 func (u *Upstream) admit(prefill bool, source string) int {
 	u.mu.Lock()
@@ -270,7 +368,7 @@
 func (u *Upstream) addHandle() string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	h := fmt.Sprintf("%s-%d", u.ID, u.rnd.Uint64())
+	h := fmt.Sprintf("%s-%d", u.id, u.rnd.Uint64())
 	u.handles[h] = true
 	return h
 }
