upstream: a response whose status HTTP does not define is a broken one

Callers saw their connection closed without an answer, or a 101 that no request had asked for, when an upstream answered with a status below 100 or with 101. Cause: http.ReadResponse accepts any three digits, and the status was passed on to net/http's WriteHeader, which panics below 100; net/http then closes the connection. Evidence: the panic "invalid WriteHeader code 99" in the test's log.

Such a response now ends the connection to the upstream with ErrBroken, as a malformed one does. A request that may be repeated gets another attempt, and any other one a 502, since it may have run. 1xx statuses other than 101 are skipped as before.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// errInvalidStatus is the reason why a response is not used.
+var errInvalidStatus = errors.New("upstream: response with an invalid status")
+
 // conn is a connection that carries one request at a time.
 type conn struct {
 	pool    *Pool
@@ -96,7 +99,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
+		switch {
+		case resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols:
+			// net/http cannot write a status below 100, and no request asks for another protocol.
+			return nil, fmt.Errorf("%w %d", errInvalidStatus, resp.StatusCode)
+		case resp.StatusCode < http.StatusOK:
 			continue
 		}
 		if matches(resp) {
