gateway: a stream that breaks off before its first event is refused, not aborted

Callers saw their connection closed without a byte of an answer when an engine broke off inside the first event of a stream. Cause: the gateway sent the header before the first event, net/http kept it back until the first flush, and an answer that has begun can only be aborted.

The header is now sent with the first event, in the same flush as before. Until then a break-off counts as a lost answer: a stream that may be resumed gets another attempt, which can compute the prompt anew, and any other one a 502, or a 504 at the deadline, which promise as little as a closed connection and end the wait of callers that would otherwise have to tell it from a fault of the network.

--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -125,14 +125,10 @@
 	if a.reply.Status != http.StatusOK || !a.hasEvents() {
 		return x.relayUnstreamed(ctx, a)
 	}
-	if !x.headerSent {
-		if err := x.sendHeader(a.reply, -1); err != nil {
-			x.callerLeft = true
-			a.end(placement.Abandoned, err)
-			return nil
-		}
-	}
 	err := x.relayEvents(a)
+	if err == nil && !x.headerSent {
+		err = x.beginEvents(a) // a complete stream without events
+	}
 	switch {
 	case x.callerLeft:
 		a.end(placement.Abandoned, err)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -45,8 +45,24 @@
 	}
 }
 
+// beginEvents sends the status and the header of a stream, unless an earlier attempt has.
+func (x *exchange) beginEvents(a *attempt) error {
+	if x.headerSent {
+		return nil
+	}
+	err := x.sendHeader(a.reply, -1)
+	x.callerLeft = err != nil
+	return err
+}
+
 // writeEvents writes whole events to the caller and stores the id of the last one for resumption.
+//
+// The header is sent with the first of them: a stream that breaks off before it can still be refused or begin anew, whereas an answer
+// that has begun can only end with its connection.
 func (x *exchange) writeEvents(a *attempt, events []byte) error {
+	if err := x.beginEvents(a); err != nil {
+		return err
+	}
 	if id := lastEventID(events); id != "" {
 		x.resumeAfter = id
 	}
