soak: large changes of the configuration, hangups, callers that rest, and requests that are lost

Each run now has a series of configurations with 1,400 routes more and without them, one each 150 ms, beside SIGHUPs of entries in series and, in runs with unplanned faults, short pauses. The idle timeout is 1.5 s instead of 15 s; 24 workers of each process of callers rest for a half to four fifths of it between two requests on a connection, and in runs with rude callers half of them send within 3 ms of it. Half of the requests are GETs, as a body that a closed connection cuts is refused. The oracle reports a request that an upstream ran and whose connection ended without an answer, if its entry was not stopped, killed or paused and its link not harmed. Fault records name their kind, so that the check of request limits leaves out disturbances only; the test of plans allows the kinds that disturb nothing in planned runs, as before.

TestOracleFindsPlantedFaults plants the new finding in eight ways.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -176,7 +176,8 @@
 		Name: "callers", Usage: "run callers", Hidden: true,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "name", Required: true}, &cli.Uint64Flag{Name: "seed"}, &cli.IntFlag{Name: "workers", Value: 1},
-			&cli.BoolFlag{Name: "rude"}, &cli.StringSliceFlag{Name: "entry", Usage: "`INGRESS=READINESS`"}, recordsFlag(),
+			&cli.IntFlag{Name: "resting"}, &cli.BoolFlag{Name: "rude"},
+			&cli.StringSliceFlag{Name: "entry", Usage: "`NAME=INGRESS=READINESS`"}, recordsFlag(),
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			rec, err := soak.NewRecorder(c.String("records"))
@@ -184,14 +185,19 @@
 				return err
 			}
 			callers := &soak.Callers{
-				Name: c.String("name"), Workers: c.Int("workers"), Seed: c.Uint64("seed"), Rude: c.Bool("rude"), Recorder: rec,
+				Name: c.String("name"), Workers: c.Int("workers"), Resting: c.Int("resting"), Seed: c.Uint64("seed"), Rude: c.Bool("rude"), Recorder: rec,
 			}
 			for _, e := range c.StringSlice("entry") {
-				ingress, readiness, ok := strings.Cut(e, "=")
-				if _, _, err := net.SplitHostPort(ingress); !ok || err != nil {
-					return fmt.Errorf("flag entry: %q is not INGRESS=READINESS", e)
+				parts := strings.Split(e, "=")
+				if len(parts) != 3 {
+					return fmt.Errorf("flag entry: %q is not NAME=INGRESS=READINESS", e)
 				}
-				callers.Entries = append(callers.Entries, soak.Entry{Ingress: ingress, Readiness: readiness})
+				for _, address := range parts[1:] {
+					if _, _, err := net.SplitHostPort(address); err != nil {
+						return fmt.Errorf("flag entry: %q: %w", e, err)
+					}
+				}
+				callers.Entries = append(callers.Entries, soak.Entry{Name: parts[0], Ingress: parts[1], Readiness: parts[2]})
 			}
 			callers.Run(ctx)
 			return nil
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -15,6 +15,7 @@
 
 // Entry names the addresses of one entry.
 type Entry struct {
+	Name      string
 	Ingress   string // of the proxy in front of it
 	Readiness string
 }
@@ -25,8 +26,9 @@
 	Name     string
 	Entries  []Entry
 	Workers  int
+	Resting  int // workers that rest between two requests on a connection for up to four fifths of the operator's idle timeout
 	Seed     uint64
-	Rude     bool // some callers cut their requests, read slowly or speak HTTP/1.0
+	Rude     bool // some callers cut their requests, read slowly, speak HTTP/1.0 or rest for as long as the idle timeout
 	Recorder *Recorder
 
 	mu     sync.Mutex
@@ -38,12 +40,12 @@
 	c.misses = make([]int, len(c.Entries))
 	var wg sync.WaitGroup
 	wg.Go(func() { c.checkReadiness(ctx) })
-	for i := range c.Workers {
+	for i := range c.Workers + c.Resting {
 		wg.Go(func() {
 			w := &worker{c: c, name: fmt.Sprintf("%s-%d", c.Name, i), rnd: rand.New(rand.NewPCG(c.Seed, uint64(i)))}
 			for ctx.Err() == nil {
 				w.request()
-				time.Sleep(time.Duration(w.rnd.ExpFloat64() * float64(40*time.Millisecond)))
+				sleep(ctx, w.rest(i))
 			}
 			w.hangUp()
 		})
@@ -98,6 +100,20 @@
 	n    int
 	nc   net.Conn
 	br   *bufio.Reader
+	to   string // name of the entry at the other end of nc
+}
+
+// rest returns for how long the worker of this number waits before its next request. Of the callers that rest long, every other
+// rude one sends at about the time at which the entry closes the connection, which is what the platform's callers never do.
+func (w *worker) rest(number int) time.Duration {
+	const margin = 3 * time.Millisecond
+	switch {
+	case number < w.c.Workers:
+		return time.Duration(w.rnd.ExpFloat64() * float64(40*time.Millisecond))
+	case w.c.Rude && number%2 == 0:
+		return idleTimeout - margin + time.Duration(w.rnd.Int64N(int64(2*margin)))
+	}
+	return idleTimeout/2 + time.Duration(w.rnd.Int64N(int64(idleTimeout*3/10)))
 }
 
 func (w *worker) hangUp() {
@@ -116,14 +132,16 @@
 	route := soakRoutes[w.rnd.IntN(len(soakRoutes))]
 	got := Record{Kind: KindGot, Request: id, Route: route}
 	if w.nc == nil {
-		nc, err := net.DialTimeout("tcp", w.c.pick(w.rnd).Ingress, time.Second)
+		entry := w.c.pick(w.rnd)
+		nc, err := net.DialTimeout("tcp", entry.Ingress, time.Second)
 		if err != nil {
 			got.NotSent, got.Text = true, err.Error()
 			w.c.Recorder.Add(got)
 			return
 		}
-		w.nc, w.br = nc, bufio.NewReader(nc)
+		w.nc, w.br, w.to = nc, bufio.NewReader(nc), entry.Name
 	}
+	got.Entry = w.to
 	text, proto, cut := w.message(id, route)
 	w.c.Recorder.Add(Record{Kind: KindSent, Request: id, Route: route, NotSent: cut})
 	// The caller waits longer than its deadline, to see what the entry does at it.
@@ -151,15 +169,22 @@
 	if w.c.Rude && w.rnd.IntN(10) == 0 {
 		proto = "HTTP/1.0"
 	}
+	method := http.MethodPost
+	if w.rnd.IntN(2) == 0 {
+		method = http.MethodGet // has no body, whose loss would keep the request from being passed on
+	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "POST /%s/x %s\r\nHost: %s\r\nRequest-Id: %s\r\nRequest-Deadline-Ms: %d\r\n", route, proto, soakHost, id, requestDeadline.Milliseconds())
+	fmt.Fprintf(&b, "%s /%s/x %s\r\nHost: %s\r\nRequest-Id: %s\r\nRequest-Deadline-Ms: %d\r\n", method, route, proto, soakHost, id, requestDeadline.Milliseconds())
 	if isStream(route) {
 		b.WriteString("Model: m\r\nToken-Usage: 1460,80\r\nPrompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n")
 	}
 	body := strings.Repeat("b", 1+w.rnd.IntN(20_000))
-	if w.rnd.IntN(2) == 0 || proto == "HTTP/1.0" {
+	switch {
+	case method == http.MethodGet:
+		b.WriteString("\r\n")
+	case w.rnd.IntN(2) == 0 || proto == "HTTP/1.0":
 		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(body), body)
-	} else {
+	default:
 		fmt.Fprintf(&b, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 	}
 	text = b.String()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -72,7 +72,7 @@
 		return err
 	}
 	for end := time.Now().Add(5 * time.Second); ; time.Sleep(20 * time.Millisecond) {
-		if r.configure() == nil {
+		if r.configure(0) == nil {
 			return nil
 		}
 		if time.Now().After(end) {
@@ -142,12 +142,12 @@
 }
 
 func (r *run) startCallers(name string) error {
-	args := []string{"callers", "--name", name, "--seed", fmt.Sprint(r.opts.Seed), "--workers", strconv.Itoa(workers)}
+	args := []string{"callers", "--name", name, "--seed", fmt.Sprint(r.opts.Seed), "--workers", strconv.Itoa(workers), "--resting", strconv.Itoa(restingWorkers)}
 	if !r.plan.Planned {
 		args = append(args, "--rude")
 	}
 	for _, e := range r.topology.entries() {
-		args = append(args, "--entry", r.ingress[e]+"="+r.readiness[e])
+		args = append(args, "--entry", e+"="+r.ingress[e]+"="+r.readiness[e])
 	}
 	return r.standin(name, args...)
 }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -30,14 +30,20 @@
 }
 
 func (r *run) note(f Fault, what string) {
-	r.recorder.Add(Record{Kind: KindFault, Instance: f.Target, Text: what + " " + string(f.Kind) + " " + f.Mode})
+	r.recorder.Add(Record{Kind: KindFault, Instance: f.Target, Fault: f.Kind, Text: what + " " + string(f.Kind) + " " + f.Mode})
 }
 
 func (r *run) inject(ctx context.Context, f Fault) {
 	p := r.processes[f.Target]
 	switch f.Kind {
 	case FaultConfig:
-		_ = r.configure() // the store may be away; the operator writes again at the end
+		_ = r.configure(0) // the store may be away; the operator writes again at the end
+	case FaultGrow:
+		r.grow(ctx, f.For)
+	case FaultHangup:
+		for end := time.Now().Add(f.For); ctx.Err() == nil && time.Now().Before(end); sleep(ctx, hangupInterval) {
+			p.signal(syscall.SIGHUP)
+		}
 	case FaultLimit:
 		r.limit(f.Target, f.Limit)
 		sleep(ctx, f.For)
@@ -83,6 +89,23 @@
 	}
 }
 
+const (
+	hangupInterval = 40 * time.Millisecond
+	growInterval   = 150 * time.Millisecond
+	grownRoutes    = 1400
+)
+
+// grow writes configurations with many routes more and without them in turn.
+func (r *run) grow(ctx context.Context, d time.Duration) {
+	more := grownRoutes
+	for end := time.Now().Add(d); ctx.Err() == nil && time.Now().Before(end); sleep(ctx, growInterval) {
+		if r.configure(more) == nil { // the store may be away
+			more = grownRoutes - more
+		}
+	}
+	_ = r.configure(0)
+}
+
 // limit has an upstream name a request limit, or none if it is 0. It has no effect on one that does not run.
 func (r *run) limit(upstream string, perSecond float64) {
 	client := &http.Client{Timeout: time.Second}
@@ -102,7 +125,7 @@
 	}
 	r.storeMode(storeUp)
 	for range 20 {
-		if r.configure() == nil {
+		if r.configure(0) == nil {
 			break
 		}
 		time.Sleep(200 * time.Millisecond)
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -10,11 +10,19 @@
 	"time"
 )
 
-// configure writes the next version of the configuration, as the platform's operator does. Each has one more route.
-func (r *run) configure() error {
+// idleTimeout is the operator's limit for connections without a request.
+const idleTimeout = 1500 * time.Millisecond
+
+// configure writes the next version of the configuration, as the platform's operator does. Each has one more route that stays, and
+// more routes that the version after it need not have.
+func (r *run) configure(more int) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	version := r.version + 1
+	return r.write(r.version+1, more)
+}
+
+// write writes a version of the configuration. r.mu must be held.
+func (r *run) write(version, more int) error {
 	var routes []map[string]any
 	add := func(name, kind, service string) {
 		route := map[string]any{
@@ -32,6 +40,9 @@
 	for i := 1; i <= version; i++ {
 		add(fmt.Sprintf("extra%d", i), "idempotent", "plain")
 	}
+	for i := range more {
+		add(fmt.Sprintf("more%d", i), "idempotent", "plain")
+	}
 	object := map[string]any{"metadata": map[string]any{"name": "main"}, "spec": map[string]any{
 		"version": version, "routes": routes, "services": []any{
 			map[string]any{"name": "plain", "maxConnections": 200},
@@ -39,7 +50,7 @@
 				"slots": 16, "kvCapacityTokens": 100000, "kvTokenBytes": 1000, "bandwidthMbps": 1000, "roleSwitchS": 3,
 			}},
 		},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": idleTimeout.Milliseconds()},
 	}}
 	status, err := r.callStore(http.MethodPut, "/api/objects/config/main", object)
 	if err == nil && status == http.StatusNotFound {
@@ -49,7 +60,7 @@
 		err = fmt.Errorf("soak: configuration %d: status %d", version, status)
 	}
 	if err == nil {
-		r.version = version
+		r.version, r.more = version, more
 	}
 	return err
 }
@@ -82,11 +93,6 @@
 // rewrite writes the newest configuration again, which the store may have lost.
 func (r *run) rewrite() {
 	r.mu.Lock()
-	r.version--
-	r.mu.Unlock()
-	if r.configure() != nil {
-		r.mu.Lock()
-		r.version++
-		r.mu.Unlock()
-	}
+	defer r.mu.Unlock()
+	_ = r.write(r.version, r.more) // the operator writes again at the end
 }
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
+	"strings"
 	"time"
 )
 
@@ -40,6 +42,7 @@
 	sort.SliceStable(records, func(i, j int) bool { return records[i].AtMicros < records[j].AtMicros })
 	var out []Finding
 	out = append(out, checkAnswers(rules, records)...)
+	out = append(out, checkLost(rules, records)...)
 	out = append(out, checkRuns(records)...)
 	out = append(out, checkBudget(rules, records)...)
 	out = append(out, checkOrders(rules, records)...)
@@ -74,6 +77,65 @@
 	return out
 }
 
+// interval is a time in which an entry, or the link in front of it, was disturbed.
+type interval struct {
+	fault    FaultKind
+	from, to time.Time // to is zero while it has not ended
+}
+
+// disturbances returns the intervals of each target of a fault.
+func disturbances(records []Record) map[string][]interval {
+	out := make(map[string][]interval)
+	for _, r := range records {
+		if r.Kind != KindFault || r.Fault == "" || !r.Fault.disturbs() {
+			continue
+		}
+		if strings.HasPrefix(r.Text, "begin") {
+			out[r.Instance] = append(out[r.Instance], interval{fault: r.Fault, from: r.At()})
+			continue
+		}
+		for i := range out[r.Instance] {
+			if v := &out[r.Instance][i]; v.fault == r.Fault && v.to.IsZero() {
+				v.to = r.At()
+				break
+			}
+		}
+	}
+	return out
+}
+
+// checkLost checks that a request which an upstream ran gets an answer, however incomplete, if neither its entry nor the connection
+// to it was disturbed. Runs of planned work are checked more strictly by checkAnswers.
+func checkLost(rules Rules, records []Record) (out []Finding) {
+	if rules.PlannedOnly {
+		return nil
+	}
+	sentAt, ran := make(map[string]time.Time), make(map[string]bool)
+	for _, r := range records {
+		switch r.Kind {
+		case KindSent:
+			sentAt[r.Request] = r.At()
+		case KindRun:
+			ran[r.Request] = true
+		}
+	}
+	disturbed := disturbances(records)
+	for _, r := range records {
+		sent := sentAt[r.Request]
+		if r.Kind != KindGot || r.Status != 0 || r.NotSent || !ran[r.Request] || r.At().Sub(sent) >= requestDeadline {
+			continue // answered, not sent, not run, or the caller stopped waiting
+		}
+		excused := slices.ContainsFunc(disturbed[r.Entry], func(v interval) bool {
+			return v.from.Before(r.At()) && (v.to.IsZero() || sent.Before(v.to.Add(rules.LossSlack)))
+		})
+		if !excused {
+			out = append(out, Finding{"lost", r.Request, fmt.Sprintf("ran, and its connection to %s ended without an answer after %v: %s",
+				r.Entry, r.At().Sub(sent).Round(time.Millisecond), r.Text)})
+		}
+	}
+	return out
+}
+
 // mayRepeat reports whether requests of a route may run more than once.
 func mayRepeat(route string) bool { return route != routeOnce && route != routeStream }
 
--- a/internal/soak/oracle_limit.go
+++ b/internal/soak/oracle_limit.go
@@ -39,7 +39,7 @@
 	for _, r := range records {
 		switch r.Kind {
 		case KindFault:
-			if !strings.Contains(r.Text, string(FaultLimit)) && !strings.Contains(r.Text, string(FaultConfig)) {
+			if r.Fault == "" || r.Fault.disturbs() {
 				disturb(r)
 			}
 		case KindLimit:
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -53,6 +53,13 @@
 	for i := range 8 {
 		lost = append(lost, at(20*time.Second, Record{Kind: KindSent, Request: fmt.Sprint("l", i), Route: routeAny}))
 	}
+	// unanswered returns the records of a request that ran and was sent to an entry that closed its connection.
+	unanswered := func(more ...Record) []Record {
+		return append(append(served(time.Second, routeAny)[:3], at(1100*time.Millisecond, Record{Kind: KindGot, Request: "q", Route: routeAny, Entry: "entry1"})), more...)
+	}
+	fault := func(d time.Duration, text string, kind FaultKind, target string) Record {
+		return at(d, Record{Kind: KindFault, Instance: target, Fault: kind, Text: text})
+	}
 	for _, c := range []struct {
 		name    string
 		planned bool
@@ -65,6 +72,14 @@
 		{"cut by a stop", true, append(served(0, routeAny), at(time.Second, Record{Kind: KindGot, Request: "q", Route: routeAny, Status: 200})), "planned"},
 		{"crossed a close", true, []Record{at(0, Record{Kind: KindSent, Request: "q"}), at(1, Record{Kind: KindGot, Request: "q"})}, ""},
 		{"lost after it was passed on", true, []Record{at(0, Record{Kind: KindSent, Request: "q"}), at(1, Record{Kind: KindArrive, Request: "q"}), at(2, Record{Kind: KindGot, Request: "q"})}, "planned"},
+		{"lost after it ran", false, unanswered(), "lost"},
+		{"lost beside a change of the configuration", false, unanswered(fault(0, "begin", FaultGrow, ""), fault(0, "begin", FaultHangup, "entry1")), "lost"},
+		{"lost after a pause", false, unanswered(fault(0, "begin", FaultPause, "entry1"), fault(500*time.Millisecond, "end", FaultPause, "entry1")), "lost"},
+		{"lost beside a fault of another entry", false, unanswered(fault(0, "begin", FaultKill, "entry2")), "lost"},
+		{"lost in a pause", false, unanswered(fault(0, "begin", FaultPause, "entry1"), fault(900*time.Millisecond, "end", FaultPause, "entry1")), ""},
+		{"lost by a kill", false, unanswered(fault(1050*time.Millisecond, "begin", FaultKill, "entry1")), ""},
+		{"lost and not run", false, unanswered()[3:], ""},
+		{"the caller stopped waiting", false, append(served(0, routeAny)[:3], at(4*time.Second, Record{Kind: KindGot, Request: "q", Route: routeAny, Entry: "entry1"})), ""},
 		{"ran twice", false, append(served(0, routeOnce), at(5, Record{Kind: KindRun, Request: "q", Route: routeOnce})), "once"},
 		{"ran again", false, append(served(0, routeAny), at(5, Record{Kind: KindRun, Request: "q", Route: routeAny})), ""},
 		{"refused and ran", false, append(served(0, routeStream)[:3], at(5, Record{Kind: KindGot, Request: "q", Route: routeStream, Status: 503})), "notRun"},
@@ -107,7 +122,7 @@
 		qt.Assert(t, len(p.Faults) > 0, qt.IsTrue)
 		for _, f := range p.Faults {
 			qt.Assert(t, f.At+f.For <= 20*time.Second, qt.IsTrue)
-			qt.Assert(t, !p.Planned || f.Kind == FaultStop && !p.Calm || f.Kind == FaultConfig || f.Kind == FaultLimit, qt.IsTrue)
+			qt.Assert(t, !p.Planned || f.Kind == FaultStop && !p.Calm || !f.Kind.disturbs(), qt.IsTrue)
 		}
 	}
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -16,6 +16,8 @@
 	FaultKill     FaultKind = "kill"     // SIGKILL, and a start after a pause
 	FaultPause    FaultKind = "pause"    // SIGSTOP and SIGCONT
 	FaultConfig   FaultKind = "config"   // a new version of the configuration with one more route
+	FaultGrow     FaultKind = "grow"     // versions of the configuration with many more routes and without them, in series
+	FaultHangup   FaultKind = "hangup"   // SIGHUP, in series
 	FaultDelay    FaultKind = "delay"    // each piece of a link's bytes is late
 	FaultTrickle  FaultKind = "trickle"  // a link passes a few bytes at a time
 	FaultReset    FaultKind = "reset"    // a link's connections are reset
@@ -29,9 +31,18 @@
 // plannedFaults are those that must cut no request.
 var plannedFaults = []FaultKind{FaultStop, FaultConfig, FaultLimit}
 
-// calmFaults disturb no process.
+// calmFaults are drawn where no process may be disturbed.
 var calmFaults = []FaultKind{FaultLimit, FaultLimit, FaultConfig}
 
+// disturbs reports whether a fault of this kind keeps a process or a link from working as usual.
+func (k FaultKind) disturbs() bool {
+	switch k {
+	case FaultConfig, FaultGrow, FaultHangup, FaultLimit:
+		return false
+	}
+	return true
+}
+
 var allFaults = []FaultKind{
 	FaultStop, FaultKill, FaultPause, FaultConfig, FaultDelay, FaultTrickle, FaultReset, FaultTruncate, FaultSilence, FaultOneWay, FaultStore, FaultLimit,
 }
@@ -85,7 +96,7 @@
 // Plan is what happens in one run.
 type Plan struct {
 	Seed    uint64
-	Planned bool // only planned faults
+	Planned bool // only planned faults, which must cut no request
 	Calm    bool // only planned faults that disturb no process
 	// Prefill is the number of engines that start with role prefill. The entries order others where it fits badly.
 	Prefill int
@@ -134,6 +145,28 @@
 			p.Faults = append(p.Faults, Fault{At: at, Kind: FaultKill, Target: e, For: 100 * time.Millisecond})
 		}
 	}
+	p.Faults = append(p.Faults, drawReloads(seed, t, duration, p.Planned)...)
 	sort.SliceStable(p.Faults, func(i, j int) bool { return p.Faults[i].At < p.Faults[j].At })
 	return p
 }
+
+// drawReloads draws a series of large changes of the configuration, with hangups of some entries and, in runs with unplanned
+// faults, short pauses beside it. It has a generator of its own, so that the other faults of a seed stay what they were.
+func drawReloads(seed uint64, t Topology, duration time.Duration, planned bool) []Fault {
+	r := rand.New(rand.NewPCG(seed, 2))
+	at, length := time.Duration(r.Int64N(int64(duration/4))), duration/4+time.Duration(r.Int64N(int64(duration/4)))
+	out := []Fault{{At: at, Kind: FaultGrow, For: length}}
+	entry := func() string { return t.entries()[r.IntN(t.Entries)] }
+	for range 1 + r.IntN(t.Entries) {
+		out = append(out, Fault{At: at + time.Duration(r.Int64N(int64(length/2))), Kind: FaultHangup, Target: entry(), For: length / 2})
+	}
+	if planned {
+		return out
+	}
+	for range r.IntN(3) {
+		f := Fault{At: at + time.Duration(r.Int64N(int64(length))), Kind: FaultPause, Target: entry()}
+		f.For = 50*time.Millisecond + time.Duration(r.Int64N(int64(800*time.Millisecond)))
+		out = append(out, f)
+	}
+	return out
+}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -36,6 +36,7 @@
 	Request  string     `json:"request,omitempty"`
 	Route    string     `json:"route,omitempty"`
 	Instance string     `json:"instance,omitempty"` // upstream or entry
+	Entry    string     `json:"entry,omitempty"`    // got: the entry that the request was sent to
 	Prefill  bool       `json:"prefill,omitempty"`
 	Accepted bool       `json:"accepted,omitempty"` // arrive: a prefill that was computed
 	Holder   string     `json:"holder,omitempty"`
@@ -45,6 +46,7 @@
 	Whole    bool       `json:"whole,omitempty"`    // got: the body is the expected one
 	NotSent  bool       `json:"notSent,omitempty"`  // got: no connection, or the request was cut by the caller
 	Text     string     `json:"text,omitempty"`
+	Fault    FaultKind  `json:"fault,omitempty"`  // fault: its kind; empty if the record is of no single fault
 	Limit    float64    `json:"limit,omitempty"`  // limit: requests a second; 0 if it ended
 	Number   int64      `json:"number,omitempty"` // final: resident memory in KiB
 	Files    int        `json:"files,omitempty"`  // final: open file descriptors
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -51,7 +51,9 @@
 	limitSlack   = 5
 	tailTime     = 4 * time.Second // of traffic after the recovery
 	workers      = 6               // of each process of callers
-	faultyShare  = 0.05            // of the answers
+	// restingWorkers is the number of workers of each process of callers that rest long between two requests.
+	restingWorkers = 24
+	faultyShare    = 0.05 // of the answers
 )
 
 func rules(p Plan) Rules {
@@ -78,6 +80,7 @@
 
 	mu      sync.Mutex
 	version int // of the configuration
+	more    int // routes of that version that the next one need not have
 }
 
 // Run plays the plan of a seed and judges what was seen.
