soak: SIGHUP is sent to a process that has installed its handlers

A Go program cannot handle a signal before its runtime has started: measured with 8 starts each, SIGHUP 0 to 2 ms after the start ended all of them, after 5 ms two, from 8 ms on none. Nothing has been accepted by then. The soak leaves out processes younger than 250 ms.

--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -42,7 +42,9 @@
 		r.grow(ctx, f.For)
 	case FaultHangup:
 		for end := time.Now().Add(f.For); ctx.Err() == nil && time.Now().Before(end); sleep(ctx, hangupInterval) {
-			p.signal(syscall.SIGHUP)
+			if p.age() > handlerTime {
+				p.signal(syscall.SIGHUP)
+			}
 		}
 	case FaultLimit:
 		r.limit(f.Target, f.Limit)
@@ -91,8 +93,10 @@
 
 const (
 	hangupInterval = 40 * time.Millisecond
-	growInterval   = 150 * time.Millisecond
-	grownRoutes    = 1400
+	// handlerTime is the time that a process has to install its signal handlers; SIGHUP ends it before that.
+	handlerTime  = 250 * time.Millisecond
+	growInterval = 150 * time.Millisecond
+	grownRoutes  = 1400
 )
 
 // grow writes configurations with many routes more and without them in turn.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -22,6 +22,7 @@
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
+	began  time.Time     // start of cmd
 	exited chan struct{} // closed when cmd has ended
 }
 
@@ -48,7 +49,7 @@
 	}()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cmd, p.exited = cmd, exited
+	p.cmd, p.began, p.exited = cmd, time.Now(), exited
 	return nil
 }
 
@@ -59,6 +60,13 @@
 	_ = p.cmd.Process.Signal(s) // it may have ended
 }
 
+// age returns the time since the process was started.
+func (p *process) age() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.began)
+}
+
 // stop sends a signal, waits until the process has ended, at most for grace, and then kills it.
 func (p *process) stop(s syscall.Signal, grace time.Duration) {
 	p.mu.Lock()
