gateway: no attempt is sent for a caller that has left, or after the deadline

Cause: exchange.send did not look at the request's context, and an idle connection to an upstream needs no dial that would have. Evidence: TestNoAttemptForACallerThatHasLeft failed before this change before the first attempt, before the prefill and between prefill and decode; it passes now, with the race detector.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -81,6 +81,9 @@
 // errors of fighollow.Dispatcher and placement.Pool.Place, errAttemptsExhausted and errBudgetExhausted; a refused attempt is
 // reported as fighollow.ErrNotRun.
 func (x *exchange) send(ctx context.Context, phase fighollow.RequestPhase, kv *fighollow.KVCache) (*attempt, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err // the caller has left, or the deadline has passed
+	}
 	now := time.Now()
 	if err := x.admit(now); err != nil {
 		return nil, err
