--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -32,6 +32,8 @@
 	probeTime = 30 * time.Second
 	// judgeInterval is the least pause between two judgements without news.
 	judgeInterval = 250 * time.Millisecond
+	// newsTime is how long after a break the reports of others are read more often.
+	newsTime = 5 * time.Second
 	// cutOffTime is how long the reports of other entries were not read when this entry decides alone.
 	cutOffTime = 6 * time.Second
 	// caseLapse is how long a part stays in quarantine whose entry does not renew it.
@@ -205,6 +207,15 @@
 	}
 }
 
+// revokeReported is revoke for a crash that another entry reports, whose time is known less exactly.
+func (t *Tracker) revokeReported(b Break) {
+	for key, s := range t.sound {
+		if s.upstream == b.Upstream && s.at.Sub(b.At).Abs() < collateralTime {
+			t.sound[key] = soundness{at: s.before, objected: s.objected}
+		}
+	}
+}
+
 // Judge judges the evidence if that is due, and returns the parts that are in quarantine because of it.
 func (t *Tracker) Judge(now time.Time) []Key {
 	t.mu.Lock()
@@ -220,6 +231,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reported, t.observed = breaks, now
+	for _, b := range breaks {
+		t.revokeReported(b)
+	}
 	return t.judge(now)
 }
 
@@ -379,6 +393,18 @@
 	slices.SortStableFunc(breaks, func(a, b Break) int { return cmp.Or(cmp.Compare(strength(b), strength(a)), b.At.Compare(a.At)) })
 }
 
+// HasNews reports whether an attempt broke off here lately, so that others may have something to report.
+func (t *Tracker) HasNews(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := len(t.breaks) - 1; i >= 0 && now.Sub(t.breaks[i].At) < newsTime; i-- {
+		if !t.isExonerated(t.breaks[i]) {
+			return true
+		}
+	}
+	return false
+}
+
 // IsUrgent reports whether some part is likely to be found to crash engines soon, so that what others publish is worth reading often.
 func (t *Tracker) IsUrgent(now time.Time) bool {
 	t.mu.Lock()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -105,7 +105,7 @@
 		r.renew(ctx, now, claims)
 	}
 	pause := r.pause(claims)
-	if r.isUrgent(now) {
+	if r.opts.Quarantine != nil && r.opts.Quarantine.HasNews(now) || r.isUrgent(now) {
 		pause = min(pause, r.shortPause())
 	}
 	if now.Sub(r.polledAt) >= pause {
