upstream: the head of a response is bounded

Callers of an engine that sent a head without end waited until their deadline and got 504, although another engine could have answered; meanwhile the process kept all of the head in memory.

Cause: conn.read called http.ReadResponse on a bufio.Reader of the connection. textproto bounds neither a line nor the header, and informational responses were skipped without a count.

Change: while a head is read, headReader lets through at most maxHeadBytes (128 KB): an upstream may echo the fields of its request, 64 KB by default, and adds few of its own. Informational responses share the bound with the head that follows them. Beyond it the connection is closed, and the outcome is ErrBroken as for any other bytes that are no response.

Why it works: every byte of a head passes the reader, whatever line it belongs to. Bodies are read without a bound as before. Chunk lines and trailers are bounded by net/http already.

TestLongHeadIsRead passes heads of 100 KB, and 1000 informational responses; it passed before too.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -17,13 +17,35 @@
 	pool    *Pool
 	address string
 	nc      net.Conn
-	br      *bufio.Reader
+	hr      headReader
+	br      *bufio.Reader // reads hr
 	cw      countingWriter
 	expires time.Time
 }
 
 func newConn(p *Pool, address string, nc net.Conn) *conn {
-	return &conn{pool: p, address: address, nc: nc, br: bufio.NewReader(nc), cw: countingWriter{w: nc}}
+	c := &conn{pool: p, address: address, nc: nc, hr: headReader{r: nc}, cw: countingWriter{w: nc}}
+	c.br = bufio.NewReader(&c.hr)
+	return c
+}
+
+// headReader reads r and bounds the head of a response.
+type headReader struct {
+	r      io.Reader
+	inHead bool
+	left   int // bytes that the head may still take
+}
+
+func (h *headReader) Read(p []byte) (int, error) {
+	if !h.inHead {
+		return h.r.Read(p)
+	}
+	if h.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := h.r.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
 }
 
 // countingWriter counts the bytes written to w.
@@ -88,17 +110,14 @@
 	return result
 }
 
-// read returns the response to the request. It skips informational (1xx) responses and responses to other requests.
+// read returns the response to the request. It skips responses to other requests.
 func (c *conn) read(req *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
 	skipped := 0
 	for {
-		resp, err := http.ReadResponse(c.br, req)
+		resp, err := c.readHead(req)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
-			continue
-		}
 		if matches(resp) {
 			return resp, nil
 		}
@@ -110,6 +129,21 @@
 	}
 }
 
+// readHead reads the head of a response and the informational responses before it, which share the bound of its size.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	c.hr.inHead, c.hr.left = true, maxHeadBytes
+	defer func() { c.hr.inHead = false }()
+	for {
+		resp, err := http.ReadResponse(c.br, req)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < 100 || resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, nil
+		}
+	}
+}
+
 // body is the body of a response. When it has been read to its end, the connection returns to the pool.
 type body struct {
 	c           *conn
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -124,3 +124,19 @@
 		continue
 	}
 }
+
+// Guards against a bound that rejects a legitimate head: one that echoes a long header, after informational responses.
+func TestLongHeadIsRead(t *testing.T) {
+	for _, answer := range []endless.Answer{
+		{Begin: "HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length: 0\r\nEcho: " + strings.Repeat("a", 100<<10) + "\r\n\r\n"},
+		{Begin: strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000) + "HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length: 0\r\n\r\n"},
+	} {
+		s, err := endless.New("Id", answer)
+		qt.Assert(t, err, qt.IsNil)
+		defer s.Close()
+		pool := upstream.New()
+		defer pool.Close()
+		_, err = discard(pool, s.Address(), http.MethodPost)
+		qt.Assert(t, err, qt.IsNil)
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -27,6 +27,9 @@
 	ErrMismatched = errors.New("upstream: answer belongs to another request")
 )
 
+// errHeadTooLong is the reason of an ErrBroken: the head of a response exceeds maxHeadBytes.
+var errHeadTooLong = errors.New("upstream: response head too long")
+
 const (
 	// dialTimeout is short because a request waits for the dial, which takes a few milliseconds between data centres.
 	dialTimeout = 200 * time.Millisecond
@@ -43,6 +46,9 @@
 	maxForeignResponses = 2
 	// maxForeignBytes bounds the body of a skipped response. The connection is closed if the body is not shorter.
 	maxForeignBytes = 256 << 10
+	// maxHeadBytes bounds the head of a response, with the informational responses before it. An upstream may echo the fields
+	// of its request, 64 KB of which callers may send by default, and adds a few of its own.
+	maxHeadBytes = 128 << 10
 	// maxInlineBody is the size of the largest body that is written before the response is read. An upstream may respond
 	// before it has read a larger one.
 	maxInlineBody = 8 << 10
