upstream: an idle connection is closed when it expires

A connection to an engine stayed open after it could no longer be reused, until another request to the same address finished. An engine that sends bytes after a whole answer keeps such a connection busy, and to an address that is gone nothing is sent again. The engine counts it against its connections.

Cause: expired connections were closed only by put and get for the same address. Bytes that arrive after the answer was read are seen only when the connection is to be reused.

Evidence: rows of TestBytesWithoutEnd failed with one open connection 0.7 s after the end of a request whose connection could be reused for 0.3 s: whileIdle in every run, afterAnswer, afterHead, afterNoContent and afterChunks when the bytes arrived after the answer was read.

Change: put starts a timer that removes the connection from the pool and closes it. The check of the time in get stays: after a process was stopped and continued, a request may come before the timer runs.

Why it works: every idle connection has a timer, whatever happens at its address.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -20,7 +20,8 @@
 	hr      headReader
 	br      *bufio.Reader // reads hr
 	cw      countingWriter
-	expires time.Time
+	expires time.Time   // when it may no longer be reused; a process that was stopped notices by it before the timer runs
+	expiry  *time.Timer // closes it then if it is idle; nil before it was idle
 }
 
 func newConn(p *Pool, address string, nc net.Conn) *conn {
@@ -191,6 +192,5 @@
 		b.c.nc.Close()
 		return
 	}
-	b.c.expires = time.Now().Add(idle)
-	b.c.pool.put(b.c)
+	b.c.pool.put(b.c, idle)
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -104,6 +105,7 @@
 	p.closed = true
 	for _, cs := range p.idle {
 		for _, c := range cs {
+			c.expiry.Stop()
 			c.nc.Close()
 		}
 	}
@@ -144,27 +146,44 @@
 		return nil
 	}
 	c := cs[len(cs)-1]
+	c.expiry.Stop()
 	p.idle[address] = cs[:len(cs)-1]
 	return c
 }
 
-// put returns a connection to the pool. It closes connections to the same address that have expired or exceed the
+// put returns a connection to the pool, which closes it after it has been idle for this time, or when newer ones exceed the
 // bound.
-func (p *Pool) put(c *conn) {
+func (p *Pool) put(c *conn, idle time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	cs := p.idle[c.address]
-	// The oldest come first. Expired ones are closed here, so that no timer is needed.
-	now := time.Now()
-	for len(cs) > 0 && (len(cs) >= maxIdlePerAddress || now.After(cs[0].expires)) {
-		cs[0].nc.Close()
-		cs = cs[1:]
-	}
 	if p.closed {
 		c.nc.Close()
 		return
 	}
+	cs := p.idle[c.address]
+	if len(cs) >= maxIdlePerAddress {
+		cs[0].expiry.Stop()
+		cs[0].nc.Close() // the oldest
+		cs = cs[1:]
+	}
 	p.idle[c.address] = append(cs, c)
+	c.expires = time.Now().Add(idle)
+	c.expiry = time.AfterFunc(idle, func() { p.expire(c) })
+}
+
+// expire closes a connection if it is idle. Nothing reads an idle connection, so that its peer could hold it open.
+func (p *Pool) expire(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cs := p.idle[c.address]
+	i := slices.Index(cs, c)
+	if i < 0 {
+		return
+	}
+	c.nc.Close()
+	if p.idle[c.address] = slices.Delete(cs, i, i+1); len(cs) == 1 {
+		delete(p.idle, c.address)
+	}
 }
 
 // idleTimeout returns how long a connection may stay idle after a response with the header h.
