gateway: the bound of an event covers the comments before it

Callers of a stream got comments or blank lines without end until their deadline, where an engine sent nothing else. A stream that may be resumed did not go on at another engine.

Cause: relayEvents bounded the bytes since the last blank line. A blank line after a comment ends no event, but it ended the count.

Change: the reader of an answer counts the bytes since the last complete event, and relayEvents compares these with maxEventBytes (1 MB). Bytes that wait for the end of their event are among them, so that the memory of a stream is bounded as before.

Why it works: only a complete event ends the count. A sound stream sends some bytes of comments between two events; it may be as long as it likes (TestLongStreamIsNotCut, 4 MB).

--- a/internal/answer/events.go
+++ b/internal/answer/events.go
@@ -4,6 +4,7 @@
 // an event with a blank line.
 type eventScanner struct {
 	events     int  // complete events
+	sinceEvent int  // bytes since the last of them
 	lineBytes  int  // of the line that has not ended yet
 	hasField   bool // a field has begun since the last complete event
 	afterCR    bool // the last byte was a CR, which a LF can follow in the same line end
@@ -14,6 +15,7 @@
 // scan reads the next part and returns the offset in it after the last complete event, or 0 if none ends in it.
 func (s *eventScanner) scan(p []byte) (end int) {
 	for i, c := range p {
+		s.sinceEvent++
 		if c == '\n' && s.afterCR {
 			s.afterCR, s.usesCRLF = false, true
 			if s.blankAfter {
@@ -34,6 +36,7 @@
 			end = i + 1
 			if s.hasField {
 				s.events++
+				s.sinceEvent = 0
 			}
 			s.hasField = false
 		}
--- a/internal/answer/reader.go
+++ b/internal/answer/reader.go
@@ -78,6 +78,9 @@
 // EventEnd returns the offset after the last complete event in the bytes of the last Read, or 0 if no event ended in them.
 func (r *Reader) EventEnd() int { return r.eventEnd }
 
+// SinceEvent returns the number of bytes since the last complete event: those of the next event, and of comments and blank lines.
+func (r *Reader) SinceEvent() int { return r.events.sinceEvent }
+
 // InsideEvent reports whether the bytes read so far end within an event.
 func (r *Reader) InsideEvent() bool { return r.events.insideEvent() }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	// maxEventBytes bounds one event of a stream, which is buffered until it is complete.
+	// maxEventBytes bounds one event of a stream, which is buffered until it is complete, with the comments and blank lines
+	// before it. A stream that consists of these alone never becomes an answer.
 	maxEventBytes = 1 << 20
 	// eventBufferBytes fits many events, so that those that arrive together are written together.
 	eventBufferBytes = 4 << 10
@@ -39,7 +40,7 @@
 			return nil
 		case err != nil:
 			return err
-		case len(pending) > maxEventBytes:
+		case a.body.SinceEvent() > maxEventBytes:
 			return errEventTooLong
 		}
 	}
