--- a/internal/standin/endless/endless.go
+++ b/internal/standin/endless/endless.go
@@ -97,12 +97,12 @@
 		_, _ = io.Copy(io.Discard, r) // returns when the peer closes the connection
 		c.Close()
 	}()
-	s.send(c, req.Header.Get(s.idHeader), closed)
+	s.answer.send(c, req.Header.Get(s.idHeader), closed, &s.sent)
 	<-closed
 }
 
-func (s *Server) send(c net.Conn, id string, closed <-chan struct{}) {
-	a := s.answer
+// send sends the bytes until the peer closes the connection, and adds their number to sent.
+func (a Answer) send(c net.Conn, id string, closed <-chan struct{}, sent *atomic.Int64) {
 	repeat := []byte(strings.ReplaceAll(a.Repeat, IDPlaceholder, id))
 	if n := len(repeat); n > 0 && a.Pause == 0 {
 		repeat = bytes.Repeat(repeat, (writeBytes+n-1)/n)
@@ -111,7 +111,7 @@
 	write := func(p []byte) bool {
 		n, err := c.Write(p)
 		total += int64(n)
-		s.sent.Add(int64(n))
+		sent.Add(int64(n))
 		return err == nil && total < maxBytes
 	}
 	if !write([]byte(strings.ReplaceAll(a.Begin, IDPlaceholder, id))) || !pause(a.Delay, closed) {
@@ -122,6 +122,28 @@
 	}
 }
 
+// Call connects to a server and sends a instead of a request. It returns what the server sent, and the number of bytes written,
+// when the server has closed the connection or the time is up.
+func Call(address string, a Answer, within time.Duration) (response string, sent int64) {
+	c, err := net.DialTimeout("tcp", address, within)
+	if err != nil {
+		return "", 0
+	}
+	defer c.Close()
+	_ = c.SetReadDeadline(time.Now().Add(within)) // the read fails if the connection is closed
+	closed, ended := make(chan struct{}), make(chan struct{})
+	var n atomic.Int64
+	go func() {
+		defer close(ended)
+		a.send(c, "", closed, &n)
+	}()
+	data, _ := io.ReadAll(c) // a reset ends the response too
+	close(closed)
+	c.Close()
+	<-ended
+	return string(data), n.Load()
+}
+
 // pause waits for d and reports whether the connection is still open.
 func pause(d time.Duration, closed <-chan struct{}) bool {
 	if d == 0 {
