engine: heads and events of an engine's replies are bounded

An attempt lasted until its deadline while its engine sent a head, an event of many lines, comments or blank lines without end, and the data of such an event was kept in memory.

Cause: net/http's transport reads 10 MB of a head by default; stream.event bounded each line, but neither their number nor their sum.

Change: MaxResponseHeaderBytes is 64 KB, and an event, with what comes before it, ends with errEventTooLong beyond 2 MB. A line of the longest size (1 MB) fits. The outcome is unknown, as for any answer that breaks off.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -53,6 +53,8 @@
 	readTimeout   = 2 * time.Second
 	orderTimeout  = 5 * time.Second
 	maxReplyBytes = 1 << 20
+	// maxHeadBytes bounds the head of a reply, which has a few short fields. The default of net/http is 10 MB.
+	maxHeadBytes = 64 << 10
 )
 
 // New returns a client for the engine at addr (IP:port). onLimit is told of the limits in replies to attempts; it may be nil.
@@ -63,13 +65,13 @@
 		baseURL: "http://" + addr,
 		onLimit: onLimit,
 		pooled: &http.Client{
-			Transport:     &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second},
+			Transport:     &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeadBytes},
 			Timeout:       readTimeout,
 			CheckRedirect: noRedirect,
 		},
 		// A persistent connection that the engine closes just when a request is sent would leave the outcome unknown.
 		unpooled: &http.Client{
-			Transport:     &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true},
+			Transport:     &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes},
 			CheckRedirect: noRedirect,
 		},
 	}
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 
@@ -17,7 +18,13 @@
 	EventError  = "error"
 )
 
-const maxLineBytes = 1 << 20
+const (
+	maxLineBytes = 1 << 20
+	// maxEventBytes bounds an event of several lines, with the comments and blank lines before it.
+	maxEventBytes = 2 << 20
+)
+
+var errEventTooLong = errors.New("engine: event too long")
 
 // stream decodes the server-sent events of one answer.
 type stream struct {
@@ -79,9 +86,13 @@
 
 // event returns the next event. It never returns io.EOF: an answer that ends without a result event is incomplete.
 func (s *stream) event() (name string, data []byte, err error) {
+	size := 0
 	for s.lines.Scan() {
 		line := s.lines.Bytes()
+		size += len(line) + len("\n")
 		switch {
+		case size > maxEventBytes:
+			return "", nil, fmt.Errorf("%w: %w", fighollow.ErrUnknownOutcome, errEventTooLong)
 		case len(line) == 0 && name != "":
 			return name, data, nil
 		case bytes.HasPrefix(line, []byte("event: ")):
