service: the head of a response is bounded at 128 KB

A sidecar read 10 MB of a head that its plain service sent without end, which took up to 22 MB of heap or lasted until the deadline.

Cause: the default of net/http's transport.

Evidence: all 4 rows of TestHeadWithoutEnd failed.

Change: MaxResponseHeaderBytes is maxHeadBytes, 128 KB, as for the gateway's upstreams: a service may echo the fields of its request.

--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -16,7 +16,12 @@
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
-const dialTimeout = time.Second
+const (
+	dialTimeout = time.Second
+	// maxHeadBytes bounds the head of a response. A service may echo the fields of its request, and adds a few of its own. The
+	// default of net/http is 10 MB.
+	maxHeadBytes = 128 << 10
+)
 
 // Client calls one upstream of a plain service. It is safe for concurrent use.
 type Client struct {
@@ -34,7 +39,9 @@
 		http: &http.Client{
 			// Each request gets a new connection: when a kept-alive connection breaks, net/http retries a request with an
 			// Idempotency-Key header, but such a request must run at most once.
-			Transport:     &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true},
+			Transport: &http.Transport{
+				DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
+			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
