--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -31,7 +31,7 @@
 	const chunked = ok + "Transfer-Encoding: chunked\r\n\r\n"
 	const idle = ok + "Keep-Alive: timeout=1\r\n" // kept for 0.3 s
 	const foreign = "HTTP/1.1 200 OK\r\nId: other\r\n"
-	const chunk = "1\r\nx\r\n"
+	const chunk = "40\r\n0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef\r\n"
 	errBody := errors.New("any error of the body")
 	for name, c := range map[string]struct {
 		answer endless.Answer
