--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -20,13 +20,36 @@
 	pool    *Pool
 	address string
 	nc      net.Conn
-	br      *bufio.Reader
+	hr      headReader
+	br      *bufio.Reader // reads hr
 	cw      countingWriter
-	expires time.Time
+	expires time.Time   // when it may no longer be reused; a process that was stopped notices by it before the timer runs
+	expiry  *time.Timer // closes it then if it is idle; nil before it was idle
 }
 
 func newConn(p *Pool, address string, nc net.Conn) *conn {
-	return &conn{pool: p, address: address, nc: nc, br: bufio.NewReader(nc), cw: countingWriter{w: nc}}
+	c := &conn{pool: p, address: address, nc: nc, hr: headReader{r: nc}, cw: countingWriter{w: nc}}
+	c.br = bufio.NewReader(&c.hr)
+	return c
+}
+
+// headReader reads r and bounds the head of a response.
+type headReader struct {
+	r      io.Reader
+	inHead bool
+	left   int // bytes that the head may still take
+}
+
+func (h *headReader) Read(p []byte) (int, error) {
+	if !h.inHead {
+		return h.r.Read(p)
+	}
+	if h.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := h.r.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
 }
 
 // countingWriter counts the bytes written to w.
@@ -91,20 +114,17 @@
 	return result
 }
 
-// read returns the response to the request. It skips informational (1xx) responses and responses to other requests.
+// read returns the response to the request. It skips responses to other requests.
 func (c *conn) read(req *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
 	skipped := 0
 	for {
-		resp, err := http.ReadResponse(c.br, req)
+		resp, err := c.readHead(req)
 		if err != nil {
 			return nil, err
 		}
-		switch {
-		case resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols:
+		if resp.StatusCode < http.StatusOK {
 			// net/http cannot write a status below 100, and no request asks for another protocol.
 			return nil, fmt.Errorf("%w %d", errInvalidStatus, resp.StatusCode)
-		case resp.StatusCode < http.StatusOK:
-			continue
 		}
 		if matches(resp) {
 			return resp, nil
@@ -117,6 +137,21 @@
 	}
 }
 
+// readHead reads the head of a response and the informational responses before it, which share the bound of its size.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	c.hr.inHead, c.hr.left = true, maxHeadBytes
+	defer func() { c.hr.inHead = false }()
+	for {
+		resp, err := http.ReadResponse(c.br, req)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < 100 || resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, nil
+		}
+	}
+}
+
 // body is the body of a response. When it has been read to its end, the connection returns to the pool.
 type body struct {
 	c           *conn
@@ -164,6 +199,5 @@
 		b.c.nc.Close()
 		return
 	}
-	b.c.expires = time.Now().Add(idle)
-	b.c.pool.put(b.c)
+	b.c.pool.put(b.c, idle)
 }
