--- a/internal/quarantine/publish.go
+++ b/internal/quarantine/publish.go
@@ -83,7 +83,11 @@
 	for _, o := range objects {
 		if o.Deleted {
 			if key, ok := t.byName(o.Name); ok && o.Version > t.cases[key].version {
-				t.sound[key] = soundness{at: now, before: now, objected: true} // one objection is enough
+				if now.Sub(t.cases[key].addedAt) < doubtTime {
+					t.doubt(now, key)
+				} else {
+					t.sound[key] = soundness{at: now, before: now}
+				}
 				delete(t.cases, key)
 				ended = append(ended, key)
 			}
@@ -115,6 +119,13 @@
 	return added, ended, errs
 }
 
+// doubt makes more crashes necessary to put a part into quarantine. The evidence against it remains.
+func (t *Tracker) doubt(now time.Time, key Key) {
+	s := t.sound[key]
+	s.doubtedAt = now
+	t.sound[key] = s
+}
+
 // byName returns the part in quarantine whose object has this name.
 func (t *Tracker) byName(name string) (Key, bool) {
 	for key := range t.cases {
@@ -132,19 +143,20 @@
 		return false
 	}
 	crashedAt := now.Add(-time.Duration(s.AgeMs) * time.Millisecond)
-	if doubted := q == nil && s.Crashes < minCrashesSound && t.hasSoundHistory(now, key); doubted || t.sound[key].at.After(crashedAt) {
-		// An answer with the part was completed here meanwhile, or lately: the crashes may be a coincidence. It is held against the
-		// part only once.
-		sound := t.sound[key]
-		sound.objected = sound.objected || doubted
-		t.sound[key] = sound
+	if s.Crashes < minCrashesSound && q == nil && t.hasSoundHistory(now, key) || t.sound[key].at.After(crashedAt) {
+		// An answer with the part was completed here lately, or meanwhile: the crashes may be a coincidence.
+		t.doubt(now, key)
 		t.lifts[key] = version
 		delete(t.cases, key)
 		return false
 	}
 	isNew := q == nil
+	addedAt := now
+	if !isNew {
+		addedAt = q.addedAt
+	}
 	if isNew || !q.own || s.Entry != t.self {
-		q = &quarantined{own: s.Entry == t.self, probes: s.Probes, probeAt: now.Add(hold(s.Probes))}
+		q = &quarantined{addedAt: addedAt, own: s.Entry == t.self, probes: s.Probes, probeAt: now.Add(hold(s.Probes))}
 		t.put(key, q)
 	}
 	q.crashedAt, q.changedAt, q.version, q.published = crashedAt, now, version, true
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -28,6 +28,8 @@
 	// probe that crashes an engine.
 	minHold = time.Minute
 	maxHold = 4 * time.Minute
+	// doubtTime is how soon after its beginning the end of a quarantine is an objection by an entry that has seen sound answers.
+	doubtTime = 3 * time.Second
 	// probeTime is how long a probe may take.
 	probeTime = 30 * time.Second
 	// judgeInterval is the least pause between two judgements without news.
@@ -59,13 +61,15 @@
 	at       time.Time
 	upstream string
 	before   time.Time // the same of the answer before, for when at is revoked
-	objected bool      // at was held against a quarantine that few crashes spoke for
+	// doubtedAt is when an entry objected to a quarantine that few crashes spoke for.
+	doubtedAt time.Time
 }
 
 // quarantined is a part in quarantine.
 type quarantined struct {
 	crashedAt time.Time // the first crash that counted
 	crashes   int       // that counted
+	addedAt   time.Time // when this entry first knew of the quarantine
 	changedAt time.Time // the last change that this entry knows of
 	blamedAt  time.Time // when this entry concluded it
 	own       bool      // this entry concluded it, probes the part and publishes the result
@@ -142,7 +146,7 @@
 	defer t.mu.Unlock()
 	for _, part := range sharedParts(prompt) {
 		key := Key{service, part}
-		t.sound[key] = soundness{at: now, upstream: upstream, before: t.sound[key].at, objected: t.sound[key].objected}
+		t.sound[key] = soundness{at: now, upstream: upstream, before: t.sound[key].at, doubtedAt: t.sound[key].doubtedAt}
 		if q := t.cases[key]; q != nil {
 			q.sound = t.sound[key]
 		}
@@ -197,7 +201,7 @@
 func (t *Tracker) revoke(now time.Time, upstream string) {
 	for key, s := range t.sound {
 		if s.upstream == upstream && now.Sub(s.at) < revokeTime {
-			t.sound[key] = soundness{at: s.before, objected: s.objected}
+			t.sound[key] = soundness{at: s.before, doubtedAt: s.doubtedAt}
 		}
 	}
 	for _, q := range t.cases {
@@ -211,7 +215,7 @@
 func (t *Tracker) revokeReported(b Break) {
 	for key, s := range t.sound {
 		if s.upstream == b.Upstream && s.at.Sub(b.At).Abs() < collateralTime {
-			t.sound[key] = soundness{at: s.before, objected: s.objected}
+			t.sound[key] = soundness{at: s.before, doubtedAt: s.doubtedAt}
 		}
 	}
 }
@@ -244,7 +248,7 @@
 }
 
 func (v view) crashesNeeded(key Key) int {
-	if v.hasSoundHistory(v.now, key) {
+	if v.hasSoundHistory(v.now, key) || v.now.Sub(v.sound[key].doubtedAt) < evidenceTime {
 		return minCrashesSound
 	}
 	return minCrashes
@@ -255,10 +259,10 @@
 	return v.now.Sub(crash) >= settleTime && (v.observed.Sub(crash) >= reportTime || v.now.Sub(v.observed) >= cutOffTime)
 }
 
-// hasSoundHistory reports whether answers with the part were completed lately, and that was not objected already.
+// hasSoundHistory reports whether an answer with the part was completed lately.
 func (t *Tracker) hasSoundHistory(now time.Time, key Key) bool {
 	s, ok := t.sound[key]
-	return ok && !s.objected && !s.at.IsZero() && now.Sub(s.at) < evidenceTime
+	return ok && !s.at.IsZero() && now.Sub(s.at) < evidenceTime
 }
 
 // judge puts parts into quarantine. It releases those that this entry has blamed lately and whose crashes a newly blamed part explains.
@@ -283,7 +287,7 @@
 		}
 		crashes := tallies(evidence, t.isSound)[key].crashes
 		t.put(key, &quarantined{
-			crashedAt: crashes[0].at, crashes: len(crashes), changedAt: now, blamedAt: now, own: true, probeAt: now.Add(minHold),
+			crashedAt: crashes[0].at, crashes: len(crashes), addedAt: now, changedAt: now, blamedAt: now, own: true, probeAt: now.Add(minHold),
 		})
 		added = append(added, key)
 	}
