--- a/internal/quarantine/publish.go
+++ b/internal/quarantine/publish.go
@@ -126,6 +126,11 @@
 	t.sound[key] = s
 }
 
+// isDoubted reports whether an entry has objected lately. One objection is enough.
+func (t *Tracker) isDoubted(now time.Time, key Key) bool {
+	return now.Sub(t.sound[key].doubtedAt) < evidenceTime
+}
+
 // byName returns the part in quarantine whose object has this name.
 func (t *Tracker) byName(name string) (Key, bool) {
 	for key := range t.cases {
@@ -143,7 +148,8 @@
 		return false
 	}
 	crashedAt := now.Add(-time.Duration(s.AgeMs) * time.Millisecond)
-	if s.Crashes < minCrashesSound && q == nil && t.hasSoundHistory(now, key) || t.sound[key].at.After(crashedAt) {
+	isDoubtful := s.Crashes < minCrashesSound && q == nil && t.hasSoundHistory(now, key) || t.sound[key].at.After(crashedAt)
+	if isDoubtful && !t.isDoubted(now, key) {
 		// An answer with the part was completed here lately, or meanwhile: the crashes may be a coincidence.
 		t.doubt(now, key)
 		t.lifts[key] = version
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -248,7 +248,7 @@
 }
 
 func (v view) crashesNeeded(key Key) int {
-	if v.hasSoundHistory(v.now, key) || v.now.Sub(v.sound[key].doubtedAt) < evidenceTime {
+	if v.hasSoundHistory(v.now, key) || v.isDoubted(v.now, key) {
 		return minCrashesSound
 	}
 	return minCrashes
