placement: hold what an upstream announces of itself, for one incarnation

An upstream can say that it leaves, and ask for a pause when it turns a request away. fighollow.Announcement is both, the request limit, and the times. The placement holds them by id, address and start of the upstream, apart from its instances:

- Leaving excludes an upstream as a draining one, also as a last resort, until it has started again.
It survives the store: listing as ready, removal and return, an older copy, a late answer.
Of upstreams that were dropped, the newest 2,048 to 4,096 are remembered.
- A pause excludes it until its end; a shorter one asked for later does not shorten it.
Five minutes at most, with two attempts in flight afterwards until one that was sent since has succeeded: up to ten minutes asked for get two requests.
It is no failure and no backoff.
If only pauses prevent an attempt, Place returns ErrPaused and the time until the first upstream is back, for each caller another time.

A late answer of an earlier incarnation binds the next one no more, a request limit in it included.

--- a/internal/placement/affinity.go
+++ b/internal/placement/affinity.go
@@ -26,7 +26,7 @@
 	loc.shared = sharedTokens(q.Prompt)
 	sharedEnd := q.Prompt[len(q.Prompt)-2].ID
 	for _, inst := range p.instances {
-		if !inst.removedAt.IsZero() || inst.upstream.Draining || now.Before(inst.ejectedUntil) {
+		if !inst.removedAt.IsZero() || inst.isLeaving() || now.Before(inst.ejectedUntil) {
 			continue
 		}
 		_, computed := inst.cache.match(now, q.Prompt)
@@ -72,7 +72,7 @@
 	var best [2]*instance
 	var scores [2]uint64
 	for _, inst := range p.instances {
-		if inst.upstream.Role != fighollow.RolePrefill || inst.upstream.Draining || !inst.removedAt.IsZero() || now.Before(inst.ejectedUntil) {
+		if inst.upstream.Role != fighollow.RolePrefill || inst.isLeaving() || !inst.removedAt.IsZero() || now.Before(inst.ejectedUntil) || inst.isPaused(now) {
 			continue
 		}
 		if dataCentre != "" && inst.upstream.DataCentre != dataCentre {
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -27,6 +27,8 @@
 	services map[string]string // service by upstream id
 	versions map[string]uint64 // store version of the upstream's object, by upstream id
 	departed map[string]departure
+	// announcements outlive the pools' instances.
+	announcements *announcements
 	// distrustUntil is when the store's objects of upstreams that have left are believed again after its return from a copy.
 	distrustUntil time.Time
 }
@@ -35,7 +37,7 @@
 func New(opts Options) *Fleet {
 	return &Fleet{
 		opts: opts, entries: 1, pools: make(map[string]*Pool), services: make(map[string]string), versions: make(map[string]uint64),
-		departed: make(map[string]departure),
+		departed: make(map[string]departure), announcements: newAnnouncements(),
 	}
 }
 
@@ -49,7 +51,7 @@
 func (f *Fleet) pool(service string) *Pool {
 	p := f.pools[service]
 	if p == nil {
-		p = newPool(f.opts)
+		p = newPool(f.opts, f.announcements)
 		p.setEntries(f.entries)
 		f.pools[service] = p
 	}
@@ -118,7 +120,8 @@
 	return removed
 }
 
-// Upstreams returns all upstreams of a service that are present in the store, in no particular order.
+// Upstreams returns all upstreams of a service that are present in the store, in no particular order. Those that have announced
+// that they leave are Draining.
 func (f *Fleet) Upstreams(service string) []fighollow.Upstream {
 	p := f.Pool(service)
 	p.mu.Lock()
@@ -126,7 +129,9 @@
 	var out []fighollow.Upstream
 	for _, inst := range p.instances {
 		if inst.removedAt.IsZero() {
-			out = append(out, inst.upstream)
+			u := inst.upstream
+			u.Draining = inst.isLeaving()
+			out = append(out, u)
 		}
 	}
 	return out
--- a/internal/placement/instance.go
+++ b/internal/placement/instance.go
@@ -44,6 +44,8 @@
 	misdirectedUntil time.Time     // rejected its role; not used before
 	fullUntil        time.Time     // refused for lack of capacity; avoided before
 	fullBackoff      time.Duration // duration of the last backoff after such a refusal; 0 after a success
+	announced        announced
+	trials           int // attempts in flight that were placed after a pause
 	cache            *prefixCache
 	named            quota.Named // request limit in its answers
 	limited          bool        // a request limit is in force; permits holds what this entry may send
@@ -53,18 +55,19 @@
 	claimedDemand    float64    // demand that was last claimed, in requests a second
 }
 
-func newInstance(u fighollow.Upstream, capacity int) *instance {
-	return &instance{upstream: u, hash: rendezvous.Key(u.ID), cache: newPrefixCache(capacity)}
+func newInstance(u fighollow.Upstream, capacity int, known announced) *instance {
+	return &instance{upstream: u, hash: rendezvous.Key(u.ID), cache: newPrefixCache(capacity), announced: known}
 }
 
 // update applies the upstream's newest object. After a restart or a change of address, the cache mirror and the failure
-// state are reset, as they describe another process.
-func (inst *instance) update(u fighollow.Upstream, capacity int) {
+// state are reset, as they describe another process; known is what the upstream as it is in u has announced.
+func (inst *instance) update(u fighollow.Upstream, capacity int, known announced) {
 	if u.StartedMs != inst.upstream.StartedMs || u.Address != inst.upstream.Address {
 		inst.cache = newPrefixCache(capacity)
 		inst.failureRate, inst.ejection, inst.ejectedUntil, inst.misdirectedUntil = 0, 0, time.Time{}, time.Time{}
 		inst.speed = engineSpeed{}
 		inst.named, inst.limited = quota.Named{}, false
+		inst.announced, inst.trials = known, 0
 	}
 	if u.Role != inst.upstream.Role {
 		inst.misdirectedUntil = time.Time{}
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -39,7 +39,7 @@
 func (p *Pool) ObserveLimit(now time.Time, a *Attempt, r fighollow.RequestLimit) (LimitChange, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	inst := p.instances[a.UpstreamID]
+	inst := p.current(a.incarnation)
 	if inst == nil {
 		return LimitChange{}, false
 	}
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -36,11 +36,14 @@
 	computing     bool    // the engine has not computed the prompt yet
 	prompt        []fighollow.PromptPart
 	urgency       int
+	incarnation   incarnation
+	trial         bool // placed after a pause
+	paused        bool // the answer asked for a pause
 }
 
 // Begin records that an attempt is sent to the chosen upstream.
 func (p *Pool) Begin(now time.Time, c Choice, q Query) *Attempt {
-	a := &Attempt{UpstreamID: c.Upstream.ID, Phase: q.Phase, SentAt: now, prompt: q.Prompt, urgency: q.Urgency}
+	a := &Attempt{UpstreamID: c.Upstream.ID, Phase: q.Phase, SentAt: now, prompt: q.Prompt, urgency: q.Urgency, incarnation: incarnationOf(c.Upstream), trial: c.Trial}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	inst := p.instances[a.UpstreamID]
@@ -98,6 +101,7 @@
 		return
 	}
 	inst.cache.add(now, a.prompt, true)
+	inst.endPause(a)
 	if a.computing {
 		p.observeWhole(now, inst, a)
 		inst.endPrompt(a)
@@ -122,6 +126,15 @@
 	if a.Phase != fighollow.RequestPrefill {
 		inst.running = max(0, inst.running-1)
 	}
+	if a.trial && p.current(a.incarnation) != nil {
+		inst.trials = max(0, inst.trials-1)
+	}
+	switch {
+	case r == Answered:
+		inst.endPause(a)
+	case a.paused:
+		return 0 // what the upstream asked for is not a failure
+	}
 	switch r {
 	case Answered:
 		inst.recordSuccess()
--- a/internal/placement/permit.go
+++ b/internal/placement/permit.go
@@ -51,9 +51,10 @@
 func (inst *instance) hasPermit() bool { return !inst.limited || inst.permits.Available() }
 
 // takePermit records that a request is placed at the chosen upstream. p.mu must be held.
-func (p *Pool) takePermit(now time.Time, c Choice) {
+func (p *Pool) takePermit(now time.Time, c *Choice) {
 	c.observeDemand(now)
 	inst := p.instances[c.Upstream.ID]
+	c.Trial = inst.recordTrial(now)
 	inst.demand.Observe(now, demandMemory)
 	inst.sent.Observe(now, quota.RecentTime)
 	if inst.limited {
@@ -72,7 +73,11 @@
 func (p *Pool) Withdraw(upstreamID string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.returnPermit(p.instances[upstreamID])
+	inst := p.instances[upstreamID]
+	p.returnPermit(inst)
+	if inst != nil {
+		inst.trials = max(0, inst.trials-1)
+	}
 }
 
 func (p *Pool) returnPermit(inst *instance) {
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -27,8 +27,8 @@
 // Place chooses the upstream for an attempt, sets q.Urgency, and takes a permit if the upstream has a request limit; Begin or
 // Withdraw must follow. If the answer is expected to begin after the deadline, it returns ErrTooLate, so that no prompt is
 // computed in vain, and by how much the answer would miss the target. It returns ErrNoUpstream if no upstream is eligible for
-// the attempt or for the decode after it, and ErrLimited, with the time until a retry can succeed, if request limits exclude
-// those that are.
+// the attempt or for the decode after it, and ErrLimited or ErrPaused, with the time until a retry can succeed, if request limits
+// or pauses exclude those that are.
 func (p *Pool) Place(now time.Time, q *Query, slo SLO) (Choice, time.Duration, error) {
 	q.Urgency, q.Target = urgency(slo.Priority, false), slo.Target
 	p.mu.Lock()
@@ -42,7 +42,7 @@
 		return c, p.recordRefusal(now, *q, c, slo, err), err
 	}
 	if q.Phase == fighollow.RequestDecode || slo.Target == 0 {
-		p.takePermit(now, c)
+		p.takePermit(now, &c)
 		return c, 0, nil
 	}
 	expected := now.Sub(slo.Arrived) + duration(c.CostMs)
@@ -64,13 +64,20 @@
 	if !slo.Begun && expected > slo.Deadline.Sub(slo.Arrived) {
 		return c, expected - slo.Target, ErrTooLate
 	}
-	p.takePermit(now, c)
+	p.takePermit(now, &c)
 	return c, 0, nil
 }
 
-// recordRefusal records the demand of a request that is not placed, and returns, if request limits are the reason, when its caller
-// may come back, or when an answer that has begun can go on. p.mu must be held.
+// recordRefusal records the demand of a request that is not placed, and returns, if request limits or pauses are the reason, when its
+// caller may come back, or when an answer that has begun can go on. p.mu must be held.
 func (p *Pool) recordRefusal(now time.Time, q Query, c Choice, slo SLO, err error) time.Duration {
+	if errors.Is(err, ErrPaused) {
+		wait, _ := p.pauseWait(now, q)
+		if slo.Begun {
+			return wait
+		}
+		return p.pauseReturnDelay(now, wait)
+	}
 	if !errors.Is(err, ErrLimited) {
 		return 0
 	}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -74,6 +74,7 @@
 	Running   int     // attempts of this entry that the engine runs
 	Limited   bool    // the upstream has a request limit
 	Share     float64 // this entry's share of that limit, in requests a second
+	Trial     bool    // set by Place: the first attempts after a pause of the upstream
 	// passed are the upstreams that request limits exclude although they cost less, or all that they exclude if none is chosen.
 	passed []*instance
 }
@@ -89,14 +90,18 @@
 	traits    fighollow.ServiceTraits
 	instances map[string]*instance
 	// lastReturn is the latest time that a caller was given to return when request limits were used up.
-	lastReturn time.Time
+	lastReturn      time.Time
+	lastPauseReturn time.Time      // that a caller was given when all upstreams were paused
+	announcements   *announcements // of the fleet
 
 	times      promptTimes // what was measured of prompts
 	firstEvent typical     // latency until the first event of an answer, or until a whole plain one
 }
 
-func newPool(opts Options) *Pool {
-	return &Pool{dataCentre: opts.DataCentre, drain: opts.DrainTime, shares: opts.Shares, entries: 1, instances: make(map[string]*instance)}
+func newPool(opts Options, m *announcements) *Pool {
+	return &Pool{
+		dataCentre: opts.DataCentre, drain: opts.DrainTime, shares: opts.Shares, entries: 1, instances: make(map[string]*instance), announcements: m,
+	}
 }
 
 // SetTraits applies the service's configuration.
@@ -132,12 +137,12 @@
 func (p *Pool) put(u fighollow.Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	inst := p.instances[u.ID]
+	inst, known := p.instances[u.ID], p.announcements.of(incarnationOf(u))
 	if inst == nil {
-		inst = newInstance(u, p.kvCapacity())
+		inst = newInstance(u, p.kvCapacity(), known)
 		p.instances[u.ID] = inst
 	}
-	inst.update(u, p.kvCapacity())
+	inst.update(u, p.kvCapacity(), known)
 	inst.removedAt = time.Time{}
 }
 
@@ -150,8 +155,8 @@
 	if inst == nil {
 		return
 	}
-	if inst.upstream.Draining {
-		delete(p.instances, id)
+	if inst.isLeaving() {
+		p.drop(now, id)
 		return
 	}
 	if inst.removedAt.IsZero() {
@@ -163,11 +168,17 @@
 func (p *Pool) expire(now time.Time) {
 	for id, inst := range p.instances {
 		if p.isExpired(now, inst) {
-			delete(p.instances, id)
+			p.drop(now, id)
 		}
 	}
 }
 
+// drop removes an upstream from the pool.
+func (p *Pool) drop(now time.Time, id string) {
+	p.announcements.remember(now, p.instances[id])
+	delete(p.instances, id)
+}
+
 func (p *Pool) isExpired(now time.Time, inst *instance) bool {
 	return !inst.removedAt.IsZero() && now.Sub(inst.removedAt) > time.Duration(unlistedGraceShare*float64(p.drain))
 }
@@ -188,8 +199,8 @@
 	p.updateLimits(now)
 }
 
-// choose returns ErrNoUpstream if no upstream is eligible, or ErrLimited if request limits exclude those that are. p.mu must
-// be held.
+// choose returns ErrNoUpstream if no upstream is eligible, ErrLimited if request limits exclude those that are, or ErrPaused if
+// only pauses prevent the attempt. p.mu must be held.
 func (p *Pool) choose(now time.Time, q Query) (Choice, error) {
 	loc, maxOpen, jitter := p.locatePrefix(now, q), p.maxOpen(), p.jitterMs(q)
 	best := Choice{CostMs: math.Inf(1)}
@@ -224,6 +235,9 @@
 	case len(excluded) > 0:
 		return Choice{passed: best.passed}, ErrLimited
 	}
+	if _, paused := p.pauseWait(now, q); paused {
+		return Choice{}, ErrPaused
+	}
 	return Choice{}, ErrNoUpstream
 }
 
@@ -233,8 +247,14 @@
 	costMs float64
 }
 
+// isEligible reports whether an attempt may be placed at an upstream, its request limit aside.
 func (p *Pool) isEligible(now time.Time, inst *instance, q Query, lastResort bool) bool {
-	if inst.upstream.Draining || !servesPhase(inst.upstream.Role, q.Phase) || now.Before(inst.misdirectedUntil) {
+	return !inst.isPaused(now) && p.isCandidate(now, inst, q, lastResort)
+}
+
+// isCandidate is isEligible for an upstream without a pause.
+func (p *Pool) isCandidate(now time.Time, inst *instance, q Query, lastResort bool) bool {
+	if inst.isLeaving() || !servesPhase(inst.upstream.Role, q.Phase) || now.Before(inst.misdirectedUntil) {
 		return false
 	}
 	if !lastResort && (now.Before(inst.ejectedUntil) || now.Before(inst.fullUntil) || !inst.removedAt.IsZero() || q.NoRetry && inst.fullBackoff > 0) {
