platform, gateway: read what every answer announces, and go by it

An engine that leaves says so in all its answers, and a 503 may ask for a pause; neither was read, so that up to 31 requests in place of 1 reached a leaving engine in the tests, and up to 112 in 1.2 s one that had asked for 1.5 s.

The adapter decodes limit, leaving and pause of every answer into fighollow.Announcement: answers to attempts, rejections and prefills included, and those of the control API whatever their status, but no 421, which may be another engine's. The placement applies it before the attempt ends, for whatever attempt is placed next. To a paused engine no control call is made either. Retry-After is a decimal number or an HTTP date, which is taken relative to the answer's Date; what cannot be read is logged (8052) and changes nothing. 8050 and 8051 say which run of which upstream announced what, and in which answer; attemptPlaced names the run and the attempts that follow a pause. CacheChanges.Limit goes: its answers take the common way, as reports, orders and releases now do.

While prefill engines pause, a decode engine computes the prompt, also for the request that met the pause.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -104,12 +104,12 @@
 		settingsFile: settingsFile, cfg: cfg, metricsPort: metricsPort, registry: metrics.NewRegistry(), sink: sink, log: log,
 		store: platform.NewStore(cfg.StoreAddress, cfg.Bounds.Stable, log), pool: upstream.New(),
 	}
-	dispatcher := platform.NewDispatcher(p.pool)
 	self := cfg.Node + "@" + cfg.Address
 	divider := quota.New(self)
 	fleet := placement.New(placement.Options{
 		DataCentre: cfg.DataCentre, DrainTime: cfg.Bounds.Drain, Heartbeat: cfg.Heartbeat, Shares: divider,
 	})
+	dispatcher := platform.NewDispatcher(p.pool, gateway.NewAnnouncements(fleet, p.registry, log))
 	p.gateway = gateway.New(gateway.Options{
 		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: p.registry,
 	}, fleet, dispatcher, log)
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -38,7 +38,10 @@
 	LimitMalformed      = Event{8039, "limitMalformed", zerolog.WarnLevel, "an upstream named a request limit that cannot be read; what was known of it stays in force"}
 	RegistrationInvalid = Event{8040, "registrationInvalid", zerolog.WarnLevel, "an entry's registration could not be decoded; the entry is counted and has no claim to upstreams' request limits"}
 	LimitReported       = Event{8041, "limitReported", zerolog.InfoLevel, "another entry reports the request limit that an upstream named to it, or that there is none any more; this entry goes by it unless the upstream has answered it lately"}
-	StreamWaits         = Event{8042, "streamWaits", zerolog.InfoLevel, "a stream broke off and waits for waitMs to be resumed, because upstreams' request limits are used up"}
+	StreamWaits         = Event{8042, "streamWaits", zerolog.InfoLevel, "a stream broke off and waits for waitMs to be resumed, because upstreams' request limits are used up or they have asked for a pause"}
+	LeavingAnnounced    = Event{8050, "leavingAnnounced", zerolog.InfoLevel, "an upstream has announced in an answer that it leaves; this entry sends it no new work until it has started again"}
+	PauseAsked          = Event{8051, "pauseAsked", zerolog.InfoLevel, "an upstream that turned a request away asks for a pause; until untilMs this entry sends it nothing. pauseMs is less than what was asked for if that exceeds the bound"}
+	PauseMalformed      = Event{8052, "pauseMalformed", zerolog.WarnLevel, "an upstream asks for a pause that cannot be read; it changes nothing"}
 	RoleOrdered         = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is ordered to change its role; the line has the reason and the load that the decision was based on"}
 	RoleOrderEnded      = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "the engine accepted or refused an order for a role change, or its answer was lost; in the last case it may still carry out the order, and gets no other for some time"}
 	ReportMissing       = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
@@ -51,4 +54,5 @@
 	PolicyApplied, PolicyUnread,
 	EntriesCounted, EntryLapsed, EntryLeft, RosterUnread,
 	StoreEraBegan, StoreEraInvalid, UpstreamsSettled, PresetLost, LimitChanged, LimitMalformed, RegistrationInvalid, LimitReported, StreamWaits,
+	LeavingAnnounced, PauseAsked, PauseMalformed,
 }
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -78,15 +78,11 @@
 }
 
 func (p *CachePoller) pollEngine(ctx context.Context, service string, u fighollow.Upstream) {
-	sent := time.Now()
 	ch, err := p.reader.CacheChanges(ctx, u, p.fleet.CachePosition(service, u.ID))
 	if err != nil {
 		event.CacheUnread.Log(&p.log).Str("upstream", u.ID).Err(err).Send()
 		return
 	}
-	if change, ok := p.fleet.ObserveControlLimit(time.Now(), sent, service, u.ID, ch.Limit); ok {
-		p.gateway.logLimit(&p.log, u.ID, change)
-	}
 	if p.fleet.ApplyCacheChanges(time.Now(), service, u.ID, ch) {
 		event.CacheForgotten.Log(&p.log).Str("upstream", u.ID).Str("epoch", ch.Epoch).Bool("lost", ch.Lost).Send()
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -39,7 +39,7 @@
 	refused      int           // attempts that upstreams refused
 	overTarget   time.Duration // by how much a request that was refused as too late would have missed its latency target
 	permitWait   time.Duration // for which a stream that broke off has waited for a permit
-	limitedFor   time.Duration // time until a request that upstreams' limits exclude can be placed
+	limitedFor   time.Duration // time until a request that upstreams' limits or pauses exclude can be placed
 
 	retriesEnded     bool   // no further attempt is made
 	headerSent       bool   // the status and header of the answer were sent
@@ -92,13 +92,16 @@
 		Call: x.call, Upstream: c.Upstream, Phase: phase, KV: kv, FetchFrom: c.FetchFrom, ResumeAfter: x.resumeAfter,
 		Urgency: q.Urgency, Deadline: x.deadline,
 	}
-	line := event.AttemptPlaced.Log(&x.log).Str("upstream", c.Upstream.ID).Str("dataCentre", c.Upstream.DataCentre).
+	line := event.AttemptPlaced.Log(&x.log).Str("upstream", c.Upstream.ID).Int64("started", c.Upstream.StartedMs).Str("dataCentre", c.Upstream.DataCentre).
 		Str("phase", string(phase)).Float64("costMs", c.CostMs).
 		Int("tokens", x.call.PromptTokens).Int("cached", c.Cached).Int("fetched", c.Fetched).Float64("pendingMs", c.PendingMs).
 		Int("running", c.Running).Int64("leftMs", x.deadline.Sub(now).Milliseconds())
 	if c.Limited {
 		line.Float64("limitShare", c.Share)
 	}
+	if c.Trial {
+		line.Bool("trial", true)
+	}
 	line.Send()
 	a := &attempt{x: x, placed: x.pool.Begin(now, c, q), upstream: c.Upstream, phase: phase, charge: charged}
 	x.attemptsSent++
@@ -107,7 +110,7 @@
 		a.body = answer.NewReader(a.reply.Body, answer.Options{Framing: a.reply.Framing, Events: a.hasEvents()})
 	}
 	if a.reply != nil && !a.reply.Misdirected {
-		x.observeLimit(a)
+		x.observeAnnouncement(a)
 	}
 	return a, x.recordReply(ctx, a, err)
 }
@@ -230,6 +233,8 @@
 		return false, "noUpstream"
 	case errors.Is(err, placement.ErrLimited):
 		return false, "limited"
+	case errors.Is(err, placement.ErrPaused):
+		return false, "paused"
 	case errors.Is(err, errAttemptsExhausted):
 		return false, "noAttempt"
 	case errors.Is(err, errBudgetExhausted):
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -20,7 +20,7 @@
 		if err == nil || x.callerLeft {
 			return nil
 		}
-		if x.headerSent && errors.Is(err, placement.ErrLimited) && x.awaitPermit(ctx) {
+		if x.headerSent && (errors.Is(err, placement.ErrLimited) || errors.Is(err, placement.ErrPaused)) && x.awaitPermit(ctx) {
 			continue
 		}
 		if !x.shouldRetry(ctx, err) {
@@ -81,7 +81,7 @@
 	for x.arrivals.allowPrefill(x.route.MaxAttempts) {
 		a, err := x.send(ctx, fighollow.RequestPrefill, nil)
 		switch {
-		case x.refused == 0 && (errors.Is(err, placement.ErrNoUpstream) || errors.Is(err, placement.ErrLimited)):
+		case errors.Is(err, placement.ErrPaused), x.refused == 0 && (errors.Is(err, placement.ErrNoUpstream) || errors.Is(err, placement.ErrLimited)):
 			return nil, nil
 		case err == nil && a.reply.KV != nil:
 			a.end(placement.Answered, nil)
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -19,16 +19,16 @@
 		return
 	}
 	if change, ok := x.pool.ObserveLimit(time.Now(), a.placed, limit); ok {
-		x.g.logLimit(&x.log, a.upstream.ID, change)
+		x.g.metrics.logLimit(&x.log, a.upstream.ID, change)
 	}
 }
 
 // logLimit logs and counts a change of an upstream's request limit.
-func (g *Gateway) logLimit(log *zerolog.Logger, upstream string, c placement.LimitChange) {
+func (m *gatewayMetrics) logLimit(log *zerolog.Logger, upstream string, c placement.LimitChange) {
 	name := "limits.takenBack"
 	if c.InForce {
 		name = "limits.named"
 	}
-	g.metrics.count(name)
+	m.count(name)
 	event.LimitChanged.Log(log).Str("upstream", upstream).Bool("inForce", c.InForce).Float64("perSecond", c.PerSecond).Send()
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -45,6 +45,9 @@
 	case errors.Is(err, placement.ErrLimited):
 		x.limitedFor = delay
 		x.g.metrics.count("limits.exhausted")
+	case errors.Is(err, placement.ErrPaused):
+		x.limitedFor = delay
+		x.g.metrics.count("pauses.exhausted")
 	}
 	return c, q, err
 }
--- a/pkg/fighollow/attempt.go
+++ b/pkg/fighollow/attempt.go
@@ -82,8 +82,8 @@
 	// Misdirected reports that another instance answered at the address, or that the engine has another role. NotRun is
 	// set as well.
 	Misdirected bool
-	// Limit is the upstream's request limit as of this response. It is not the upstream's if Misdirected is set.
-	Limit RequestLimit
+	// Announcement is not the upstream's if Misdirected is set.
+	Announcement
 	// KV refers to the cache that a successful RequestPrefill exported; nil otherwise. Body is consumed if it is set.
 	KV *KVCache
 }
@@ -120,8 +120,6 @@
 	// Parts are in the order of the changes. Tokens is how much of the part the engine held after the change; 0 if it
 	// was evicted.
 	Parts []PromptPart
-	// Limit is the engine's request limit as of this answer, which itself does not count as a request.
-	Limit RequestLimit
 }
 
 // CacheReader reads the prefix caches of engines. Changes are reported late, and some are never reported.
