roster: polls with request limits take 4 KB/s instead of 6, with shorter claims

An entry received up to 6 KB/s by polls of the registrations while upstreams named limits; a node may spend 4 KB/s on control. Cause: a claim was an object of about 70 bytes without the upstream's name, and each entry reads up to 8 claims of a service of every entry. A claim is an array of four numbers now; objects of earlier versions are still read. An entry of an earlier version cannot read the arrays, logs 8040 and counts no claim: while versions are mixed, a limit can be exceeded.

TestClaimIsShort fails with the former objects.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -33,7 +33,7 @@
 	// their claims.
 	claimPollInterval = time.Second
 	// pollBytesPerSecond bounds what an entry receives by these polls.
-	pollBytesPerSecond = 6000
+	pollBytesPerSecond = 4000
 	// objectBytes is about how much of an entry's object in a list is not its value.
 	objectBytes = 150
 	// claimRenewPolls is the number of polls after which claims are written again although they have not changed.
@@ -177,7 +177,7 @@
 			event.RegistrationInvalid.Log(&r.log).Str("entry", o.Name).Err(err).Send()
 			reg = registration{}
 		}
-		entries = append(entries, quota.Entry{Name: o.Name, Claims: reg.Limits, ChangedAt: r.view.observations[o.Name].changedAt})
+		entries = append(entries, quota.Entry{Name: o.Name, Claims: limitClaims(reg.Limits), ChangedAt: r.view.observations[o.Name].changedAt})
 	}
 	before := r.opts.Divider.Reported()
 	r.opts.Divider.Observe(now, entries, r.pause(claims))
@@ -196,16 +196,16 @@
 
 // registration is the stored value of an entry's object.
 type registration struct {
-	DataCentre string                          `json:"dataCentre"`
-	Beat       uint64                          `json:"beat"`
-	Limits     map[string]fighollow.LimitClaim `json:"limits,omitempty"` // claims to request limits, by upstream
+	DataCentre string               `json:"dataCentre"`
+	Beat       uint64               `json:"beat"`
+	Limits     map[string]claimText `json:"limits,omitempty"` // claims to request limits, by upstream
 }
 
 // renew writes the entry's own object.
 func (r *Roster) renew(ctx context.Context, now time.Time, claims map[string]fighollow.LimitClaim) {
 	r.triedAt = now
 	r.beat++
-	value, err := json.Marshal(registration{DataCentre: r.opts.DataCentre, Beat: r.beat, Limits: claims})
+	value, err := json.Marshal(registration{DataCentre: r.opts.DataCentre, Beat: r.beat, Limits: claimTexts(claims)})
 	if err != nil {
 		panic(err) // strings and numbers always encode
 	}
