--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -20,11 +20,11 @@
 
 const (
 	// pollInterval is the minimum pause between two polls of the entries' objects. Shared limits are counted in windows of
-	// 10 s.
-	pollInterval = 3 * time.Second
+	// 10 s, and an upstream's request limit must hold 3 s after its naming, also for entries that learn of it by a poll.
+	pollInterval = time.Second
 	// pollIntervalPerEntry lengthens the pause in large deployments: an entry's object has about 200 bytes, and the
 	// traffic that an entry receives beside its requests is bounded to a few KB/s.
-	pollIntervalPerEntry = 60 * time.Millisecond
+	pollIntervalPerEntry = 51 * time.Millisecond
 	// renewInterval is the pause between two writes of an entry's own object. Writes are more expensive than reads.
 	renewInterval = 10 * time.Second
 	// lapseTimeout is how long an object may stay unchanged before its entry is considered gone: three renewals and a
@@ -34,7 +34,7 @@
 	// their claims.
 	claimPollInterval = time.Second
 	// pollBytesPerSecond bounds what an entry receives by these polls.
-	pollBytesPerSecond = 6000
+	pollBytesPerSecond = 4000
 	// objectBytes is about how much of an entry's object in a list is not its value.
 	objectBytes = 150
 	// claimRenewPolls is the number of polls after which claims are written again although they have not changed.
@@ -240,7 +240,7 @@
 func (r *Roster) divide(now time.Time, objects []fighollow.Object, registrations []registration, claims map[string]fighollow.LimitClaim) {
 	entries := make([]quota.Entry, 0, len(objects))
 	for i, o := range objects {
-		entries = append(entries, quota.Entry{Name: o.Name, Claims: registrations[i].Limits, ChangedAt: r.view.observations[o.Name].changedAt})
+		entries = append(entries, quota.Entry{Name: o.Name, Claims: limitClaims(registrations[i].Limits), ChangedAt: r.view.observations[o.Name].changedAt})
 	}
 	before := r.opts.Divider.Reported()
 	r.opts.Divider.Observe(now, entries, r.pause(claims))
@@ -259,10 +259,10 @@
 
 // registration is the stored value of an entry's object.
 type registration struct {
-	DataCentre string                          `json:"dataCentre"`
-	Beat       uint64                          `json:"beat"`
-	Limits     map[string]fighollow.LimitClaim `json:"limits,omitempty"` // claims to request limits, by upstream
-	Breaks     []quarantine.Report             `json:"breaks,omitempty"` // attempts that broke off
+	DataCentre string               `json:"dataCentre"`
+	Beat       uint64               `json:"beat"`
+	Limits     map[string]claimText `json:"limits,omitempty"` // claims to request limits, by upstream
+	Breaks     []quarantine.Report  `json:"breaks,omitempty"` // attempts that broke off
 }
 
 // renew writes the entry's own object.
@@ -270,7 +270,7 @@
 	r.triedAt = now
 	r.beat++
 	breaks := r.breaks(now)
-	value, err := json.Marshal(registration{DataCentre: r.opts.DataCentre, Beat: r.beat, Limits: claims, Breaks: quarantine.Reports(now, breaks)})
+	value, err := json.Marshal(registration{DataCentre: r.opts.DataCentre, Beat: r.beat, Limits: claimTexts(claims), Breaks: quarantine.Reports(now, breaks)})
 	if err != nil {
 		panic(err) // strings and numbers always encode
 	}
