fighollow, callerconn: a stop answers requests that the server has read and not yet noticed

Callers saw their connection end without an answer during a stop, although the request had arrived completely before the shutdown of the server, some 100 ms earlier on a process that is short of processor time. Cause: http.Server checks for a shutdown after it has parsed a request and returns without an answer. Shutdown also closes idle connections without a look at what has arrived on them, and SetKeepAlivesEnabled(false) does the same. Change: Listener.Drain runs before Shutdown, at the time at which Shutdown ran. It closes the listener, and each connection that waits for the first byte of a request, by the same step under the connection's lock that judges the timeouts: nothing unread, nothing half read. It checks again every 10 ms until no connection is left or the deadline of the stop passes; then Shutdown runs as before, which ends connections that are left. New connections without a byte get 5 s, as in Shutdown. The listener closes once, so that Shutdown reports no error for it. The test serves through a Listener now, as the process does, because stop needs it; its checks are unchanged.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -174,7 +174,7 @@
 	p.logStart()
 	select {
 	case <-ctx.Done():
-		p.stop(callerServer)
+		p.stop(callerServer, callers)
 	case err = <-serverErrs:
 		cancel()
 	}
@@ -215,8 +215,9 @@
 }
 
 // stop finishes the open requests within the platform's grace period. New requests are served as before until the load
-// balancer sees the failing readiness check; after that, only those that end in time. Responses close their connections.
-func (p *gatewayProcess) stop(s *http.Server) {
+// balancer sees the failing readiness check; after that, only those that end in time. Responses close their connections. callers
+// is the listener of s.
+func (p *gatewayProcess) stop(s *http.Server, callers *callerconn.Listener) {
 	start := time.Now()
 	p.stopping.Store(true)
 	deadline := start.Add(p.cfg.Bounds.Grace - stopMargin)
@@ -225,6 +226,7 @@
 	time.Sleep(min(acceptTime, p.cfg.Bounds.Grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	_ = callers.Drain(ctx) // Shutdown reports the end of ctx if connections are left
 	if err := s.Shutdown(ctx); err != nil {
 		event.StopCut.Log(&p.log).Err(err).Send()
 		_ = s.Close() // the process ends
--- a/cmd/fighollow/stop_test.go
+++ b/cmd/fighollow/stop_test.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/fighollow/fighollow/internal/callerconn"
 	"github.com/fighollow/fighollow/internal/gateway"
 	"github.com/fighollow/fighollow/platform"
 )
@@ -26,10 +27,13 @@
 		gateway: gateway.New(gateway.Options{Registry: metrics.NewRegistry()}, nil, nil, zerolog.Nop()), log: zerolog.Nop(),
 	}
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+	callers := callerconn.NewListener(s.Listener, func() callerconn.Timeouts { return callerconn.Timeouts{} }, zerolog.Nop())
+	s.Listener = callers
+	s.Config.ConnState = func(nc net.Conn, state http.ConnState) {
 		if state == http.StateActive {
 			time.Sleep(delay)
 		}
+		callers.ConnState(nc, state)
 	}
 	s.Start()
 	defer s.Close()
@@ -38,7 +42,7 @@
 	defer c.Close()
 	stopped := make(chan struct{})
 	go func() {
-		p.stop(s.Config)
+		p.stop(s.Config, callers)
 		close(stopped)
 	}()
 	time.Sleep(grace/2 - delay/2) // the server is shut down while the request waits
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -1,8 +1,11 @@
 package callerconn
 
 import (
+	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +23,13 @@
 // unreadDelay is how long a timeout waits for the server to read bytes that have arrived before it expired.
 const unreadDelay = 100 * time.Millisecond
 
+const (
+	// newConnTime is how long a draining Listener waits for the first byte of a connection, as http.Server.Shutdown does.
+	newConnTime = 5 * time.Second
+	// drainInterval is the time between two checks for connections that have become idle.
+	drainInterval = 10 * time.Millisecond
+)
+
 // Listener accepts connections and closes those that exceed their timeouts. A connection is only closed while the header of a
 // request is incomplete and everything that arrived has been read: a timer that expires while the process is short of processor
 // time ends no request that is there already. It is safe for concurrent use.
@@ -27,16 +37,42 @@
 	net.Listener
 	timeouts func() Timeouts
 	log      zerolog.Logger
+	close    func() error // closes net.Listener once: both Drain and the server close it
+
+	mu        sync.Mutex
+	accepting int // calls of Accept that may return a connection
+	conns     map[*Conn]struct{}
+	draining  bool
 }
 
 // NewListener returns a Listener for the TCP connections of l. Each wait is bounded by the result of timeouts at its start. The
 // server of the connections must call ConnState.
 func NewListener(l net.Listener, timeouts func() Timeouts, log zerolog.Logger) *Listener {
-	return &Listener{Listener: l, timeouts: timeouts, log: log}
+	return &Listener{Listener: l, timeouts: timeouts, log: log, close: sync.OnceValue(l.Close), conns: map[*Conn]struct{}{}}
 }
 
+// Close implements net.Listener.
+func (l *Listener) Close() error { return l.close() }
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.draining {
+		return nil, net.ErrClosed
+	}
+	l.accepting++
+	l.mu.Unlock()
+	nc, err := l.accept()
+	l.mu.Lock()
+	l.accepting--
+	if c, ok := nc.(*Conn); ok {
+		l.conns[c] = struct{}{}
+	}
+	return nc, err
+}
+
+func (l *Listener) accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -49,7 +85,7 @@
 	if err != nil {
 		return nc, nil //nolint:nilerr // an error of one connection must not end the server
 	}
-	c := &Conn{TCPConn: tcp, raw: raw, l: l}
+	c := &Conn{TCPConn: tcp, raw: raw, l: l, accepted: time.Now()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.await(stateHeader, l.timeouts().Header)
@@ -84,6 +120,46 @@
 	_ = c.TCPConn.Close() // the connection has ended, whatever the result
 }
 
+// Drain closes l, and each connection once it is idle. It returns when no connection is left, or with the error of ctx. It must be
+// called before http.Server.Shutdown, which ends connections whose request has been read and not yet been noticed by the server.
+func (l *Listener) Drain(ctx context.Context) error {
+	l.mu.Lock()
+	l.draining = true
+	l.mu.Unlock()
+	_ = l.Close() // Accept returns, whatever the result
+	tick := time.NewTicker(drainInterval)
+	defer tick.Stop()
+	for !l.drained() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+	return nil
+}
+
+// drained closes the connections that are idle and reports whether none is left.
+func (l *Listener) drained() bool {
+	l.mu.Lock()
+	conns := slices.Collect(maps.Keys(l.conns))
+	accepting := l.accepting
+	l.mu.Unlock()
+	for _, c := range conns {
+		if c.expireIdle() {
+			_ = c.TCPConn.Close() // the server's read fails, and it calls Close
+		}
+	}
+	return accepting == 0 && len(conns) == 0
+}
+
+// remove forgets c, which the server has closed.
+func (l *Listener) remove(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
 // connState is what a Conn waits for.
 type connState int
 
@@ -128,8 +204,9 @@
 // Conn is a connection that a Listener accepted.
 type Conn struct {
 	*net.TCPConn
-	raw rawConn
-	l   *Listener
+	raw      rawConn
+	l        *Listener
+	accepted time.Time
 
 	mu      sync.Mutex // also held while bytes are taken from the socket, so that what has arrived is either unread or counted
 	state   connState
@@ -171,6 +248,19 @@
 	return c.state, true
 }
 
+// expireIdle ends the reading of c if it waits for the first byte of a request and there is nothing to read.
+func (c *Conn) expireIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	idle := c.state == stateIdle || c.state == stateHeader && !c.header.begun && time.Since(c.accepted) >= newConnTime
+	if c.closed || !idle || c.hasUnread() {
+		return false
+	}
+	c.closed = true
+	c.startTimer(0)
+	return true
+}
+
 // received updates what c waits for after bytes of a request were read. c.mu must be held.
 func (c *Conn) received(p []byte) {
 	if len(p) == 0 || c.state == stateBusy {
@@ -193,5 +283,6 @@
 	c.closed = true
 	c.startTimer(0)
 	c.mu.Unlock() // a Read that waits for the lock would keep TCPConn.Close from returning
+	c.l.remove(c)
 	return c.TCPConn.Close()
 }
