callerconn: failing test of a response on an expired connection

Conn.Read returns net.ErrClosed, a SyscallError or a "raw-read" OpError, where net.TCPConn returns a "read" OpError. net/http answers an error that it does not know with 400, which reaches the caller if the connection is not closed yet.

--- a/internal/callerconn/listener_test.go
+++ b/internal/callerconn/listener_test.go
@@ -15,6 +15,10 @@
 	"github.com/fighollow/fighollow/internal/callerconn"
 )
 
+type writerFunc func(p []byte) (int, error)
+
+func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
+
 func listen(t *testing.T, timeouts callerconn.Timeouts) *callerconn.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -112,3 +116,28 @@
 		resp.Body.Close()
 	}
 }
+
+// Guards against a response to a request whose connection has expired: the caller may take it for the result of its request.
+func TestExpiredHeaderGetsNoResponse(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	expired := make(chan struct{})
+	log := zerolog.New(writerFunc(func(p []byte) (int, error) { // the connection has expired and is not closed yet
+		close(expired)
+		time.Sleep(100 * time.Millisecond)
+		return len(p), nil
+	}))
+	l := callerconn.NewListener(inner, func() callerconn.Timeouts { return callerconn.Timeouts{Header: 100 * time.Millisecond} }, log)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.Listener, s.Config.ConnState = l, l.ConnState
+	s.Start()
+	defer s.Close()
+	c := dial(t, l)
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	<-expired
+	_, err = io.WriteString(c, "Host: h\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	got, _ := io.ReadAll(c) // ends with an end of file or a reset
+	qt.Assert(t, string(got), qt.Equals, "")
+}
