callerconn: errors of reads are those of a net connection; an expired connection is closed before it is logged

Callers whose header ended between the expiry of its timeout and the close got 400, which they may take for the result of their request. Cause: Conn.Read returned net.ErrClosed, a SyscallError or an OpError of "raw-read". http.Server answers each error that is not io.EOF, a timeout or an OpError of "read" with 400. The connection was open for as long as its log line took. Change: errors are wrapped as net.TCPConn wraps them; deadlines stay timeouts, and the end of a stream stays io.EOF. The connection is closed first and logged then.

--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -115,9 +115,9 @@
 	if !ok {
 		return
 	}
+	_ = c.TCPConn.Close() // the connection has ended, whatever the result
 	event.CallerTimedOut.Log(&l.log).Str("caller", c.RemoteAddr().String()).Str("state", state.String()).
 		Int64("timeoutMs", timeout.Milliseconds()).Send()
-	_ = c.TCPConn.Close() // the connection has ended, whatever the result
 }
 
 // Drain closes l, and each connection once it is idle. It returns when no connection is left, or with the error of ctx. It must be
--- a/internal/callerconn/socket_linux.go
+++ b/internal/callerconn/socket_linux.go
@@ -35,17 +35,28 @@
 	})
 	switch {
 	case err != nil:
-		return 0, err
-	case errors.Is(readErr, net.ErrClosed):
-		return 0, readErr
+		return 0, c.readError(err)
 	case readErr != nil:
-		return 0, os.NewSyscallError("read", readErr)
+		return 0, c.readError(readErr)
 	case n == 0:
 		return 0, io.EOF
 	}
 	return n, nil
 }
 
+// readError returns err as net.TCPConn's Read does: http.Server answers an error that it does not take for one of a connection.
+func (c *Conn) readError(err error) error {
+	var opErr *net.OpError
+	var errno syscall.Errno
+	switch {
+	case errors.As(err, &opErr): // with the Op of a RawConn
+		err = opErr.Err
+	case errors.As(err, &errno):
+		err = os.NewSyscallError("read", errno)
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+}
+
 // hasUnread reports whether bytes have arrived that were not read yet. c.mu must be held.
 func (c *Conn) hasUnread() bool {
 	n := 0
