callerconn: the idle timeout begins when the server reads again

Callers that pipeline lost a request that was read together with the one before it: the idle timeout closed the connection while the server, short of processor time, had not yet noticed the request. Cause: the timeout began when the connection became idle. Bytes that were read until then, as the rest of a body or in http.Server's background read, were not counted. Evidence: TestPipelinedRequestSurvivesTheIdleTimeout failed before this change (unexpected end of file instead of the second response). Change: after a response the connection counts as busy until the server's next read, which begins the idle timeout. http.Server reads only once its buffer holds too little for the next request, and its background read has ended before it reports the connection as idle. A drain judges such a connection in the same way. Not covered: a pipelined request of which only the beginning was read with the one before is bounded by the idle timeout until its next line; if only the last two or three bytes of its header are missing, by the idle timeout until the server notices it.

--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -102,9 +102,10 @@
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		c.await(stateIdle, l.timeouts().Idle)
+		c.answered = true
 	case http.StateActive:
-		c.await(stateBusy, 0) // a pipelined request may have been read together with the one before
+		c.answered = false
+		c.await(stateBusy, 0)
 	case http.StateNew, http.StateHijacked, http.StateClosed:
 	}
 }
@@ -208,12 +209,13 @@
 	l        *Listener
 	accepted time.Time
 
-	mu      sync.Mutex // also held while bytes are taken from the socket, so that what has arrived is either unread or counted
-	state   connState
-	closed  bool // nothing is read any more
-	header  headerEnd
-	timer   *time.Timer
-	timerID uint64 // of the timer that counts
+	mu       sync.Mutex // also held while bytes are taken from the socket, so that what has arrived is either unread or counted
+	state    connState
+	answered bool // the server has ended a request and has not read since; it may hold the next request already
+	closed   bool // nothing is read any more
+	header   headerEnd
+	timer    *time.Timer
+	timerID  uint64 // of the timer that counts
 }
 
 // await starts to wait for the bytes of the next request. c.mu must be held.
@@ -222,6 +224,15 @@
 	c.startTimer(timeout)
 }
 
+// beginRead starts the idle timeout at the first read after a response: until then, the server may serve a request that it has
+// read together with the one before. c.mu must be held.
+func (c *Conn) beginRead() {
+	if c.answered {
+		c.answered = false
+		c.await(stateIdle, c.l.timeouts().Idle)
+	}
+}
+
 // startTimer replaces the timer; zero stops it. c.mu must be held.
 func (c *Conn) startTimer(timeout time.Duration) {
 	if c.timer != nil {
--- a/internal/callerconn/socket_linux.go
+++ b/internal/callerconn/socket_linux.go
@@ -25,6 +25,7 @@
 			readErr = net.ErrClosed
 			return true
 		}
+		c.beginRead()
 		n, readErr = ignoreInterrupts(func() (int, error) { return unix.Read(int(fd), p) })
 		if errors.Is(readErr, unix.EAGAIN) {
 			return false // the runtime waits until there is something to read, or the deadline passes
