--- a/internal/callerconn/listener_test.go
+++ b/internal/callerconn/listener_test.go
@@ -170,3 +170,26 @@
 		resp.Body.Close()
 	}
 }
+
+// Guards against a blank line after a body, which servers ignore, being taken for the start of a header: the connection would
+// end at the header timeout although the caller may use it until the idle timeout.
+func TestBlankLineBetweenRequestsIsIdle(t *testing.T) {
+	l := listen(t, callerconn.Timeouts{Header: 100 * time.Millisecond, Idle: 5 * time.Second})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }))
+	s.Listener, s.Config.ConnState = l, l.ConnState
+	s.Start()
+	defer s.Close()
+	c := dial(t, l)
+	r := bufio.NewReader(c)
+	for i := range 2 {
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab")
+		qt.Assert(t, err, qt.IsNil)
+		resp, err := http.ReadResponse(r, nil)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("request %d", i))
+		qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusOK)
+		resp.Body.Close()
+		_, err = io.WriteString(c, "\r\n")
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(300 * time.Millisecond)
+	}
+}
