callerconn: blank lines between requests leave the idle timeout running

Callers that send a CRLF after the body of a POST, which servers ignore, had their connection closed at the header timeout although they may use it until the idle timeout. Cause: each byte on an idle connection counted as the beginning of a header. Change: the header timeout begins with the first byte of a line that is not blank.

--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -17,7 +17,7 @@
 // Timeouts bound how long a caller may take. A timeout of zero does not apply.
 type Timeouts struct {
 	Header time.Duration // from the connection, or from the first byte of a later request, to the end of the header
-	Idle   time.Duration // from the end of an answer to the first byte of the next request
+	Idle   time.Duration // from the end of an answer to the first byte of the next request, blank lines aside
 }
 
 // unreadDelay is how long a timeout waits for the server to read bytes that have arrived before it expired.
@@ -282,7 +282,7 @@
 		c.startTimer(0)
 		return
 	}
-	if c.state == stateIdle {
+	if c.state == stateIdle && c.header.begun { // until then the idle timeout goes on
 		c.state = stateHeader
 		c.startTimer(c.l.timeouts().Header)
 	}
--- a/internal/callerconn/listener_test.go
+++ b/internal/callerconn/listener_test.go
@@ -193,3 +193,28 @@
 		time.Sleep(300 * time.Millisecond)
 	}
 }
+
+// Guards against blank lines that keep an idle connection open for ever.
+func TestBlankLinesDoNotKeepAConnection(t *testing.T) {
+	const idle = 200 * time.Millisecond
+	l := listen(t, callerconn.Timeouts{Header: 5 * time.Second, Idle: idle})
+	c := dial(t, l)
+	nc, err := l.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	defer nc.Close()
+	l.ConnState(nc, http.StateIdle)
+	go func() {
+		for {
+			if _, err := io.WriteString(c, "\r\n"); err != nil {
+				return
+			}
+			time.Sleep(idle / 10)
+		}
+	}()
+	start := time.Now()
+	for err == nil {
+		_, err = nc.Read(make([]byte, 100))
+	}
+	qt.Assert(t, err, qt.ErrorIs, net.ErrClosed)
+	qt.Assert(t, time.Since(start) >= idle && time.Since(start) < 4*idle, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
+}
