callerconn: the log line of an expired connection names the timeout, also after a wait for unread bytes

callerTimedOut named 100 ms as its timeout if the timer had expired beside unread bytes, which were then read and left the header incomplete. Cause: the timer that waits for the read passed its own delay as the timeout. Change: the timeout is passed on beside the delay of the timer.

--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -112,7 +112,7 @@
 
 // expired closes c unless it has been read since its timer was started, or there is something to read.
 func (l *Listener) expired(c *Conn, timer uint64, timeout time.Duration) {
-	state, ok := c.expire(timer)
+	state, ok := c.expire(timer, timeout)
 	if !ok {
 		return
 	}
@@ -221,7 +221,7 @@
 // await starts to wait for the bytes of the next request. c.mu must be held.
 func (c *Conn) await(s connState, timeout time.Duration) {
 	c.state, c.header = s, headerEnd{}
-	c.startTimer(timeout)
+	c.startTimer(timeout, timeout)
 }
 
 // beginRead starts the idle timeout at the first read after a response: until then, the server may serve a request that it has
@@ -233,26 +233,27 @@
 	}
 }
 
-// startTimer replaces the timer; zero stops it. c.mu must be held.
-func (c *Conn) startTimer(timeout time.Duration) {
+// startTimer replaces the timer, which expires after delay; zero stops it. The wait that it ends was bounded by timeout. c.mu must
+// be held.
+func (c *Conn) startTimer(delay, timeout time.Duration) {
 	if c.timer != nil {
 		c.timer.Stop()
 	}
 	c.timerID++
-	if id := c.timerID; timeout > 0 {
-		c.timer = time.AfterFunc(timeout, func() { c.l.expired(c, id, timeout) })
+	if id := c.timerID; delay > 0 {
+		c.timer = time.AfterFunc(delay, func() { c.l.expired(c, id, timeout) })
 	}
 }
 
 // expire ends the reading of c if the timer still counts and there is nothing to read. It returns what c was waiting for.
-func (c *Conn) expire(timer uint64) (connState, bool) {
+func (c *Conn) expire(timer uint64, timeout time.Duration) (connState, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed || c.timerID != timer {
 		return c.state, false
 	}
 	if c.hasUnread() {
-		c.startTimer(unreadDelay)
+		c.startTimer(unreadDelay, timeout)
 		return c.state, false
 	}
 	c.closed = true
@@ -268,7 +269,7 @@
 		return false
 	}
 	c.closed = true
-	c.startTimer(0)
+	c.startTimer(0, 0)
 	return true
 }
 
@@ -279,12 +280,13 @@
 	}
 	if c.header.scan(p) {
 		c.state = stateBusy
-		c.startTimer(0)
+		c.startTimer(0, 0)
 		return
 	}
 	if c.state == stateIdle && c.header.begun { // until then the idle timeout goes on
 		c.state = stateHeader
-		c.startTimer(c.l.timeouts().Header)
+		timeout := c.l.timeouts().Header
+		c.startTimer(timeout, timeout)
 	}
 }
 
@@ -292,7 +294,7 @@
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	c.closed = true
-	c.startTimer(0)
+	c.startTimer(0, 0)
 	c.mu.Unlock() // a Read that waits for the lock would keep TCPConn.Close from returning
 	c.l.remove(c)
 	return c.TCPConn.Close()
--- a/internal/callerconn/listener_test.go
+++ b/internal/callerconn/listener_test.go
@@ -218,3 +218,32 @@
 	qt.Assert(t, err, qt.ErrorIs, net.ErrClosed)
 	qt.Assert(t, time.Since(start) >= idle && time.Since(start) < 4*idle, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
 }
+
+// Guards against a log line that names the wait for unread bytes instead of the timeout.
+func TestExpiryAfterUnreadBytesLogsItsTimeout(t *testing.T) {
+	const timeout = 50 * time.Millisecond
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer inner.Close()
+	lines := make(chan string, 1)
+	log := zerolog.New(writerFunc(func(p []byte) (int, error) {
+		lines <- string(p)
+		return len(p), nil
+	}))
+	l := callerconn.NewListener(inner, func() callerconn.Timeouts { return callerconn.Timeouts{Header: timeout} }, log)
+	c := dial(t, l)
+	nc, err := l.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	defer nc.Close()
+	_, err = io.WriteString(c, "GET")
+	qt.Assert(t, err, qt.IsNil)
+	time.Sleep(2 * timeout)
+	_, err = nc.Read(make([]byte, 100))
+	qt.Assert(t, err, qt.IsNil)
+	select {
+	case line := <-lines:
+		qt.Assert(t, line, qt.Contains, `"timeoutMs":50`)
+	case <-time.After(5 * time.Second):
+		t.Fatal("no log line")
+	}
+}
