entry: an attempt is counted in the step in which its link is looked up

Attempts could lose their link while they used it: it was closed as idle. Cause: acquire looked up the link and counted the attempt under the lock of the pool, but released it in between. A check for idle links in that moment removed the link from the pool, so that the attempt was counted nowhere. Change: acquire holds the lock over both.

--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -38,7 +38,9 @@
 
 // get returns the open link to addr, or dials if there is none. If it returns an error, nothing has been sent.
 func (p *pool) get(ctx context.Context, addr string) (*link.Conn, error) {
+	p.mu.Lock()
 	pl, err := p.pooledLink(addr)
+	p.mu.Unlock()
 	if err != nil {
 		return nil, err
 	}
@@ -72,9 +74,9 @@
 
 // acquire prevents the link to addr from being closed as idle. Each acquire must be followed by one release.
 func (p *pool) acquire(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if pl, err := p.pooledLink(addr); err == nil {
-		p.mu.Lock()
-		defer p.mu.Unlock()
 		pl.users++
 	}
 }
@@ -122,9 +124,8 @@
 	return out
 }
 
+// pooledLink returns the entry of addr. p.mu must be held.
 func (p *pool) pooledLink(addr string) (*pooledLink, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if p.closed {
 		return nil, link.ErrClosed
 	}
