link: a ping timeout reads what has arrived before it closes the link

A process that stalled for the ping timeout while it read closed a link whose peer had answered, and ended its streams. Cause: pingLoop judged by the time of the last finished read. Change: if the reader waits for data or takes it, the timeout sets a read deadline instead. A reader that does not read may wait for the full send queue; its link is closed as before. The test's server had the client's timeout of 100 ms, and the client sends nothing while it is stalled for 300 ms, so that the server closed the link rightly ("broken pipe"). The server has the default of 3 s now; the check of the client's side is unchanged. TLS keeps a connection usable after a read deadline, which is a temporary error.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +23,7 @@
 
 	out      sendQueue
 	lastRecv atomic.Int64 // Unix nanoseconds
+	reading  atomic.Bool  // readLoop waits for data, or takes it
 	sent     atomic.Int64 // bytes
 	received atomic.Int64 // bytes
 	closed   chan struct{}
@@ -119,7 +122,12 @@
 }
 
 func (r countingReader) Read(p []byte) (int, error) {
+	r.c.reading.Store(true)
+	defer r.c.reading.Store(false)
 	n, err := r.c.nc.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = r.c.readUnread(p)
+	}
 	r.c.received.Add(int64(n))
 	r.c.lastRecv.Store(time.Now().UnixNano())
 	return n, err
--- a/internal/link/ping_test.go
+++ b/internal/link/ping_test.go
@@ -26,7 +26,7 @@
 // was only slow to read it.
 func TestUnreadAnswerKeepsTheLinkOpen(t *testing.T) {
 	opts := Options{PingActive: 20 * time.Millisecond, PingIdle: 20 * time.Millisecond, PingTimeout: 100 * time.Millisecond}
-	l, err := Listen("127.0.0.1:0", Hello{ID: "server"}, NoHandler{}, opts, nil)
+	l, err := Listen("127.0.0.1:0", Hello{ID: "server"}, NoHandler{}, Options{}, nil)
 	qt.Assert(t, err, qt.IsNil)
 	defer l.Close()
 	var d net.Dialer
