--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -302,3 +302,26 @@
 	_, err := do(pool, peer.addr, "POST", "a", "x")
 	qt.Assert(t, errors.Is(err, upstream.ErrBroken), qt.IsTrue)
 }
+
+// Guards against an idle time that is counted from when the process reads the end of a response instead of from when the upstream
+// sent it: a slow process or caller would use up the margin before the upstream's keep-alive timeout, and the next request would
+// meet the upstream's close.
+func TestIdleTimeCountsFromTheArrivalOfTheResponse(t *testing.T) {
+	peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
+		for id := p.read(r); id != ""; id = p.read(r) {
+			_, _ = io.WriteString(c, response(id, "ok", "Keep-Alive: timeout=1\r\n"))
+		}
+	})
+	pool := upstream.New()
+	defer pool.Close()
+	resp, err := pool.Do(t.Context(), peer.addr, request("POST", "a", "x"), func(*http.Response) bool { return true })
+	qt.Assert(t, err, qt.IsNil)
+	time.Sleep(900 * time.Millisecond) // the whole response has arrived
+	_, err = io.ReadAll(resp.Body)
+	qt.Assert(t, err, qt.IsNil)
+	resp.Body.Close()
+	time.Sleep(60 * time.Millisecond) // 40 ms before the peer's timeout
+	_, err = do(pool, peer.addr, "POST", "b", "x")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, peer.conns.Load(), qt.Equals, int64(2))
+}
