callerconn: failing test of a pipelined request that is read in parts

The connection does not know which bytes that were read during a request belong to the next one. If the beginning of a pipelined header was among them and only its last line arrives later, it does not see the header's end: the idle timeout, or a drain, cuts the request until the server notices it.

--- a/internal/callerconn/listener_test.go
+++ b/internal/callerconn/listener_test.go
@@ -247,3 +247,35 @@
 		t.Fatal("no log line")
 	}
 }
+
+// Guards against the idle timeout cutting a pipelined request of which only the last line was read after the response before it.
+func TestPipelinedRequestInPartsSurvivesTheIdleTimeout(t *testing.T) {
+	const idle = 100 * time.Millisecond
+	l := listen(t, callerconn.Timeouts{Idle: idle})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.Listener = l
+	n := 0
+	s.Config.ConnState = func(nc net.Conn, state http.ConnState) {
+		if state == http.StateActive {
+			if n++; n == 2 {
+				time.Sleep(3 * idle)
+			}
+		}
+		l.ConnState(nc, state)
+	}
+	s.Start()
+	defer s.Close()
+	c := dial(t, l)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	r := bufio.NewReader(c)
+	for i := range 2 {
+		resp, err := http.ReadResponse(r, nil)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("request %d", i))
+		resp.Body.Close()
+		if i == 0 {
+			_, err = io.WriteString(c, "\r\n")
+			qt.Assert(t, err, qt.IsNil)
+		}
+	}
+}
