--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -1,8 +1,11 @@
 package callerconn
 
 import (
+	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,12 +17,19 @@
 // Timeouts bound how long a caller may take. A timeout of zero does not apply.
 type Timeouts struct {
 	Header time.Duration // from the connection, or from the first byte of a later request, to the end of the header
-	Idle   time.Duration // from the end of an answer to the first byte of the next request
+	Idle   time.Duration // from the end of an answer to the first byte of the next request, blank lines aside
 }
 
 // unreadDelay is how long a timeout waits for the server to read bytes that have arrived before it expired.
 const unreadDelay = 100 * time.Millisecond
 
+const (
+	// newConnTime is how long a draining Listener waits for the first byte of a connection, as http.Server.Shutdown does.
+	newConnTime = 5 * time.Second
+	// drainInterval is the time between two checks for connections that have become idle.
+	drainInterval = 10 * time.Millisecond
+)
+
 // Listener accepts connections and closes those that exceed their timeouts. A connection is only closed while the header of a
 // request is incomplete and everything that arrived has been read: a timer that expires while the process is short of processor
 // time ends no request that is there already. It is safe for concurrent use.
@@ -27,16 +37,42 @@
 	net.Listener
 	timeouts func() Timeouts
 	log      zerolog.Logger
+	close    func() error // closes net.Listener once: both Drain and the server close it
+
+	mu        sync.Mutex
+	accepting int // calls of Accept that may return a connection
+	conns     map[*Conn]struct{}
+	draining  bool
 }
 
 // NewListener returns a Listener for the TCP connections of l. Each wait is bounded by the result of timeouts at its start. The
 // server of the connections must call ConnState.
 func NewListener(l net.Listener, timeouts func() Timeouts, log zerolog.Logger) *Listener {
-	return &Listener{Listener: l, timeouts: timeouts, log: log}
+	return &Listener{Listener: l, timeouts: timeouts, log: log, close: sync.OnceValue(l.Close), conns: map[*Conn]struct{}{}}
 }
 
+// Close implements net.Listener.
+func (l *Listener) Close() error { return l.close() }
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.draining {
+		return nil, net.ErrClosed
+	}
+	l.accepting++
+	l.mu.Unlock()
+	nc, err := l.accept()
+	l.mu.Lock()
+	l.accepting--
+	if c, ok := nc.(*Conn); ok {
+		l.conns[c] = struct{}{}
+	}
+	return nc, err
+}
+
+func (l *Listener) accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -49,7 +85,7 @@
 	if err != nil {
 		return nc, nil //nolint:nilerr // an error of one connection must not end the server
 	}
-	c := &Conn{TCPConn: tcp, raw: raw, l: l}
+	c := &Conn{TCPConn: tcp, raw: raw, l: l, accepted: time.Now()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.await(stateHeader, l.timeouts().Header)
@@ -66,22 +102,63 @@
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		c.await(stateIdle, l.timeouts().Idle)
+		c.answered = true
 	case http.StateActive:
-		c.await(stateBusy, 0) // a pipelined request may have been read together with the one before
+		c.answered = false
+		c.await(stateBusy, 0)
 	case http.StateNew, http.StateHijacked, http.StateClosed:
 	}
 }
 
 // expired closes c unless it has been read since its timer was started, or there is something to read.
 func (l *Listener) expired(c *Conn, timer uint64, timeout time.Duration) {
-	state, ok := c.expire(timer)
+	state, ok := c.expire(timer, timeout)
 	if !ok {
 		return
 	}
+	_ = c.TCPConn.Close() // the connection has ended, whatever the result
 	event.CallerTimedOut.Log(&l.log).Str("caller", c.RemoteAddr().String()).Str("state", state.String()).
 		Int64("timeoutMs", timeout.Milliseconds()).Send()
-	_ = c.TCPConn.Close() // the connection has ended, whatever the result
+}
+
+// Drain closes l, and each connection once it is idle. It returns when no connection is left, or with the error of ctx. It must be
+// called before http.Server.Shutdown, which ends connections whose request has been read and not yet been noticed by the server.
+func (l *Listener) Drain(ctx context.Context) error {
+	l.mu.Lock()
+	l.draining = true
+	l.mu.Unlock()
+	_ = l.Close() // Accept returns, whatever the result
+	tick := time.NewTicker(drainInterval)
+	defer tick.Stop()
+	for !l.drained() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+	return nil
+}
+
+// drained closes the connections that are idle and reports whether none is left.
+func (l *Listener) drained() bool {
+	l.mu.Lock()
+	conns := slices.Collect(maps.Keys(l.conns))
+	accepting := l.accepting
+	l.mu.Unlock()
+	for _, c := range conns {
+		if c.expireIdle() {
+			_ = c.TCPConn.Close() // the server's read fails, and it calls Close
+		}
+	}
+	return accepting == 0 && len(conns) == 0
+}
+
+// remove forgets c, which the server has closed.
+func (l *Listener) remove(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
 }
 
 // connState is what a Conn waits for.
@@ -128,49 +205,74 @@
 // Conn is a connection that a Listener accepted.
 type Conn struct {
 	*net.TCPConn
-	raw rawConn
-	l   *Listener
+	raw      rawConn
+	l        *Listener
+	accepted time.Time
 
-	mu      sync.Mutex // also held while bytes are taken from the socket, so that what has arrived is either unread or counted
-	state   connState
-	closed  bool // nothing is read any more
-	header  headerEnd
-	timer   *time.Timer
-	timerID uint64 // of the timer that counts
+	mu       sync.Mutex // also held while bytes are taken from the socket, so that what has arrived is either unread or counted
+	state    connState
+	answered bool // the server has ended a request and has not read since; it may hold the next request already
+	closed   bool // nothing is read any more
+	header   headerEnd
+	timer    *time.Timer
+	timerID  uint64 // of the timer that counts
 }
 
 // await starts to wait for the bytes of the next request. c.mu must be held.
 func (c *Conn) await(s connState, timeout time.Duration) {
 	c.state, c.header = s, headerEnd{}
-	c.startTimer(timeout)
+	c.startTimer(timeout, timeout)
 }
 
-// startTimer replaces the timer; zero stops it. c.mu must be held.
-func (c *Conn) startTimer(timeout time.Duration) {
+// beginRead starts the idle timeout at the first read after a response: until then, the server may serve a request that it has
+// read together with the one before. c.mu must be held.
+func (c *Conn) beginRead() {
+	if c.answered {
+		c.answered = false
+		c.await(stateIdle, c.l.timeouts().Idle)
+	}
+}
+
+// startTimer replaces the timer, which expires after delay; zero stops it. The wait that it ends was bounded by timeout. c.mu must
+// be held.
+func (c *Conn) startTimer(delay, timeout time.Duration) {
 	if c.timer != nil {
 		c.timer.Stop()
 	}
 	c.timerID++
-	if id := c.timerID; timeout > 0 {
-		c.timer = time.AfterFunc(timeout, func() { c.l.expired(c, id, timeout) })
+	if id := c.timerID; delay > 0 {
+		c.timer = time.AfterFunc(delay, func() { c.l.expired(c, id, timeout) })
 	}
 }
 
 // expire ends the reading of c if the timer still counts and there is nothing to read. It returns what c was waiting for.
-func (c *Conn) expire(timer uint64) (connState, bool) {
+func (c *Conn) expire(timer uint64, timeout time.Duration) (connState, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed || c.timerID != timer {
 		return c.state, false
 	}
 	if c.hasUnread() {
-		c.startTimer(unreadDelay)
+		c.startTimer(unreadDelay, timeout)
 		return c.state, false
 	}
 	c.closed = true
 	return c.state, true
 }
 
+// expireIdle ends the reading of c if it waits for the first byte of a request and there is nothing to read.
+func (c *Conn) expireIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	idle := c.state == stateIdle || c.state == stateHeader && !c.header.begun && time.Since(c.accepted) >= newConnTime
+	if c.closed || !idle || c.hasUnread() {
+		return false
+	}
+	c.closed = true
+	c.startTimer(0, 0)
+	return true
+}
+
 // received updates what c waits for after bytes of a request were read. c.mu must be held.
 func (c *Conn) received(p []byte) {
 	if len(p) == 0 || c.state == stateBusy {
@@ -178,12 +280,13 @@
 	}
 	if c.header.scan(p) {
 		c.state = stateBusy
-		c.startTimer(0)
+		c.startTimer(0, 0)
 		return
 	}
-	if c.state == stateIdle {
+	if c.state == stateIdle && c.header.begun { // until then the idle timeout goes on
 		c.state = stateHeader
-		c.startTimer(c.l.timeouts().Header)
+		timeout := c.l.timeouts().Header
+		c.startTimer(timeout, timeout)
 	}
 }
 
@@ -191,7 +294,8 @@
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	c.closed = true
-	c.startTimer(0)
+	c.startTimer(0, 0)
 	c.mu.Unlock() // a Read that waits for the lock would keep TCPConn.Close from returning
+	c.l.remove(c)
 	return c.TCPConn.Close()
 }
--- a/internal/callerconn/listener_test.go
+++ b/internal/callerconn/listener_test.go
@@ -15,6 +15,10 @@
 	"github.com/fighollow/fighollow/internal/callerconn"
 )
 
+type writerFunc func(p []byte) (int, error)
+
+func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
+
 func listen(t *testing.T, timeouts callerconn.Timeouts) *callerconn.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -112,3 +116,166 @@
 		resp.Body.Close()
 	}
 }
+
+// Guards against a response to a request whose connection has expired: the caller may take it for the result of its request.
+func TestExpiredHeaderGetsNoResponse(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	expired := make(chan struct{})
+	log := zerolog.New(writerFunc(func(p []byte) (int, error) { // the connection has expired and is not closed yet
+		close(expired)
+		time.Sleep(100 * time.Millisecond)
+		return len(p), nil
+	}))
+	l := callerconn.NewListener(inner, func() callerconn.Timeouts { return callerconn.Timeouts{Header: 100 * time.Millisecond} }, log)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.Listener, s.Config.ConnState = l, l.ConnState
+	s.Start()
+	defer s.Close()
+	c := dial(t, l)
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	<-expired
+	_, err = io.WriteString(c, "Host: h\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	got, _ := io.ReadAll(c) // ends with an end of file or a reset
+	qt.Assert(t, string(got), qt.Equals, "")
+}
+
+// Guards against the idle timeout cutting a request that was read together with the one before it, while the server is slow to
+// notice it.
+func TestPipelinedRequestSurvivesTheIdleTimeout(t *testing.T) {
+	const idle = 100 * time.Millisecond
+	l := listen(t, callerconn.Timeouts{Idle: idle})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.Listener = l
+	n := 0
+	s.Config.ConnState = func(nc net.Conn, state http.ConnState) {
+		if state == http.StateActive {
+			if n++; n == 2 {
+				time.Sleep(3 * idle)
+			}
+		}
+		l.ConnState(nc, state)
+	}
+	s.Start()
+	defer s.Close()
+	c := dial(t, l)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	r := bufio.NewReader(c)
+	for i := range 2 {
+		resp, err := http.ReadResponse(r, nil)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("request %d", i))
+		resp.Body.Close()
+	}
+}
+
+// Guards against a blank line after a body, which servers ignore, being taken for the start of a header: the connection would
+// end at the header timeout although the caller may use it until the idle timeout.
+func TestBlankLineBetweenRequestsIsIdle(t *testing.T) {
+	l := listen(t, callerconn.Timeouts{Header: 100 * time.Millisecond, Idle: 5 * time.Second})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }))
+	s.Listener, s.Config.ConnState = l, l.ConnState
+	s.Start()
+	defer s.Close()
+	c := dial(t, l)
+	r := bufio.NewReader(c)
+	for i := range 2 {
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab")
+		qt.Assert(t, err, qt.IsNil)
+		resp, err := http.ReadResponse(r, nil)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("request %d", i))
+		qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusOK)
+		resp.Body.Close()
+		_, err = io.WriteString(c, "\r\n")
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+// Guards against blank lines that keep an idle connection open for ever.
+func TestBlankLinesDoNotKeepAConnection(t *testing.T) {
+	const idle = 200 * time.Millisecond
+	l := listen(t, callerconn.Timeouts{Header: 5 * time.Second, Idle: idle})
+	c := dial(t, l)
+	nc, err := l.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	defer nc.Close()
+	l.ConnState(nc, http.StateIdle)
+	go func() {
+		for {
+			if _, err := io.WriteString(c, "\r\n"); err != nil {
+				return
+			}
+			time.Sleep(idle / 10)
+		}
+	}()
+	start := time.Now()
+	for err == nil {
+		_, err = nc.Read(make([]byte, 100))
+	}
+	qt.Assert(t, err, qt.ErrorIs, net.ErrClosed)
+	qt.Assert(t, time.Since(start) >= idle && time.Since(start) < 4*idle, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
+}
+
+// Guards against a log line that names the wait for unread bytes instead of the timeout.
+func TestExpiryAfterUnreadBytesLogsItsTimeout(t *testing.T) {
+	const timeout = 50 * time.Millisecond
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer inner.Close()
+	lines := make(chan string, 1)
+	log := zerolog.New(writerFunc(func(p []byte) (int, error) {
+		lines <- string(p)
+		return len(p), nil
+	}))
+	l := callerconn.NewListener(inner, func() callerconn.Timeouts { return callerconn.Timeouts{Header: timeout} }, log)
+	c := dial(t, l)
+	nc, err := l.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	defer nc.Close()
+	_, err = io.WriteString(c, "GET")
+	qt.Assert(t, err, qt.IsNil)
+	time.Sleep(2 * timeout)
+	_, err = nc.Read(make([]byte, 100))
+	qt.Assert(t, err, qt.IsNil)
+	select {
+	case line := <-lines:
+		qt.Assert(t, line, qt.Contains, `"timeoutMs":50`)
+	case <-time.After(5 * time.Second):
+		t.Fatal("no log line")
+	}
+}
+
+// Guards against the idle timeout cutting a pipelined request of which only the last line was read after the response before it.
+func TestPipelinedRequestInPartsSurvivesTheIdleTimeout(t *testing.T) {
+	const idle = 100 * time.Millisecond
+	l := listen(t, callerconn.Timeouts{Idle: idle})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.Listener = l
+	n := 0
+	s.Config.ConnState = func(nc net.Conn, state http.ConnState) {
+		if state == http.StateActive {
+			if n++; n == 2 {
+				time.Sleep(3 * idle)
+			}
+		}
+		l.ConnState(nc, state)
+	}
+	s.Start()
+	defer s.Close()
+	c := dial(t, l)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	r := bufio.NewReader(c)
+	for i := range 2 {
+		resp, err := http.ReadResponse(r, nil)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("request %d", i))
+		resp.Body.Close()
+		if i == 0 {
+			_, err = io.WriteString(c, "\r\n")
+			qt.Assert(t, err, qt.IsNil)
+		}
+	}
+}
