quarantine: four crashes in rapid succession suffice against a part

Crashes within 300 ms of each other count as one. A part that comes often ends 4 to 9 engines within a second, which leaves one or two crashes that count and then none while all engines are down; its requests gather meanwhile and end the engines that come back.

Crashes 50 ms apart or more now count too, each still of another engine and under another prompt; it takes one more of them, and the part must not have been answered lately. The time for the evidence to settle is as before. Engines that one failure takes break their connections at one moment.

TestBlame/four_crashes_in_rapid_succession failed before.

--- a/internal/quarantine/blame.go
+++ b/internal/quarantine/blame.go
@@ -14,6 +14,10 @@
 	minCrashesSound = 5
 	// crashGap separates crashes that count as several. A failure that takes many engines at once counts as one.
 	crashGap = 300 * time.Millisecond
+	// rapidGap separates crashes that count as several where there is one more of them than minCrashes. A part that comes often
+	// ends a few engines in less than crashGap each, and no evidence follows while all of them are down; the connections to engines
+	// that one failure takes break closer together.
+	rapidGap = 50 * time.Millisecond
 	// maxPrompts is the number of prompts for each engine that crashed up to which a part is blamed. A crash breaks off many prompts with a
 	// part that all have in common, and few with the one that caused it.
 	maxPrompts = 3
@@ -56,6 +60,7 @@
 	key     Key
 	depth   int        // place in the prompt
 	crashes []collapse // that count as several
+	rapid   []collapse // the same by rapidGap
 	engines map[string]bool
 	prompts map[uint64]bool
 }
@@ -64,17 +69,39 @@
 func (t *tally) add(b *Break, depth int) {
 	t.depth = max(t.depth, depth)
 	t.prompts[b.Prompt], t.engines[b.Upstream] = true, true
-	for _, c := range t.crashes {
-		if c.upstream == b.Upstream || c.prompt == b.Prompt || b.At.Sub(c.at) < crashGap {
-			return
+	t.crashes = addSeparate(t.crashes, b, crashGap)
+	t.rapid = addSeparate(t.rapid, b, rapidGap)
+}
+
+// addSeparate adds a break to crashes if it is of another engine and prompt, and later by gap or more, than each of them.
+func addSeparate(crashes []collapse, b *Break, gap time.Duration) []collapse {
+	for _, c := range crashes {
+		if c.upstream == b.Upstream || c.prompt == b.Prompt || b.At.Sub(c.at) < gap {
+			return crashes
 		}
 	}
-	t.crashes = append(t.crashes, collapse{b.At, b.Upstream, b.Prompt})
+	return append(crashes, collapse{b.At, b.Upstream, b.Prompt})
 }
 
 // isConclusive reports whether the evidence suffices if it takes so many crashes.
 func (t *tally) isConclusive(crashes int) bool {
-	return len(t.crashes) >= crashes && len(t.prompts) <= maxPrompts*len(t.engines)
+	_, ok := t.concludedAt(crashes)
+	return ok
+}
+
+// concludedAt returns the time of the crash that made the evidence suffice, if it takes so many.
+func (t *tally) concludedAt(crashes int) (at time.Time, ok bool) {
+	if len(t.prompts) > maxPrompts*len(t.engines) {
+		return time.Time{}, false
+	}
+	if len(t.crashes) >= crashes {
+		at, ok = t.crashes[crashes-1].at, true
+	}
+	// A part that was in completed answers needs crashes that are well apart.
+	if crashes <= minCrashes && len(t.rapid) > crashes && (!ok || t.rapid[crashes].at.Before(at)) {
+		at, ok = t.rapid[crashes].at, true
+	}
+	return at, ok
 }
 
 // strength grows with the number of engines that crashed and falls with the number of prompts for each.
@@ -120,7 +147,7 @@
 		if best == nil {
 			return blamed
 		}
-		if j.isSettled(best.crashes[j.crashesNeeded(best.key)-1].at) {
+		if at, _ := best.concludedAt(j.crashesNeeded(best.key)); j.isSettled(at) {
 			blamed = append(blamed, best.key)
 		}
 		breaks = unexplained(breaks, best.key)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -285,7 +285,7 @@
 func (t *Tracker) isExplained(key Key, evidence []Break, others []Key) bool {
 	all := tallies(evidence, t.isSound)
 	own := all[key]
-	if own == nil || len(own.crashes) < minCrashes {
+	if own == nil || !own.isConclusive(minCrashes) {
 		return false // the evidence has lapsed
 	}
 	rest := slices.Clone(evidence)
