quarantine: a part that another entry let go is blamed again after three crashes

A deleted object was taken for an answer, which raises the crashes that are needed from 3 to 5 for a minute. The deletion still exonerates the evidence until then, but no longer counts as an answer.

TestReleasedPartNeedsNoMoreCrashesThanAnother failed before.

--- a/internal/quarantine/play_test.go
+++ b/internal/quarantine/play_test.go
@@ -140,7 +140,7 @@
 }
 
 // openSeeds are the runs of the first 400 in which a rule is broken or a sound part is blamed; see KNOWN-RED.txt.
-var openSeeds = []uint64{6, 31, 298, 358}
+var openSeeds = []uint64{6, 298, 358}
 
 func checkPlay(t *testing.T, seed uint64) {
 	t.Helper()
--- a/internal/quarantine/publish.go
+++ b/internal/quarantine/publish.go
@@ -83,7 +83,8 @@
 	for _, o := range objects {
 		if o.Deleted {
 			if key, ok := t.byName(o.Name); ok && o.Version > t.cases[key].version {
-				t.sound[key] = soundness{at: now, before: now}
+				// Evidence until now does not count any more, but the reason need not be an answer.
+				t.sound[key] = soundness{at: now, before: now, objected: true}
 				delete(t.cases, key)
 				ended = append(ended, key)
 			}
