quarantine: rapid crashes under one repeated prompt count as several

Crashes 50 ms apart each had to be under another prompt. They may now be under the same prompt, if there are as many prompts as crashes apart from the additional one. What callers with one prompt that fails by itself can cause is bounded as before: three prompts are needed.

The new case of TestBlame failed before.

--- a/internal/quarantine/blame.go
+++ b/internal/quarantine/blame.go
@@ -58,9 +58,11 @@
 // tally is the evidence against one part.
 type tally struct {
 	key     Key
+	needed  int        // crashes that suffice
 	depth   int        // place in the prompt
 	crashes []collapse // that count as several
-	rapid   []collapse // the same by rapidGap
+	rapid   []collapse // the same by rapidGap, also under the same prompt
+	several time.Time  // when the prompts became minCrashes
 	engines map[string]bool
 	prompts map[uint64]bool
 }
@@ -69,18 +71,17 @@
 func (t *tally) add(b *Break, depth int) {
 	t.depth = max(t.depth, depth)
 	t.prompts[b.Prompt], t.engines[b.Upstream] = true, true
-	t.crashes = addSeparate(t.crashes, b, crashGap)
-	t.rapid = addSeparate(t.rapid, b, rapidGap)
-}
-
-// addSeparate adds a break to crashes if it is of another engine and prompt, and later by gap or more, than each of them.
-func addSeparate(crashes []collapse, b *Break, gap time.Duration) []collapse {
-	for _, c := range crashes {
-		if c.upstream == b.Upstream || c.prompt == b.Prompt || b.At.Sub(c.at) < gap {
-			return crashes
-		}
+	if t.several.IsZero() && len(t.prompts) >= minCrashes {
+		t.several = b.At
+	}
+	if !slices.ContainsFunc(t.crashes, func(c collapse) bool {
+		return c.upstream == b.Upstream || c.prompt == b.Prompt || b.At.Sub(c.at) < crashGap
+	}) {
+		t.crashes = append(t.crashes, collapse{b.At, b.Upstream, b.Prompt})
+	}
+	if !slices.ContainsFunc(t.rapid, func(c collapse) bool { return c.upstream == b.Upstream || b.At.Sub(c.at) < rapidGap }) {
+		t.rapid = append(t.rapid, collapse{b.At, b.Upstream, b.Prompt})
 	}
-	return append(crashes, collapse{b.At, b.Upstream, b.Prompt})
 }
 
 // isConclusive reports whether the evidence suffices if it takes so many crashes.
@@ -98,8 +99,15 @@
 		at, ok = t.crashes[crashes-1].at, true
 	}
 	// A part that was in completed answers needs crashes that are well apart.
-	if crashes <= minCrashes && len(t.rapid) > crashes && (!ok || t.rapid[crashes].at.Before(at)) {
-		at, ok = t.rapid[crashes].at, true
+	if crashes > minCrashes || len(t.rapid) <= crashes || len(t.prompts) < crashes {
+		return at, ok
+	}
+	rapidAt := t.rapid[crashes].at
+	if crashes == minCrashes && t.several.After(rapidAt) {
+		rapidAt = t.several
+	}
+	if !ok || rapidAt.Before(at) {
+		return rapidAt, true
 	}
 	return at, ok
 }
@@ -140,14 +148,15 @@
 	for {
 		var best *tally
 		for key, t := range tallies(breaks, j.isSound) {
-			if t.isConclusive(j.crashesNeeded(key)) && (best == nil || compare(t, best) < 0) {
+			t.needed = j.crashesNeeded(key)
+			if t.isConclusive(t.needed) && (best == nil || compare(t, best) < 0) {
 				best = t
 			}
 		}
 		if best == nil {
 			return blamed
 		}
-		if at, _ := best.concludedAt(j.crashesNeeded(best.key)); j.isSettled(at) {
+		if at, _ := best.concludedAt(best.needed); j.isSettled(at) {
 			blamed = append(blamed, best.key)
 		}
 		breaks = unexplained(breaks, best.key)
--- a/internal/quarantine/blame_test.go
+++ b/internal/quarantine/blame_test.go
@@ -39,6 +39,14 @@
 	return out
 }
 
+// repeated returns the breaks of the same prompts at another engine after some milliseconds.
+func repeated(breaks []Break, ms int, engine string) []Break {
+	for i := range breaks {
+		breaks[i].At, breaks[i].Upstream = start.Add(time.Duration(ms)*time.Millisecond), engine
+	}
+	return breaks
+}
+
 // join joins the breaks of several crashes.
 func join(crashes ...[]Break) (out []Break) {
 	for _, c := range crashes {
@@ -105,6 +113,17 @@
 				crash(180, "e3", []uint64{bad, 5})),
 			judge: fixedJudge{history: map[uint64]bool{bad: true}},
 		},
+		{
+			name: "four rapid crashes, two under a prompt that was repeated",
+			breaks: join(crash(0, "e0", []uint64{bad, 2}), repeated(crash(0, "e0", []uint64{bad, 2}), 120, "e1"),
+				crash(180, "e2", []uint64{bad, 4}), crash(240, "e3", []uint64{bad, 5})),
+			want: []uint64{bad},
+		},
+		{
+			name: "four rapid crashes under two prompts",
+			breaks: join(crash(0, "e0", []uint64{bad, 2}), repeated(crash(0, "e0", []uint64{bad, 2}), 60, "e1"),
+				crash(120, "e2", []uint64{bad, 4}), repeated(crash(120, "e2", []uint64{bad, 4}), 180, "e3")),
+		},
 		{name: "a part that all prompts share", breaks: shared, want: []uint64{bad}},
 		{name: "a part that was answered since", breaks: shared, judge: fixedJudge{sound: map[uint64]bool{bad: true}}},
 		{
