gateway: an answer without events exonerates the parts of its prompt

Found by reading: only series of events counted as completed answers, so parts of a route whose engines answer in one piece could be blamed after three unrelated crashes.

--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -158,8 +158,11 @@
 		return err
 	}
 	done, err := x.relayPlain(ctx, a)
-	if done {
-		return nil
+	if !done {
+		return err
 	}
-	return err
+	if a.reply.Status == http.StatusOK {
+		x.recordComplete(a)
+	}
+	return nil
 }
--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -179,8 +179,12 @@
 }
 
 func newGateway(f fighollow.Dispatcher, route fighollow.Route) *gateway.Gateway {
+	return newGatewayWith(gateway.Options{RetryRatio: 0.2, RetrySlack: 500}, f, route)
+}
+
+func newGatewayWith(opts gateway.Options, f fighollow.Dispatcher, route fighollow.Route) *gateway.Gateway {
 	fleet := placement.New(placement.Options{DataCentre: "a", DrainTime: time.Second})
-	g := gateway.New(gateway.Options{RetryRatio: 0.2, RetrySlack: 500}, fleet, f, zerolog.Nop())
+	g := gateway.New(opts, fleet, f, zerolog.Nop())
 	g.Apply(&fighollow.Routing{Version: 1, Routes: []fighollow.Route{route}, Services: map[string]fighollow.ServiceTraits{
 		"plain": {Name: "plain"}, "models": {Name: "models", Engine: &fighollow.EngineTraits{Slots: 8, KVCapacityTokens: 1000}},
 	}})
