gateway: a reply to another request does not count as a crash of its engine

Found by reading: an engine that sends late replies to other requests counted as evidence against the parts of the prompts that it got. TestReplyToAnotherRequestIsNoCrash failed before.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net"
 	"time"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
 var errQuarantined = errors.New("gateway: a part of the prompt crashes engines")
@@ -22,11 +24,11 @@
 	return nil
 }
 
-// recordBreak records that the connection of an attempt broke while the engine may have worked on it. A time-out is none: it says
-// nothing about the engine.
+// recordBreak records that the connection of an attempt broke while the engine may have worked on it. A time-out and a reply to
+// another request are none: they do not show that the engine ended.
 func (x *exchange) recordBreak(a *attempt, err error) {
 	var netErr net.Error
-	if x.traits.Engine == nil || errors.As(err, &netErr) && netErr.Timeout() {
+	if x.traits.Engine == nil || errors.As(err, &netErr) && netErr.Timeout() || errors.Is(err, fighollow.ErrReplyMismatch) {
 		return
 	}
 	x.g.opts.Quarantine.Broke(time.Now(), x.service, a.upstream.ID, x.call.Prompt)
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -45,3 +45,15 @@
 	})
 	qt.Assert(t, tracker.MayRepeat(time.Now(), "models", prompt(9)), qt.IsTrue)
 }
+
+// Guards against engines that send late replies to other requests being taken for engines that crashed.
+func TestReplyToAnotherRequestIsNoCrash(t *testing.T) {
+	tracker := quarantine.New("e")
+	serveOnce(t, tracker, 1, func(a *fighollow.Attempt) (*fighollow.Reply, error) {
+		if a.Phase == fighollow.RequestPrefill {
+			return &fighollow.Reply{Status: 200, KV: &fighollow.KVCache{Address: a.Upstream.Address, Handle: "h"}, Body: &fakeBody{Reader: &bytes.Buffer{}}}, nil
+		}
+		return nil, fighollow.ErrReplyMismatch
+	})
+	qt.Assert(t, tracker.Evidence(time.Now()), qt.HasLen, 0)
+}
