quarantine: crashes are counted in the order of their times before a request is repeated

Found by reading: MayRepeat counted this entry's breaks before the reported ones, whatever their times, and so missed crashes that are apart.

--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -132,7 +132,9 @@
 			return false
 		}
 	}
-	for key, c := range tallies(t.evidence(now), t.isSound) {
+	evidence := t.evidence(now)
+	slices.SortStableFunc(evidence, func(a, b Break) int { return a.At.Compare(b.At) })
+	for key, c := range tallies(evidence, t.isSound) {
 		if key.Service == service && slices.Contains(parts, key.Part) && c.isConclusive(minCrashes-1) {
 			return false
 		}
