quarantine, gateway: an engine that replies after an attempt broke off there did not crash under it

Cause: each broken connection counted as a crash of its engine. Change: a reply of the same upstream at least 150 ms after a break voids it, own and reported ones; an engine that crashed comes back as another upstream, as the platform gives each start a new id. TestBreaksAtEnginesThatGoOnAreNoEvidence failed to compile before and would blame the part without the check (its first case does).

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -119,6 +119,7 @@
 		a.body = answer.NewReader(a.reply.Body, answer.Options{Framing: a.reply.Framing, Events: a.hasEvents()})
 	}
 	if a.reply != nil && !a.reply.Misdirected {
+		x.g.opts.Quarantine.Replied(time.Now(), a.upstream.ID)
 		x.observeAnnouncement(a)
 	}
 	return a, x.recordReply(ctx, a, err)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -30,6 +30,10 @@
 	maxHold = 4 * time.Minute
 	// doubtTime is how soon after its beginning the end of a quarantine is an objection by an entry that has seen sound answers.
 	doubtTime = 3 * time.Second
+	// aliveMargin is how long after a break a reply of the upstream shows that it did not crash: earlier ones can have been on their way.
+	aliveMargin = 150 * time.Millisecond
+	// maxAlive bounds the upstreams whose last reply is remembered.
+	maxAlive = 4096
 	// probeTime is how long a probe may take.
 	probeTime = 30 * time.Second
 	// judgeInterval is the least pause between two judgements without news.
@@ -50,6 +54,7 @@
 	breaks   []Break // of this entry, oldest first
 	reported []Break // of the others
 	sound    map[Key]soundness
+	alive    map[string]time.Time // when each upstream last replied to this entry
 	cases    map[Key]*quarantined
 	observed time.Time      // when the reports of the others were last read
 	judged   time.Time      // when the evidence was last judged
@@ -83,7 +88,7 @@
 
 // New returns an empty Tracker for an entry; self is its name.
 func New(self string) *Tracker {
-	return &Tracker{self: self, sound: make(map[Key]soundness), cases: make(map[Key]*quarantined), lifts: make(map[Key]uint64)}
+	return &Tracker{self: self, sound: make(map[Key]soundness), alive: make(map[string]time.Time), cases: make(map[Key]*quarantined), lifts: make(map[Key]uint64)}
 }
 
 // Admission says whether a request may be sent to an engine.
@@ -321,10 +326,23 @@
 	t.cases[key] = q
 }
 
+// Replied records that an upstream replied to an attempt. One that crashed is another upstream when it is back, so that this shows
+// that attempts there which broke off before did not crash it.
+func (t *Tracker) Replied(now time.Time, upstream string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.alive) >= maxAlive {
+		clear(t.alive)
+	}
+	t.alive[upstream] = now
+}
+
 // evidence returns the breaks that count.
 func (t *Tracker) evidence(now time.Time) []Break {
-	t.breaks = slices.DeleteFunc(t.breaks, func(b Break) bool { return now.Sub(b.At) > evidenceTime })
-	t.reported = slices.DeleteFunc(t.reported, func(b Break) bool { return now.Sub(b.At) > evidenceTime })
+	isVoid := func(b Break) bool {
+		return now.Sub(b.At) > evidenceTime || t.alive[b.Upstream].Sub(b.At) > aliveMargin
+	}
+	t.breaks, t.reported = slices.DeleteFunc(t.breaks, isVoid), slices.DeleteFunc(t.reported, isVoid)
 	return slices.Concat(t.breaks, t.reported)
 }
 
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -133,3 +133,22 @@
 	qt.Assert(t, len(tr.lifts) <= 2*maxCases, qt.IsTrue, qt.Commentf("%d", len(tr.lifts)))
 	qt.Assert(t, len(tr.Evidence(now)) <= maxPublished, qt.IsTrue)
 }
+
+// Guards against parts that are blamed because answers are lost at engines that go on working.
+func TestBreaksAtEnginesThatGoOnAreNoEvidence(t *testing.T) {
+	for _, goesOn := range []bool{false, true} {
+		start := time.Unix(1000, 0)
+		tr := New("e")
+		for i := range 6 {
+			at := start.Add(time.Duration(i) * 400 * time.Millisecond)
+			upstream := string(rune('a' + i))
+			tr.Broke(at, "s", upstream, []fighollow.PromptPart{{ID: 7}, {ID: uint64(100 + i)}})
+			if goesOn {
+				tr.Replied(at.Add(aliveMargin+time.Millisecond), upstream)
+			}
+		}
+		now := start.Add(10 * time.Second)
+		tr.Observe(now, nil)
+		qt.Assert(t, tr.Admit(now, "s", []fighollow.PromptPart{{ID: 7}, {ID: 9}}).Withheld, qt.Equals, !goesOn)
+	}
+}
