quarantine, gateway: failed attempts are logged with what identifies their request

Whether the same request breaks off at one engine after the other could not be seen: the lines name neither path nor body. attemptEnded (8002) now has its fingerprints, hashes that are the same at each entry. Nothing decides by them yet.

--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -5,7 +5,7 @@
 // Events of the gateway: the entry on the users' platform.
 var (
 	AttemptPlaced       = Event{8001, "attemptPlaced", zerolog.InfoLevel, "an upstream was chosen for an attempt; the line has the data that the choice was based on"}
-	AttemptEnded        = Event{8002, "attemptEnded", zerolog.InfoLevel, "an attempt ended; result is its outcome and tookMs its duration. For an answer, framing is how its end is marked, bytes its length, lastEvent the last event that was relayed; insideEvent means that its bytes end within an event. For a failure, parts are those of the prompt, the last one the request's own"}
+	AttemptEnded        = Event{8002, "attemptEnded", zerolog.InfoLevel, "an attempt ended; result is its outcome and tookMs its duration. For an answer, framing is how its end is marked, bytes its length, lastEvent the last event that was relayed; insideEvent means that its bytes end within an event. For a failure, parts are those of the prompt, the last one the request's own, and fingerprints identify the request whenever it comes again"}
 	RequestEnded        = Event{8003, "requestEnded", zerolog.InfoLevel, "a request ended; the line has the final answer or the reason why there was none"}
 	RequestRetried      = Event{8004, "requestRetried", zerolog.InfoLevel, "an attempt failed; the line has whether the request is retried, and the reason"}
 	StreamResumed       = Event{8005, "streamResumed", zerolog.InfoLevel, "a stream broke off and is resumed at another engine after the last complete event"}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/fighollow/fighollow/internal/answer"
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/placement"
+	"github.com/fighollow/fighollow/internal/quarantine"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -209,19 +210,31 @@
 	if err != nil {
 		line.Err(err)
 	}
-	if r == placement.Failed && len(a.x.call.Prompt) > 0 {
-		line.Strs("parts", partIDs(a.x.call.Prompt))
+	if r == placement.Failed {
+		a.logIdentity(line)
 	}
 	line.Send()
 }
 
-// partIDs returns the ids of the parts as callers write them.
-func partIDs(prompt []fighollow.PromptPart) []string {
-	ids := make([]string, len(prompt))
-	for i, p := range prompt {
-		ids[i] = strconv.FormatUint(p.ID, 16)
+// logIdentity adds to the line of a failed attempt what tells whether the same request, or one with the same parts, has failed before.
+func (a *attempt) logIdentity(line *zerolog.Event) {
+	if len(a.x.call.Prompt) > 0 {
+		ids := make([]uint64, 0, len(a.x.call.Prompt))
+		for _, p := range a.x.call.Prompt {
+			ids = append(ids, p.ID)
+		}
+		line.Strs("parts", hexIDs(ids))
+	}
+	line.Strs("fingerprints", hexIDs(quarantine.Fingerprints(a.x.call)))
+}
+
+// hexIDs returns ids as callers write them.
+func hexIDs(ids []uint64) []string {
+	out := make([]string, len(ids))
+	for i, id := range ids {
+		out[i] = strconv.FormatUint(id, 16)
 	}
-	return ids
+	return out
 }
 
 // logBody adds to the line how the answer's body is framed and where it ended, and counts framings and truncated bodies.
