--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -121,7 +121,7 @@
 	p.follower = gateway.NewFollower(p.store, decode, p.gateway, fleet, log)
 	p.caches = gateway.NewCachePoller(dispatcher, p.gateway, fleet, log)
 	p.roster = roster.New(roster.Options{
-		Self: self, DataCentre: cfg.DataCentre, Claims: fleet.LimitClaims, Divider: divider, Quarantine: crashes,
+		Self: self, DataCentre: cfg.DataCentre, Claims: fleet.LimitClaims, Divider: divider,
 	}, p.store, p.gateway.SetEntries, log)
 	p.planner = roles.New(roles.Options{Self: self, LeaseDuration: cfg.Bounds.Lease}, p.store, dispatcher,
 		p.gateway.Routing, fleet.Upstreams, log)
@@ -168,6 +168,7 @@
 	background.Go(func() { p.roster.Run(bgCtx) })
 	background.Go(func() { p.quarantine.Run(bgCtx) })
 	background.Go(func() { p.follower.Follow(bgCtx, fighollow.KindQuarantine, p.quarantine.Apply) })
+	background.Go(func() { p.follower.Follow(bgCtx, fighollow.KindCrashReports, p.quarantine.ApplyReports) })
 	background.Go(func() { p.reloadOnHangup(bgCtx, hangups) })
 	// ctx ends at the start of the stop: a stopping entry sends no more orders, and another entry takes over the lease.
 	background.Go(func() { p.planner.Run(ctx) })
--- a/internal/emulator/crashes.go
+++ b/internal/emulator/crashes.go
@@ -20,32 +20,25 @@
 	AttemptFailed    CrashOutcome = "failed"  // refused, or abandoned by the entry
 )
 
-// CrashDecider decides, at one entry, which requests are withheld from engines because a part of their prompt crashes them.
+// CrashDecider decides, at one entry, which requests are withheld from engines because they, or a part of their prompt, crash them.
 type CrashDecider interface {
-	// Allow reports whether a request with these parts may be sent to an engine now. It is called for each attempt.
-	Allow(now time.Time, prompt []fighollow.PromptPart) bool
+	// Allow reports whether a request may be sent to an engine now. It is called for each attempt.
+	Allow(now time.Time, call *fighollow.Call) bool
 	// Began tells that an attempt is sent, and Ended how it ended. The id of an engine is new after each of its starts. A request
 	// is at one engine at a time. The attempts of one that crashes end one after the other.
-	Began(now time.Time, engine, request string, prompt []fighollow.PromptPart)
-	Ended(now time.Time, engine, request string, outcome CrashOutcome)
+	Began(now time.Time, engine string, call *fighollow.Call)
+	Ended(now time.Time, engine string, call *fighollow.Call, outcome CrashOutcome)
 	// Publish returns what the entry writes to the store. A change is written at once, and any value again with each renewal.
 	Publish(now time.Time) []byte
 	// Observe tells what the other entries have published, by entry.
 	Observe(now time.Time, published map[string][]byte)
 }
 
-// UrgentDecider is a CrashDecider whose entry polls more often at times.
-type UrgentDecider interface {
-	CrashDecider
-	// IsUrgent reports whether to poll after publishPause.
-	IsUrgent(now time.Time) bool
-}
-
 // RepeatDecider is a CrashDecider that also decides which attempts that crashed are repeated.
 type RepeatDecider interface {
 	CrashDecider
 	// MayRepeat reports whether a request whose attempt crashed may be sent to another engine.
-	MayRepeat(now time.Time, prompt []fighollow.PromptPart) bool
+	MayRepeat(now time.Time, call *fighollow.Call) bool
 }
 
 // allowAll is a CrashDecider that withholds nothing.
@@ -54,23 +47,33 @@
 // AllowAll returns a CrashDecider that withholds nothing.
 func AllowAll(string) CrashDecider { return allowAll{} }
 
-func (allowAll) Allow(time.Time, []fighollow.PromptPart) bool            { return true }
-func (allowAll) Began(time.Time, string, string, []fighollow.PromptPart) {}
-func (allowAll) Ended(_ time.Time, _, _ string, _ CrashOutcome)          {}
-func (allowAll) Publish(time.Time) []byte                                { return nil }
-func (allowAll) Observe(_ time.Time, _ map[string][]byte)                {}
+func (allowAll) Allow(time.Time, *fighollow.Call) bool                  { return true }
+func (allowAll) Began(time.Time, string, *fighollow.Call)               {}
+func (allowAll) Ended(time.Time, string, *fighollow.Call, CrashOutcome) {}
+func (allowAll) Publish(time.Time) []byte                               { return nil }
+func (allowAll) Observe(_ time.Time, _ map[string][]byte)               {}
 
 // Span is a time from its Start to its End, from the start of a run.
 type Span struct{ Start, End time.Duration }
 
 func (s Span) contains(d time.Duration) bool { return d >= s.Start && d < s.End }
 
-// CrashPart is a part of prompts that crashes engines for a time. Requests with it come all the while, and go on to come when it
-// is sound again.
+// CrashPart is a part of prompts, or a request, that crashes engines for a time. Requests with it come all the while, and go on to come
+// when it is sound again.
 type CrashPart struct {
 	Crashing  Span
 	Place     int     // index in the prompts
 	PerSecond float64 // requests with it
+	Request   bool    // the same request comes each time, whose parts are all sound
+	Copies    int     // of a request that come at once; 0 for one
+}
+
+// counted returns the number of the crash from which on the rules hold.
+func (p *CrashPart) counted() int {
+	if p.Request {
+		return countedRequestCrash
+	}
+	return countedCrash
 }
 
 // EntryDisruption is a restart of an entry, or its loss of the store.
@@ -138,31 +141,50 @@
 	return cfg
 }
 
+// DrawCrashRequests draws a run with few engines in which requests that come again crash them, beside parts of prompts in some.
+func DrawCrashRequests(seed uint64) CrashConfig {
+	cfg := DrawCrashConfig(seed)
+	rnd := rand.New(rand.NewPCG(seed, 17))
+	cfg.PerSecond /= float64(cfg.Engines)
+	cfg.Engines = 2 + rnd.IntN(10)
+	cfg.PerSecond *= float64(cfg.Engines)
+	for i := range cfg.Engine {
+		cfg.Engine[i].Engine %= cfg.Engines
+	}
+	for i := range cfg.Parts {
+		cfg.Parts[i].Request = i == 0 || rnd.IntN(3) > 0
+		cfg.Parts[i].Copies = 1 + rnd.IntN(3)
+	}
+	return cfg
+}
+
 // Times of a CrashRun.
 const (
-	crashStable       = 3 * time.Second // after a disruption, and after a part's fifth crash, until the rules hold
-	crashSendTime     = time.Millisecond
-	crashFirstTime    = 250 * time.Millisecond // mean time until an answer begins
-	crashAnswerTime   = 700 * time.Millisecond // mean time of the rest of an answer
-	crashLapseTime    = 3600 * time.Millisecond
-	crashDiscovery    = 300 * time.Millisecond // from a registration until the entries know of it
-	crashRest         = time.Second            // of an engine at an entry whose request failed there
-	publishCheckTime  = 250 * time.Millisecond
-	publishPause      = time.Second // least time between two writes of an entry
-	publishRenewal    = 10 * time.Second
-	publishLapse      = 40 * time.Second
-	maxCrashAttempts  = 2
-	maxCrashDials     = 3
-	repeatRatio       = 0.2
-	repeatSlack       = 56
-	repeatWindow      = 10 * time.Second
-	repeatRatioShare  = 0.75 // of the ratio and of the slack that entries spend, as the gateway's budget does
-	repeatSlackShare  = 0.45
-	lateRequests      = 3 // with a crashing part that may reach engines in all, from crashStable after the fifth crash on
-	countedCrash      = 5
-	wrongBlameRefused = 2 // refused requests of an entry within wrongBlameSlot that show a wrongly blamed part
-	wrongBlameSlot    = 2 * time.Second
-	minSoundRequests  = 30 // of which a share is judged
+	crashStable         = 3 * time.Second // after a disruption, and after a part's fifth crash, until the rules hold
+	crashSendTime       = time.Millisecond
+	crashFirstTime      = 250 * time.Millisecond // mean time until an answer begins
+	crashAnswerTime     = 700 * time.Millisecond // mean time of the rest of an answer
+	crashLapseTime      = 3600 * time.Millisecond
+	crashDiscovery      = 300 * time.Millisecond // from a registration until the entries know of it
+	crashRest           = time.Second            // of an engine at an entry whose request failed there
+	publishCheckTime    = 250 * time.Millisecond
+	publishPause        = 500 * time.Millisecond // least time between two writes of an entry
+	watchDelay          = 100 * time.Millisecond // longest time from a write until the others know of it
+	publishRenewal      = 10 * time.Second
+	publishLapse        = 40 * time.Second
+	maxCrashAttempts    = 2
+	maxCrashDials       = 3
+	repeatRatio         = 0.2
+	repeatSlack         = 56
+	repeatWindow        = 10 * time.Second
+	repeatRatioShare    = 0.75 // of the ratio and of the slack that entries spend, as the gateway's budget does
+	repeatSlackShare    = 0.45
+	lateRequests        = 3 // with a crashing part that may reach engines in all, from crashStable after the fifth crash on
+	countedCrash        = 5
+	countedRequestCrash = 3
+	wrongBlameRefused   = 2 // refused requests of an entry within wrongBlameSlot that show a wrongly blamed part
+	wrongBlameSlot      = 2 * time.Second
+	minSoundRequests    = 30 // of which a share is judged
 )
 
 // CrashRun simulates entries that send requests to engines, some of which crash them. The entries decide by a CrashDecider each;
@@ -176,7 +198,8 @@
 	entries []*crashEntry
 	engines []*crashEngine
 	written map[string]publication
-	lists   []publicationList // of publications after each write, oldest first
+	lists   []publicationList       // of publications after each write, oldest first
+	calls   map[int]*fighollow.Call // that crash engines, by the index of their CrashPart
 	seq     int
 	oracle  crashOracle
 }
@@ -192,15 +215,15 @@
 }
 
 type crashEntry struct {
-	index     int
-	name      string
-	decider   CrashDecider // nil while it does not run
-	rest      []time.Time  // by engine, until when it gets no request
-	running   []int        // by engine
-	tokens    float64
-	pollEvery time.Duration
-	wrote     publication
-	life      int // of its process
+	index   int
+	name    string
+	decider CrashDecider // nil while it does not run
+	rest    []time.Time  // by engine, until when it gets no request
+	running []int        // by engine
+	tokens  float64
+	wrote   publication
+	seen    time.Time // the newest publication that it knows of
+	life    int       // of its process
 }
 
 type crashEngine struct {
@@ -215,9 +238,8 @@
 
 // crashRequest is a caller's request.
 type crashRequest struct {
-	id        string
+	call      *fighollow.Call
 	at        time.Time
-	prompt    []fighollow.PromptPart
 	part      int // index of its crashing part in the configuration, or -1
 	mayRepeat bool
 	attempts  int
@@ -238,14 +260,13 @@
 func NewCrashRun(cfg CrashConfig, decider func(entry string) CrashDecider) *CrashRun {
 	r := &CrashRun{
 		Clock: Clock{Now: LimitRunStart}, cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 13)), start: LimitRunStart, decider: decider,
-		written: make(map[string]publication), oracle: crashOracle{cfg: cfg, parts: make([]crashPartFacts, len(cfg.Parts))},
+		written: make(map[string]publication), calls: make(map[int]*fighollow.Call), oracle: crashOracle{cfg: cfg, parts: make([]crashPartFacts, len(cfg.Parts))},
 	}
 	for i := range cfg.Engines {
 		r.engines = append(r.engines, &crashEngine{name: fmt.Sprintf("engine%d", i), up: true, listed: true, running: make(map[*crashAttempt]bool)})
 	}
 	for i := range cfg.Entries {
 		e := &crashEntry{index: i, name: fmt.Sprintf("entry%d", i), rest: make([]time.Time, cfg.Engines), running: make([]int, cfg.Engines)}
-		e.pollEvery = time.Second + time.Duration(r.rnd.Int64N(int64(2*time.Second)))
 		r.entries = append(r.entries, e)
 		r.startEntry(e)
 	}
@@ -291,7 +312,13 @@
 			return
 		}
 		r.After(gap(), next)
-		r.request(part)
+		copies := 1
+		if part >= 0 && r.cfg.Parts[part].Request {
+			copies = max(1, r.cfg.Parts[part].Copies)
+		}
+		for range copies {
+			r.request(part)
+		}
 	}
 	r.After(from+gap(), next)
 }
@@ -318,13 +345,29 @@
 	if r.rnd.IntN(4) == 0 {
 		out = out[:2]
 	}
-	if part >= 0 {
+	if part >= 0 && !r.cfg.Parts[part].Request {
 		place := min(r.cfg.Parts[part].Place, len(out))
 		out = slices.Insert(out, place, fighollow.PromptPart{ID: CrashPartID(part), Tokens: 300})
 	}
 	return append(out, fighollow.PromptPart{ID: partID(placeOfRequest, r.seq), Tokens: 250})
 }
 
+// call returns the next request with a part, or the same again if it is a request that crashes engines.
+func (r *CrashRun) call(part int) *fighollow.Call {
+	c := &fighollow.Call{ID: fmt.Sprintf("r%d", r.seq), Target: fmt.Sprintf("/%d", r.seq), Caller: "10.0.0.1:80"}
+	if part >= 0 && r.cfg.Parts[part].Request {
+		if r.calls[part] == nil {
+			c.Prompt = r.prompt(part)
+			r.calls[part] = c
+		}
+		again := *r.calls[part]
+		again.ID = c.ID
+		return &again
+	}
+	c.Prompt = r.prompt(part)
+	return c
+}
+
 // request has a caller's request served.
 func (r *CrashRun) request(part int) {
 	r.seq++
@@ -332,9 +375,7 @@
 	if r.rnd.Float64() < r.cfg.Skew {
 		e = r.entries[0]
 	}
-	req := &crashRequest{
-		id: fmt.Sprintf("r%d", r.seq), at: r.Now, prompt: r.prompt(part), part: part, mayRepeat: r.rnd.IntN(2) == 0,
-	}
+	req := &crashRequest{call: r.call(part), at: r.Now, part: part, mayRepeat: r.rnd.IntN(2) == 0}
 	r.oracle.requests = append(r.oracle.requests, req)
 	if e.decider == nil {
 		for _, other := range r.entries { // the load balancer passes it on
@@ -356,7 +397,7 @@
 
 // attempt sends a request to an engine, if the entry's decider allows it.
 func (r *CrashRun) attempt(e *crashEntry, req *crashRequest) {
-	allowed := e.decider.Allow(r.Now, req.prompt)
+	allowed := e.decider.Allow(r.Now, req.call)
 	r.oracle.decided(r.Now.Sub(r.start), e.index, req, allowed)
 	if !allowed {
 		return
@@ -378,7 +419,7 @@
 			continue
 		}
 		e.running[i]++
-		e.decider.Began(r.Now, a.id, req.id, req.prompt)
+		e.decider.Began(r.Now, a.id, req.call)
 		sent := r.Now
 		r.After(crashSendTime, func() { r.reach(a, sent) })
 		return
@@ -443,7 +484,7 @@
 		return // its process is gone
 	}
 	e.running[a.engine]--
-	e.decider.Ended(r.Now, a.id, a.req.id, outcome)
+	e.decider.Ended(r.Now, a.id, a.req.call, outcome)
 	if outcome == AttemptCompleted {
 		return
 	}
@@ -456,7 +497,7 @@
 // mayRepeat reports whether the entry's decider lets a request be repeated whose attempt crashed.
 func (e *crashEntry) mayRepeat(now time.Time, req *crashRequest) bool {
 	d, ok := e.decider.(RepeatDecider)
-	return !ok || d.MayRepeat(now, req.prompt)
+	return !ok || d.MayRepeat(now, req.call)
 }
 
 // crash ends an engine and all that it runs. It is back after some time.
@@ -512,7 +553,7 @@
 // startEntry starts an entry's process, which knows nothing.
 func (r *CrashRun) startEntry(e *crashEntry) {
 	e.life++
-	e.decider, e.tokens, e.wrote = r.decider(e.name), r.maxTokens(), publication{}
+	e.decider, e.tokens, e.wrote, e.seen = r.decider(e.name), r.maxTokens(), publication{}, time.Time{}
 	clear(e.rest)
 	clear(e.running)
 	life := e.life
@@ -527,17 +568,7 @@
 		r.After(time.Duration(r.rnd.Int64N(int64(pause))), next)
 	}
 	every(publishCheckTime, func() { r.publish(e) })
-	polled := r.Now.Add(-time.Duration(r.rnd.Int64N(int64(e.pollEvery))))
-	every(publishCheckTime, func() {
-		pause := e.pollEvery
-		if u, ok := e.decider.(UrgentDecider); ok && u.IsUrgent(r.Now) {
-			pause = min(pause, publishPause)
-		}
-		if r.Now.Sub(polled) >= pause {
-			polled = r.Now
-			r.poll(e)
-		}
-	})
+	every(watchDelay/2, func() { r.watch(e) })
 }
 
 func (r *CrashRun) stopEntry(e *crashEntry) {
@@ -545,13 +576,15 @@
 	e.decider = nil
 }
 
-// cut reports whether an entry cannot reach the store now.
-func (r *CrashRun) cut(e *crashEntry) bool {
-	return slices.ContainsFunc(r.cfg.Entry, func(d EntryDisruption) bool {
-		return !d.Restart && (d.Entry < 0 || d.Entry == e.index) && d.contains(r.Now.Sub(r.start))
+// IsCut reports whether an entry cannot reach the store at a time.
+func (c *CrashConfig) IsCut(entry int, at time.Duration) bool {
+	return slices.ContainsFunc(c.Entry, func(d EntryDisruption) bool {
+		return !d.Restart && (d.Entry < 0 || d.Entry == entry) && d.contains(at)
 	})
 }
 
+func (r *CrashRun) cut(e *crashEntry) bool { return r.cfg.IsCut(e.index, r.Now.Sub(r.start)) }
+
 // publish writes what an entry publishes, if it has changed or is due again.
 func (r *CrashRun) publish(e *crashEntry) {
 	value := slices.Clone(e.decider.Publish(r.Now))
@@ -570,16 +603,20 @@
 	})
 }
 
-// poll reads what the other entries published, as it was up to a second ago.
-func (r *CrashRun) poll(e *crashEntry) {
+// watch reads what the other entries have published, if that has changed.
+func (r *CrashRun) watch(e *crashEntry) {
 	if r.cut(e) {
 		return
 	}
-	seen := r.Now.Add(-time.Duration(r.rnd.Int64N(int64(time.Second))))
+	seen := r.Now.Add(-watchDelay / 2)
 	for _, l := range slices.Backward(r.lists) {
 		if l.at.After(seen) {
 			continue
 		}
+		if !l.at.After(e.seen) {
+			return
+		}
+		e.seen = l.at
 		published := make(map[string][]byte)
 		for name, p := range l.values {
 			if name != e.name && r.Now.Sub(p.at) < publishLapse {
--- a/internal/emulator/crashresult.go
+++ b/internal/emulator/crashresult.go
@@ -25,10 +25,10 @@
 // CrashPartResult holds the figures of one crashing part.
 type CrashPartResult struct {
 	Crashes int
-	// Counted is the time of the fifth crash, or of the last if there are fewer.
+	// Counted is the time of the fifth crash, of the third if it is a request, or of the last if there are fewer.
 	Counted time.Duration
 	Arrived int // requests with the part that reached engines while it crashed them
-	Late    int // of those that entries in touch sent later than crashStable after the fifth crash
+	Late    int // of those that entries in touch sent later than crashStable after Counted
 	// SoundBefore and SoundAfter are the shares of the sound requests with the same first part whose answer began, before the part
 	// came and from twice crashStable after Counted on, while it came; -1 where there are too few. A part in the first place is
 	// compared by all sound requests.
@@ -42,7 +42,7 @@
 func (r CrashResult) Violations() (out []string) {
 	for i, p := range r.Parts {
 		if p.Late > lateRequests {
-			out = append(out, fmt.Sprintf("part %d: %d requests reached engines later than %v after its fifth crash, %d allowed", i, p.Late, crashStable, lateRequests))
+			out = append(out, fmt.Sprintf("part %d: %d requests reached engines later than %v after the counted crash, %d allowed", i, p.Late, crashStable, lateRequests))
 		}
 		if p.SoundBefore >= 0 && p.SoundAfter >= 0 && 2*p.SoundAfter < p.SoundBefore {
 			out = append(out, fmt.Sprintf("part %d: %.2f of the sound requests began, %.2f before", i, p.SoundAfter, p.SoundBefore))
@@ -132,11 +132,11 @@
 	facts, cfg := o.parts[i], o.cfg.Parts[i]
 	p := CrashPartResult{Crashes: len(facts.crashes), Arrived: len(facts.arrivals), SoundBefore: -1, SoundAfter: -1, ServedAgain: -1, MostlyServed: -1}
 	if p.Crashes > 0 {
-		p.Counted = facts.crashes[min(countedCrash, p.Crashes)-1]
+		p.Counted = facts.crashes[min(cfg.counted(), p.Crashes)-1]
 		p.SoundBefore = o.beginning(start, i, Span{0, o.firstCrashing()})
 		p.SoundAfter = o.beginning(start, i, Span{p.Counted + 2*crashStable, min(cfg.Crashing.End, o.cfg.Duration)})
 	}
-	if p.Crashes >= countedCrash {
+	if p.Crashes >= cfg.counted() {
 		for _, a := range facts.arrivals {
 			if a.sent > p.Counted+crashStable && o.inTouch(a.entry, a.sent) {
 				p.Late++
@@ -161,13 +161,13 @@
 	shared := make(map[uint64]bool)
 	for _, req := range o.requests {
 		if req.part == part {
-			shared[req.prompt[0].ID] = true
+			shared[req.call.Prompt[0].ID] = true
 		}
 	}
-	first := o.cfg.Parts[part].Place == 0
+	first := o.cfg.Parts[part].Place == 0 || o.cfg.Parts[part].Request
 	asked, began := 0, 0
 	for _, req := range o.requests {
-		if req.part >= 0 || !span.contains(req.at.Sub(start)) || !first && !shared[req.prompt[0].ID] {
+		if req.part >= 0 || !span.contains(req.at.Sub(start)) || !first && !shared[req.call.Prompt[0].ID] {
 			continue
 		}
 		asked++
@@ -251,7 +251,7 @@
 		if d.req.part >= 0 {
 			continue
 		}
-		s, shared := slot{d.entry, d.at / wrongBlameSlot}, d.req.prompt[:len(d.req.prompt)-1]
+		s, shared := slot{d.entry, d.at / wrongBlameSlot}, d.req.call.Prompt[:len(d.req.call.Prompt)-1]
 		if !d.allowed {
 			withheld[s] = append(withheld[s], shared)
 			continue
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -33,17 +33,18 @@
 	seed     uint64
 	deadline time.Time
 
-	attemptsSent int           // attempts that were sent, including an accepted prefill
-	arrivals     arrivals      // attempts that count against the route's limit and the retry budget
-	tried        []string      // ids of upstreams that failed or refused the request
-	mayHaveRun   bool          // an attempt of unknown outcome was sent
-	unreachable  int           // attempts for which no connection could be made
-	refused      int           // attempts that upstreams refused
-	overTarget   time.Duration // by how much a request that was refused as too late would have missed its latency target
-	permitWait   time.Duration // for which a stream that broke off has waited for a permit
-	limitedFor   time.Duration // time until a request that upstreams' limits or pauses exclude can be placed
-	isProbe      bool          // the request has a part in quarantine and shows whether it still crashes engines
-	withheldFor  time.Duration // time until a request with the part in quarantine can be tried
+	attemptsSent int                 // attempts that were sent, including an accepted prefill
+	arrivals     arrivals            // attempts that count against the route's limit and the retry budget
+	tried        []string            // ids of upstreams that failed or refused the request
+	mayHaveRun   bool                // an attempt of unknown outcome was sent
+	unreachable  int                 // attempts for which no connection could be made
+	refused      int                 // attempts that upstreams refused
+	overTarget   time.Duration       // by how much a request that was refused as too late would have missed its latency target
+	permitWait   time.Duration       // for which a stream that broke off has waited for a permit
+	limitedFor   time.Duration       // time until a request that upstreams' limits or pauses exclude can be placed
+	subject      *quarantine.Request // what the request is recognised by
+	isProbe      bool                // the request, or a part of its prompt, is in quarantine, and it shows whether that still crashes engines
+	withheldFor  time.Duration       // time until a request like it can be tried
 
 	retriesEnded     bool   // no further attempt is made
 	headerSent       bool   // the status and header of the answer were sent
@@ -120,7 +121,7 @@
 		a.body = answer.NewReader(a.reply.Body, answer.Options{Framing: a.reply.Framing, Events: a.hasEvents()})
 	}
 	if a.reply != nil && !a.reply.Misdirected {
-		x.g.opts.Quarantine.Replied(time.Now(), a.upstream.ID)
+		x.g.opts.Quarantine.Replied(time.Now(), a.upstream.Incarnation())
 		x.observeAnnouncement(a)
 	}
 	return a, x.recordReply(ctx, a, err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,7 +24,7 @@
 	RetryRatio float64 // extra dispatches allowed per request of a service, over all entries
 	RetrySlack int     // extra dispatches allowed beyond that in each window, over all entries
 	Registry   metrics.Registry
-	Quarantine *quarantine.Tracker // parts of prompts that crash engines; nil for one that knows only this gateway's
+	Quarantine *quarantine.Tracker // requests and parts of prompts that crash engines; nil for one that knows only this gateway's
 }
 
 // Gateway serves the requests of callers. It is safe for concurrent use.
@@ -178,6 +178,7 @@
 		return r
 	}
 	x.resumeAfter = x.call.ResumeAfter
+	x.subject = quarantine.NewRequest(service, x.call)
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	if x.traits.Engine != nil {
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -157,12 +157,8 @@
 		a.end(placement.Failed, err)
 		return err
 	}
-	done, err := x.relayPlain(ctx, a)
-	if !done {
+	if done, err := x.relayPlain(ctx, a); !done {
 		return err
 	}
-	if a.reply.Status == http.StatusOK {
-		x.recordComplete(a)
-	}
 	return nil
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -49,6 +49,7 @@
 	}
 	long := len(buffered) > maxBufferedAnswer
 	if !long {
+		x.recordComplete(a)
 		a.end(result, nil) // frees the upstream's slot before the caller has read the answer
 	}
 	length := a.reply.Length
@@ -80,6 +81,7 @@
 			a.end(placement.Abandoned, err)
 			return true, nil
 		case errors.Is(err, io.EOF):
+			x.recordComplete(a)
 			a.end(a.statusResult(), nil)
 			x.total = time.Since(x.call.Arrived)
 			return true, nil
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -3,19 +3,20 @@
 import (
 	"errors"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
-var errQuarantined = errors.New("gateway: a part of the prompt crashes engines")
+var errQuarantined = errors.New("gateway: the request, or a part of its prompt, crashes engines")
 
-// admit returns errQuarantined if a part of the prompt is in quarantine, unless the request is the probe of it.
+// admit returns errQuarantined if the request or a part of its prompt is in quarantine, unless the request is the probe of it.
 func (x *exchange) admit(now time.Time) error {
-	if x.isProbe || x.traits.Engine == nil {
+	if x.isProbe {
 		return nil
 	}
-	a := x.g.opts.Quarantine.Admit(now, x.service, x.call.Prompt)
+	a := x.g.opts.Quarantine.Admit(now, x.subject)
 	x.isProbe, x.withheldFor = a.Probe, a.RetryIn
 	if a.Withheld {
 		x.g.metrics.count("quarantine.withheld")
@@ -24,22 +25,25 @@
 	return nil
 }
 
-// recordBreak records that the connection of an attempt broke while the engine may have worked on it. A time-out and a reply to
-// another request are none: they do not show that the engine ended.
+// recordBreak records that the connection of an attempt broke while the upstream may have worked on it. A time-out and a reply to
+// another request are none: they do not show that the upstream ended.
 func (x *exchange) recordBreak(a *attempt, err error) {
 	var netErr net.Error
-	if x.traits.Engine == nil || errors.As(err, &netErr) && netErr.Timeout() || errors.Is(err, fighollow.ErrReplyMismatch) {
+	if errors.As(err, &netErr) && netErr.Timeout() || errors.Is(err, fighollow.ErrReplyMismatch) {
 		return
 	}
-	x.g.opts.Quarantine.Broke(time.Now(), x.service, a.upstream.ID, x.call.Prompt)
+	now := time.Now()
+	x.g.opts.Quarantine.Broke(now, a.upstream.Incarnation(), x.subject, now.Sub(a.placed.SentAt))
 }
 
-// recordComplete records that an engine completed the answer.
+// recordComplete records that an upstream completed the answer. A failure of an engine can come before it has begun to work on the prompt.
 func (x *exchange) recordComplete(a *attempt) {
-	x.g.opts.Quarantine.Completed(time.Now(), x.service, a.upstream.ID, x.call.Prompt)
+	if a.reply.Status == http.StatusOK || x.traits.Engine == nil && a.reply.Status < http.StatusInternalServerError {
+		x.g.opts.Quarantine.Completed(time.Now(), a.upstream.Incarnation(), x.subject)
+	}
 }
 
-// mayCrashEngines reports whether the request must not be repeated because one of its parts may have crashed engines.
+// mayCrashEngines reports whether the request must not be repeated because it, or a part of its prompt, may have crashed engines.
 func (x *exchange) mayCrashEngines() bool {
-	return x.traits.Engine != nil && (x.isProbe || !x.g.opts.Quarantine.MayRepeat(time.Now(), x.service, x.call.Prompt))
+	return x.isProbe || !x.g.opts.Quarantine.MayRepeat(time.Now(), x.subject)
 }
--- a/internal/quarantine/blame.go
+++ b/internal/quarantine/blame.go
@@ -27,25 +27,27 @@
 	// settleTime is how old the crash must be that makes the evidence sufficient: until then other entries report what broke off at
 	// theirs, and answers exonerate parts.
 	settleTime = 1300 * time.Millisecond
-	// reportTime is how long after that crash the reports of other entries must have been read.
-	reportTime = 800 * time.Millisecond
-	// soundMargin is how long before a crash a completed answer exonerates its parts.
-	soundMargin = time.Second
+	// settleTimeRequest is the same for a request. It is short: a request that is blamed wrongly costs only itself, and on a service of few
+	// engines, which are all down at once, no evidence follows in time.
+	settleTimeRequest = 500 * time.Millisecond
 )
 
-// Key identifies a part of the prompts for one service.
+// Key identifies a part of the prompts for one service, or a request for it.
 type Key struct {
 	Service string
-	Part    uint64
+	ID      uint64
+	Request bool // ID is a fingerprint of a request, not a part of prompts
 }
 
 // Break is an attempt whose connection broke while the engine worked on it.
 type Break struct {
-	At       time.Time
-	Service  string
-	Upstream string
-	Prompt   uint64   // the last part, which belongs to the request or its session
-	Parts    []uint64 // the others, in the order of the prompt
+	At           time.Time
+	SentAt       time.Time // when the attempt was sent
+	Service      string
+	Upstream     string
+	Prompt       uint64   // the last part, which belongs to the request or its session
+	Parts        []uint64 // the others, in the order of the prompt
+	Fingerprints []uint64 // of the request
 }
 
 // collapse is one crash that counts against a part.
@@ -59,7 +61,8 @@
 type tally struct {
 	key     Key
 	needed  int        // crashes that suffice
-	depth   int        // place in the prompt
+	depth   int        // place in the prompt, or among the fingerprints
+	ended   []collapse // the first break of each engine
 	crashes []collapse // that count as several
 	rapid   []collapse // the same by rapidGap, also under the same prompt
 	several time.Time  // when the prompts became minCrashes
@@ -67,20 +70,24 @@
 	prompts map[uint64]bool
 }
 
-// add counts a break, which must not be earlier than those added before.
+// add counts a break, which must not be earlier than those added before. An engine crashes once, at its first break.
 func (t *tally) add(b *Break, depth int) {
 	t.depth = max(t.depth, depth)
+	isFirst := !t.engines[b.Upstream]
 	t.prompts[b.Prompt], t.engines[b.Upstream] = true, true
 	if t.several.IsZero() && len(t.prompts) >= minCrashes {
 		t.several = b.At
 	}
-	if !slices.ContainsFunc(t.crashes, func(c collapse) bool {
-		return c.upstream == b.Upstream || c.prompt == b.Prompt || b.At.Sub(c.at) < crashGap
-	}) {
-		t.crashes = append(t.crashes, collapse{b.At, b.Upstream, b.Prompt})
+	if !isFirst {
+		return
 	}
-	if !slices.ContainsFunc(t.rapid, func(c collapse) bool { return c.upstream == b.Upstream || b.At.Sub(c.at) < rapidGap }) {
-		t.rapid = append(t.rapid, collapse{b.At, b.Upstream, b.Prompt})
+	c := collapse{b.At, b.Upstream, b.Prompt}
+	t.ended = append(t.ended, c)
+	if !slices.ContainsFunc(t.crashes, func(o collapse) bool { return o.prompt == c.prompt && !t.key.Request || c.at.Sub(o.at) < crashGap }) {
+		t.crashes = append(t.crashes, c)
+	}
+	if !slices.ContainsFunc(t.rapid, func(o collapse) bool { return c.at.Sub(o.at) < rapidGap }) {
+		t.rapid = append(t.rapid, c)
 	}
 }
 
@@ -92,6 +99,9 @@
 
 // concludedAt returns the time of the crash that made the evidence suffice, if it takes so many.
 func (t *tally) concludedAt(crashes int) (at time.Time, ok bool) {
+	if t.key.Request {
+		return t.requestConcludedAt(crashes)
+	}
 	if len(t.prompts) > maxPrompts*len(t.engines) {
 		return time.Time{}, false
 	}
@@ -112,20 +122,53 @@
 	return at, ok
 }
 
+// requestConcludedAt is concludedAt for a request: it comes again, alone or several times at once, so that each engine counts. A request that
+// was answered lately needs crashes that are well apart.
+func (t *tally) requestConcludedAt(crashes int) (at time.Time, ok bool) {
+	counted := t.ended
+	if crashes > minCrashes {
+		counted, crashes = t.crashes, minCrashes
+	}
+	if len(counted) < crashes {
+		return time.Time{}, false
+	}
+	return counted[crashes-1].at, true
+}
+
+// counted returns the first crash that counts and how many do.
+func (t *tally) counted() (first time.Time, crashes int) {
+	if t.key.Request {
+		return t.ended[0].at, len(t.ended)
+	}
+	return t.crashes[0].at, len(t.crashes)
+}
+
 // strength grows with the number of engines that crashed and falls with the number of prompts for each.
 func (t *tally) strength() float64 {
 	return float64(len(t.engines)*len(t.engines)) / float64(len(t.prompts))
 }
 
-// compare orders conclusive evidence: that against parts without answers first, then the strongest, and among parts that always occur
-// together the one furthest back, which fewer sound prompts share.
+// compare orders conclusive evidence: that against requests first, which holds nothing against what they share with sound ones, then
+// that against keys without answers, then the strongest, and among keys that always occur together the one furthest back, which
+// fewer sound requests share.
 func compare(a, b *tally) int {
 	return cmp.Or(
-		cmp.Compare(a.needed, b.needed), cmp.Compare(b.strength(), a.strength()), cmp.Compare(b.depth, a.depth),
-		cmp.Compare(a.key.Service, b.key.Service), cmp.Compare(a.key.Part, b.key.Part),
+		compareBool(b.key.Request, a.key.Request), cmp.Compare(a.needed, b.needed), cmp.Compare(b.strength(), a.strength()), cmp.Compare(b.depth, a.depth),
+		cmp.Compare(a.key.Service, b.key.Service), cmp.Compare(a.key.ID, b.key.ID),
 	)
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // judge is what an entry knows beside the breaks.
 type judge interface {
 	// isSound reports whether a part was exonerated since a break at this time.
@@ -133,14 +176,12 @@
 	// crashesNeeded returns how many crashes speak against a part beyond doubt.
 	crashesNeeded(Key) int
 	// isSettled reports whether a crash at this time can decide.
-	isSettled(time.Time) bool
+	isSettled(Key, time.Time) bool
 }
 
-// blame returns the parts that the breaks show to crash engines, the strongest evidence first. known are parts in quarantine already.
-// What one part explains is not held against others.
+// blame returns the keys that the breaks, oldest first, show to crash engines, the strongest evidence first. known are keys in
+// quarantine already. What one key explains is not held against others.
 func blame(breaks []Break, known []Key, j judge) []Key {
-	breaks = slices.Clone(breaks)
-	slices.SortStableFunc(breaks, func(a, b Break) int { return a.At.Compare(b.At) })
 	for _, key := range known {
 		breaks = unexplained(breaks, key)
 	}
@@ -156,20 +197,19 @@
 		if best == nil {
 			return blamed
 		}
-		if at, _ := best.concludedAt(best.needed); j.isSettled(at) {
+		if at, _ := best.concludedAt(best.needed); j.isSettled(best.key, at) {
 			blamed = append(blamed, best.key)
 		}
 		breaks = unexplained(breaks, best.key)
 	}
 }
 
-// tallies returns the evidence against each part that was not exonerated. The breaks are ordered by time.
+// tallies returns the evidence against each key that was not exonerated. The breaks are ordered by time.
 func tallies(breaks []Break, isSound func(Key, time.Time) bool) map[Key]*tally {
 	all := make(map[Key]*tally)
 	for i := range breaks {
 		b := &breaks[i]
-		for depth, part := range b.Parts {
-			key := Key{b.Service, part}
+		for depth, key := range b.keys() {
 			if isSound(key, b.At) {
 				continue
 			}
@@ -184,7 +224,8 @@
 	return all
 }
 
-// unexplained returns the breaks of prompts without the part, at engines that did not crash under it at the time.
+// unexplained returns the breaks of requests without the key. Those at engines that crashed under it at the time are no evidence against
+// parts; against requests they remain, because several that crash engines often break off together.
 func unexplained(breaks []Break, key Key) []Break {
 	var crashes []collapse
 	for _, b := range breaks {
@@ -195,13 +236,28 @@
 	if len(crashes) == 0 {
 		return breaks
 	}
-	return slices.DeleteFunc(breaks, func(b Break) bool {
-		return b.has(key) || slices.ContainsFunc(crashes, func(c collapse) bool {
-			return c.upstream == b.Upstream && c.at.Sub(b.At).Abs() <= collateralTime
-		})
-	})
+	var out []Break
+	for _, b := range breaks {
+		switch {
+		case b.has(key):
+			continue
+		case slices.ContainsFunc(crashes, func(c collapse) bool { return c.upstream == b.Upstream && c.at.Sub(b.At).Abs() <= collateralTime }):
+			b.Parts = nil
+		}
+		out = append(out, b)
+	}
+	return out
 }
 
 func (b *Break) has(key Key) bool {
-	return b.Service == key.Service && slices.Contains(b.Parts, key.Part)
+	ids := b.Parts
+	if key.Request {
+		ids = b.Fingerprints
+	}
+	return b.Service == key.Service && slices.Contains(ids, key.ID)
+}
+
+// keys returns the keys of the request that broke off.
+func (b *Break) keys() []Key {
+	return (&Request{Service: b.Service, parts: b.Parts, fingerprints: b.Fingerprints}).keys()
 }
--- a/internal/quarantine/publish.go
+++ b/internal/quarantine/publish.go
@@ -15,67 +15,60 @@
 // ErrInvalid is returned for what another process has written and what cannot be read.
 var ErrInvalid = errors.New("quarantine: unusable object")
 
-// Report is a Break as published.
-type Report struct {
-	Service  string   `json:"service"`
-	Upstream string   `json:"upstream"`
-	Prompt   uint64   `json:"prompt"`
-	Parts    []uint64 `json:"parts"`
-	AgeMs    int64    `json:"ageMs"`
-}
-
-// Reports returns the breaks as published at now.
-func Reports(now time.Time, breaks []Break) []Report {
-	var out []Report
-	for _, b := range breaks {
-		out = append(out, Report{b.Service, b.Upstream, b.Prompt, b.Parts, now.Sub(b.At).Milliseconds()})
-	}
-	return out
-}
-
-// ReadReports returns the breaks of reports that were published at a time. It leaves out those that cannot be.
-func ReadReports(published time.Time, reports []Report) []Break {
-	var out []Break
-	for _, r := range reports[:min(len(reports), maxPublished)] {
-		if r.AgeMs < 0 || r.AgeMs > evidenceTime.Milliseconds() || len(r.Parts) > maxParts {
-			continue
-		}
-		at := published.Add(-time.Duration(r.AgeMs) * time.Millisecond)
-		out = append(out, Break{At: at, Service: r.Service, Upstream: r.Upstream, Prompt: r.Prompt, Parts: r.Parts})
-	}
-	return out
-}
-
-// stored is a part in quarantine as stored.
+// stored is a part or a request in quarantine as stored.
 type stored struct {
 	Service string `json:"service"`
-	Part    string `json:"part"`    // in hexadecimal
-	Entry   string `json:"entry"`   // that probes the part
-	AgeMs   int64  `json:"ageMs"`   // of the first crash that counted, when this was written
-	Crashes int    `json:"crashes"` // that counted
+	Part    string `json:"part,omitempty"`    // in hexadecimal; empty for a request
+	Request string `json:"request,omitempty"` // fingerprint in hexadecimal; empty for a part
+	Entry   string `json:"entry"`             // that probes it
+	AgeMs   int64  `json:"ageMs"`             // of the first crash that counted, when this was written
+	Crashes int    `json:"crashes"`           // that counted
 	Probes  int    `json:"probes"`
 }
 
 // maxAgeMs bounds what is believed of an age.
 const maxAgeMs = 24 * 3_600_000
 
-func (k Key) objectName() string { return k.Service + "-" + strconv.FormatUint(k.Part, 16) }
+func (k Key) objectName() string {
+	name := k.Service + "-"
+	if k.Request {
+		name += "request-"
+	}
+	return name + k.hex()
+}
+
+func (k Key) hex() string { return strconv.FormatUint(k.ID, 16) }
 
 func decode(o fighollow.Object) (Key, stored, error) {
 	var s stored
 	if err := json.Unmarshal(o.Value, &s); err != nil {
 		return Key{}, s, fmt.Errorf("%w: %s: %w", ErrInvalid, o.Name, err)
 	}
-	part, err := strconv.ParseUint(s.Part, 16, 64)
-	key := Key{s.Service, part}
+	id, err := strconv.ParseUint(s.Part+s.Request, 16, 64)
+	key := Key{Service: s.Service, ID: id, Request: s.Request != ""}
 	if err != nil || key.objectName() != o.Name || s.AgeMs < 0 || s.AgeMs > maxAgeMs || s.Crashes < 0 || s.Probes < 0 {
 		return Key{}, s, fmt.Errorf("%w: %s", ErrInvalid, o.Name)
 	}
 	return key, s, nil
 }
 
+// encode returns the stored state of a key in quarantine that this entry probes.
+func (t *Tracker) encode(now time.Time, key Key, q *quarantined) fighollow.Object {
+	s := stored{Service: key.Service, Entry: t.self, AgeMs: now.Sub(q.crashedAt).Milliseconds(), Crashes: q.crashes, Probes: q.probes}
+	if key.Request {
+		s.Request = key.hex()
+	} else {
+		s.Part = key.hex()
+	}
+	value, err := json.Marshal(s)
+	if err != nil {
+		panic(err) // strings and numbers always encode
+	}
+	return fighollow.Object{Kind: fighollow.KindQuarantine, Name: key.objectName(), Value: value}
+}
+
 // Apply applies objects of KindQuarantine that were listed or have changed; snapshot means that there are no others. It returns the
-// parts that are newly in quarantine, those that no longer are, and errors for objects that cannot be read, which are ignored.
+// keys that are newly in quarantine, those that no longer are, and errors for objects that cannot be read, which are ignored.
 func (t *Tracker) Apply(now time.Time, objects []fighollow.Object, snapshot bool) (added, ended []Key, errs []error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -86,7 +79,7 @@
 				if now.Sub(t.cases[key].addedAt) < doubtTime {
 					t.doubt(now, key)
 				} else {
-					t.sound[key] = soundness{at: now, before: now}
+					t.sound.set(key, soundness{at: now, before: now})
 				}
 				delete(t.cases, key)
 				ended = append(ended, key)
@@ -119,19 +112,19 @@
 	return added, ended, errs
 }
 
-// doubt makes more crashes necessary to put a part into quarantine. The evidence against it remains.
+// doubt makes more crashes necessary to put a key into quarantine. The evidence against it remains.
 func (t *Tracker) doubt(now time.Time, key Key) {
-	s := t.sound[key]
+	s := t.sound.get(key)
 	s.doubtedAt = now
-	t.sound[key] = s
+	t.sound.set(key, s)
 }
 
 // isDoubted reports whether an entry has objected lately. One objection is enough.
 func (t *Tracker) isDoubted(now time.Time, key Key) bool {
-	return now.Sub(t.sound[key].doubtedAt) < evidenceTime
+	return now.Sub(t.sound.get(key).doubtedAt) < evidenceTime
 }
 
-// byName returns the part in quarantine whose object has this name.
+// byName returns the key in quarantine whose object has this name.
 func (t *Tracker) byName(name string) (Key, bool) {
 	for key := range t.cases {
 		if key.objectName() == name {
@@ -141,14 +134,14 @@
 	return Key{}, false
 }
 
-// applyCase applies the stored state of a part. It reports whether the part was not in quarantine before.
+// applyCase applies the stored state of a key. It reports whether the key was not in quarantine before.
 func (t *Tracker) applyCase(now time.Time, key Key, s stored, version uint64) bool {
 	q := t.cases[key]
 	if q != nil && version <= q.version {
 		return false
 	}
 	crashedAt := now.Add(-time.Duration(s.AgeMs) * time.Millisecond)
-	isDoubtful := s.Crashes < minCrashesSound && q == nil && t.hasSoundHistory(now, key) || t.sound[key].at.After(crashedAt)
+	isDoubtful := s.Crashes < minCrashesSound && q == nil && t.hasSoundHistory(now, key) || t.sound.get(key).at.After(crashedAt)
 	if isDoubtful && !t.isDoubted(now, key) {
 		// An answer with the part was completed here lately, or meanwhile: the crashes may be a coincidence.
 		t.doubt(now, key)
@@ -161,8 +154,11 @@
 	if !isNew {
 		addedAt = q.addedAt
 	}
-	if isNew || !q.own || s.Entry != t.self {
-		q = &quarantined{addedAt: addedAt, own: s.Entry == t.self, probes: s.Probes, probeAt: now.Add(hold(s.Probes))}
+	switch {
+	case !isNew && q.claimed && s.Entry == t.self:
+		q.own, q.claimed = true, false
+	case isNew || !q.own || s.Entry != t.self:
+		q = &quarantined{addedAt: addedAt, own: s.Entry == t.self, crashes: s.Crashes, probes: s.Probes, probeAt: now.Add(hold(s.Probes))}
 		t.put(key, q)
 	}
 	q.crashedAt, q.changedAt, q.version, q.published = crashedAt, now, version, true
@@ -174,7 +170,7 @@
 
 // Write is a write to the store that is due.
 type Write struct {
-	Key      Key
+	Key      Key              // zero for reports
 	Object   fighollow.Object // without a value to delete it
 	Expected uint64           // the version that the object must have; 0: it must not exist
 }
@@ -190,14 +186,11 @@
 			t.lift(now, key)
 		case now.Sub(q.changedAt) > caseLapse:
 			t.drop(key)
-		case q.own && !q.published:
-			value, err := json.Marshal(stored{key.Service, strconv.FormatUint(key.Part, 16), t.self, now.Sub(q.crashedAt).Milliseconds(), q.crashes, q.probes})
-			if err != nil {
-				panic(err) // strings and numbers always encode
-			}
-			out = append(out, Write{key, fighollow.Object{Kind: fighollow.KindQuarantine, Name: key.objectName(), Value: value}, q.version})
+		case q.own && !q.published, q.claimed:
+			out = append(out, Write{key, t.encode(now, key, q), q.version})
 		}
 	}
+	out = append(out, t.reportWrites(now)...)
 	for key, version := range t.lifts {
 		out = append(out, Write{key, fighollow.Object{Kind: fighollow.KindQuarantine, Name: key.objectName()}, version})
 	}
@@ -209,6 +202,10 @@
 func (t *Tracker) Written(w Write, version uint64, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if w.Object.Kind == fighollow.KindCrashReports {
+		t.reports.written(w, version, err)
+		return
+	}
 	settled := errors.Is(err, fighollow.ErrConflict) || errors.Is(err, fighollow.ErrNotFound)
 	if w.Object.Value == nil {
 		if (err == nil || settled) && t.lifts[w.Key] == w.Expected {
@@ -224,7 +221,8 @@
 		}
 	case err == nil:
 		q.version, q.published = max(q.version, version), true
+		q.own, q.claimed = true, false
 	case settled:
-		q.published = true // another entry was faster; the follower brings its object
+		q.published, q.claimed = true, false // another entry was faster; the follower brings its object
 	}
 }
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/request.go
@@ -10,6 +10,41 @@
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
+// maxParts bounds the parts of a prompt that are looked at.
+const maxParts = 16
+
+// Request is what is known of a request by which it, or others like it, can be recognised. It is read-only.
+type Request struct {
+	Service      string
+	own          uint64   // last part of the prompt, which belongs to the request or its session; 0 without a prompt
+	parts        []uint64 // the others, in the order of the prompt
+	fingerprints []uint64 // see Fingerprints
+}
+
+// NewRequest returns the Request of a call to a service.
+func NewRequest(service string, c *fighollow.Call) *Request {
+	r := &Request{Service: service, fingerprints: Fingerprints(c)}
+	if n := len(c.Prompt); n > 0 {
+		r.own = c.Prompt[n-1].ID
+		for _, p := range c.Prompt[:min(n-1, maxParts)] {
+			r.parts = append(r.parts, p.ID)
+		}
+	}
+	return r
+}
+
+// keys returns the keys by which a request is judged.
+func (r *Request) keys() []Key {
+	out := make([]Key, 0, len(r.parts)+len(r.fingerprints))
+	for _, part := range r.parts {
+		out = append(out, Key{Service: r.Service, ID: part})
+	}
+	for _, f := range r.fingerprints {
+		out = append(out, Key{Service: r.Service, ID: f, Request: true})
+	}
+	return out
+}
+
 // Fingerprints returns hashes that identify a request whenever it comes again, under whatever id and at whichever entry. The first is of
 // its method, host, path and body, the next also of its query, if it has one, and the last also of its caller.
 //
--- a/internal/quarantine/writer.go
+++ b/internal/quarantine/writer.go
@@ -39,7 +39,7 @@
 
 // Step makes the writes that are due at now.
 func (w *Writer) Step(ctx context.Context, now time.Time) {
-	LogQuarantined(&w.log, w.tracker.Judge(now), "attempts")
+	w.logQuarantined(w.tracker.Judge(now), "attempts")
 	for _, due := range w.tracker.Writes(now) {
 		var version uint64
 		var err error
@@ -58,18 +58,34 @@
 // Apply applies objects that were listed or have changed; see Tracker.Apply.
 func (w *Writer) Apply(now time.Time, objects []fighollow.Object, snapshot bool) {
 	added, ended, errs := w.tracker.Apply(now, objects, snapshot)
-	LogQuarantined(&w.log, added, "store")
+	w.logQuarantined(added, "store")
 	for _, key := range ended {
-		event.PartReleased.Log(&w.log).Str("service", key.Service).Hex("part", key.bytes()).Send()
+		key.log(event.PartReleased.Log(&w.log)).Send()
 	}
 	for _, err := range errs {
 		event.QuarantineInvalid.Log(&w.log).Err(err).Send()
 	}
 }
 
-// LogQuarantined logs parts that are newly in quarantine, and where this entry knows it from.
-func LogQuarantined(log *zerolog.Logger, keys []Key, source string) {
+// ApplyReports applies objects that were listed or have changed; see Tracker.ApplyReports.
+func (w *Writer) ApplyReports(now time.Time, objects []fighollow.Object, snapshot bool) {
+	for _, err := range w.tracker.ApplyReports(now, objects, snapshot) {
+		event.QuarantineInvalid.Log(&w.log).Err(err).Send()
+	}
+}
+
+// logQuarantined logs keys that are newly in quarantine, and where this entry knows it from.
+func (w *Writer) logQuarantined(keys []Key, source string) {
 	for _, key := range keys {
-		event.PartQuarantined.Log(log).Str("service", key.Service).Hex("part", key.bytes()).Str("source", source).Send()
+		key.log(event.PartQuarantined.Log(&w.log)).Str("source", source).Send()
+	}
+}
+
+// log adds the key to a line.
+func (k Key) log(line *zerolog.Event) *zerolog.Event {
+	name := "part"
+	if k.Request {
+		name = "fingerprint"
 	}
+	return line.Str("service", k.Service).Hex(name, k.bytes())
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -13,7 +13,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fighollow/fighollow/internal/event"
-	"github.com/fighollow/fighollow/internal/quarantine"
 	"github.com/fighollow/fighollow/internal/quota"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
@@ -55,8 +54,6 @@
 	Claims func(now time.Time) map[string]fighollow.LimitClaim
 	// Divider divides the limits by the claims of all entries; nil for none.
 	Divider *quota.Divider
-	// Quarantine gets the other entries' reports of attempts that broke off, and its own are published; nil for none.
-	Quarantine *quarantine.Tracker
 }
 
 // Roster registers one entry and counts all entries.
@@ -70,7 +67,6 @@
 	renewedAt time.Time                       // when this entry's object was last written
 	beat      uint64                          // incremented per write, so that every renewal changes the object
 	claims    map[string]fighollow.LimitClaim // as last written
-	breakAt   time.Time                       // of the newest attempt that broke off, as last written
 	triedAt   time.Time                       // when this entry's object was last written, or the attempt failed
 	polledAt  time.Time                       // when the objects were last polled
 	listBytes int                             // size of the last list
@@ -104,37 +100,11 @@
 	if r.isRenewalDue(now, claims) && now.Sub(r.triedAt) >= claimPollInterval {
 		r.renew(ctx, now, claims)
 	}
-	pause := r.pause(claims)
-	if r.opts.Quarantine != nil && r.opts.Quarantine.HasNews(now) || r.isUrgent(now) {
-		pause = min(pause, r.shortPause())
-	}
-	if now.Sub(r.polledAt) >= pause {
+	if now.Sub(r.polledAt) >= r.pause(claims) {
 		r.poll(ctx, now, claims)
 	}
 }
 
-// isUrgent reports whether to read soon what other entries report of attempts that broke off.
-func (r *Roster) isUrgent(now time.Time) bool {
-	return r.opts.Quarantine != nil && r.opts.Quarantine.IsUrgent(now)
-}
-
-// breaks returns the attempts that broke off here, for publication.
-func (r *Roster) breaks(now time.Time) []quarantine.Break {
-	if r.opts.Quarantine == nil {
-		return nil
-	}
-	return r.opts.Quarantine.Evidence(now)
-}
-
-// list lists the registrations. A list that may be seconds old is cheaper.
-func (r *Roster) list(ctx context.Context, now time.Time) ([]fighollow.Object, error) {
-	if !r.isUrgent(now) {
-		return fighollow.ListStale(ctx, r.store, fighollow.KindEntry)
-	}
-	objects, _, err := r.store.List(ctx, fighollow.KindEntry)
-	return objects, err
-}
-
 // pause returns the pause between two polls. It is shorter while upstreams have request limits.
 func (r *Roster) pause(claims map[string]fighollow.LimitClaim) time.Duration {
 	if len(claims) == 0 && len(r.claims) == 0 && (r.opts.Divider == nil || len(r.opts.Divider.Reported()) == 0) {
@@ -163,7 +133,7 @@
 // poll reads the objects of all entries and removes those that have lapsed.
 func (r *Roster) poll(ctx context.Context, now time.Time, claims map[string]fighollow.LimitClaim) {
 	r.polledAt = now
-	objects, err := r.list(ctx, now)
+	objects, err := fighollow.ListStale(ctx, r.store, fighollow.KindEntry) // seconds old at most, and cheaper
 	if err != nil {
 		event.RosterUnread.Log(&r.log).Err(err).Send()
 		return
@@ -183,9 +153,6 @@
 	if r.opts.Divider != nil {
 		r.divide(now, objects, registrations, claims)
 	}
-	if r.opts.Quarantine != nil {
-		r.observeBreaks(now, objects, registrations)
-	}
 }
 
 // isRenewalDue reports whether to write this entry's object: periodically, after a change of its claims, and if the object may
@@ -196,13 +163,7 @@
 		interval = min(interval, claimRenewPolls*r.pause(claims))
 	}
 	return now.Sub(r.renewedAt) >= interval || r.version == 0 ||
-		fighollow.VersionEra(r.version) != fighollow.StoreEra(r.store) || r.hasNewBreak(now) || !maps.EqualFunc(claims, r.claims, isSameClaim)
-}
-
-// hasNewBreak reports whether an attempt broke off that was not published yet.
-func (r *Roster) hasNewBreak(now time.Time) bool {
-	breaks := r.breaks(now)
-	return len(breaks) > 0 && breaks[len(breaks)-1].At.After(r.breakAt)
+		fighollow.VersionEra(r.version) != fighollow.StoreEra(r.store) || !maps.EqualFunc(claims, r.claims, isSameClaim)
 }
 
 // isSameClaim reports whether two claims say the same, at whatever time.
@@ -225,17 +186,6 @@
 	return out
 }
 
-// observeBreaks passes the attempts that broke off at other entries to the Tracker.
-func (r *Roster) observeBreaks(now time.Time, objects []fighollow.Object, registrations []registration) {
-	var breaks []quarantine.Break
-	for i, o := range objects {
-		if o.Name != r.opts.Self {
-			breaks = append(breaks, quarantine.ReadReports(r.view.observations[o.Name].changedAt, registrations[i].Breaks)...)
-		}
-	}
-	quarantine.LogQuarantined(&r.log, r.opts.Quarantine.Observe(now, breaks), "entries")
-}
-
 // divide passes the registrations to the Divider.
 func (r *Roster) divide(now time.Time, objects []fighollow.Object, registrations []registration, claims map[string]fighollow.LimitClaim) {
 	entries := make([]quota.Entry, 0, len(objects))
@@ -262,15 +212,13 @@
 	DataCentre string               `json:"dataCentre"`
 	Beat       uint64               `json:"beat"`
 	Limits     map[string]claimText `json:"limits,omitempty"` // claims to request limits, by upstream
-	Breaks     []quarantine.Report  `json:"breaks,omitempty"` // attempts that broke off
 }
 
 // renew writes the entry's own object.
 func (r *Roster) renew(ctx context.Context, now time.Time, claims map[string]fighollow.LimitClaim) {
 	r.triedAt = now
 	r.beat++
-	breaks := r.breaks(now)
-	value, err := json.Marshal(registration{DataCentre: r.opts.DataCentre, Beat: r.beat, Limits: claimTexts(claims), Breaks: quarantine.Reports(now, breaks)})
+	value, err := json.Marshal(registration{DataCentre: r.opts.DataCentre, Beat: r.beat, Limits: claimTexts(claims)})
 	if err != nil {
 		panic(err) // strings and numbers always encode
 	}
@@ -290,9 +238,6 @@
 		return
 	}
 	r.version, r.renewedAt, r.claims = version, now, claims
-	if len(breaks) > 0 {
-		r.breakAt = breaks[len(breaks)-1].At
-	}
 	if r.opts.Divider != nil {
 		r.opts.Divider.Published(now)
 	}
--- a/pkg/fighollow/object.go
+++ b/pkg/fighollow/object.go
@@ -23,7 +23,8 @@
 	KindRouting      Kind = "routing"      // operator; always RoutingName
 	KindRoleLease    Kind = "roleLease"    // entries; always RoleLeaseName
 	KindEntry        Kind = "entry"        // the entry itself; entry name
-	KindQuarantine   Kind = "quarantine"   // entries; service and part of prompts
+	KindQuarantine   Kind = "quarantine"   // entries; service and part of prompts, or fingerprint of a request
+	KindCrashReports Kind = "crashReports" // the entry itself; entry name
 )
 
 // InForceName is the name of the only object of KindInForce.
--- a/pkg/fighollow/routing.go
+++ b/pkg/fighollow/routing.go
@@ -1,6 +1,9 @@
 package fighollow
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Repeat specifies whether a request whose work may have run may be sent again.
 type Repeat string
@@ -86,3 +89,11 @@
 	AcceptedOrders uint64 // orders accepted since StartedMs
 	StartedMs      int64  // start of the process, Unix milliseconds; 0 if unknown
 }
+
+// Incarnation identifies one run of the upstream's process, which may start again under its id.
+func (u Upstream) Incarnation() string {
+	if u.StartedMs == 0 {
+		return u.ID
+	}
+	return u.ID + "/" + strconv.FormatInt(u.StartedMs, 10)
+}
