--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -103,13 +103,17 @@
 		Call: x.call, Upstream: c.Upstream, Phase: phase, KV: kv, FetchFrom: c.FetchFrom, ResumeAfter: x.resumeAfter,
 		Urgency: q.Urgency, Deadline: x.deadline,
 	}
-	line := event.AttemptPlaced.Log(&x.log).Str("upstream", c.Upstream.ID).Int64("started", c.Upstream.StartedMs).Str("dataCentre", c.Upstream.DataCentre).
+	line := event.AttemptPlaced.Log(&x.log).Str("upstream", c.Upstream.ID).Int64("started", c.Upstream.StartedMs).Str("software", c.Upstream.Version).
+		Str("dataCentre", c.Upstream.DataCentre).
 		Str("phase", string(phase)).Float64("costMs", c.CostMs).
 		Int("tokens", x.call.PromptTokens).Int("cached", c.Cached).Int("fetched", c.Fetched).Float64("pendingMs", c.PendingMs).
 		Int("running", c.Running).Int64("leftMs", x.deadline.Sub(now).Milliseconds())
 	if c.Limited {
 		line.Float64("limitShare", c.Share)
 	}
+	if x.resumeAfter != "" {
+		line.Str("resumes", x.call.Resumes).Str("after", x.resumeAfter)
+	}
 	if c.Trial {
 		line.Bool("trial", true)
 	}
--- a/pkg/fighollow/routing.go
+++ b/pkg/fighollow/routing.go
@@ -88,6 +88,7 @@
 	Slots          int    // maximum number of requests at once
 	AcceptedOrders uint64 // orders accepted since StartedMs
 	StartedMs      int64  // start of the process, Unix milliseconds; 0 if unknown
+	Version        string // of its software; only the same one can go on with a stream that it began; empty if unknown
 }
 
 // Incarnation identifies one run of the upstream's process, which may start again under its id.
