streams, gateway: a stream goes on only at the software version that began it

Cause: nothing read the version of an engine. An entry that resumed a stream chose among all engines, and a stream that a caller took up at another entry was placed like a new one: nobody there could know who had begun it.

Change: an exchange remembers the version that brought the first event and places what follows there only. An entry that is asked for a stream that it does not know reads the journals; without a record it refuses.

Why it works: each way to go on knows the version from the first event, from memory or from the journals, or ends.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/fighollow/fighollow/internal/quota"
 	"github.com/fighollow/fighollow/internal/roles"
 	"github.com/fighollow/fighollow/internal/roster"
+	"github.com/fighollow/fighollow/internal/streams"
 	"github.com/fighollow/fighollow/internal/upstream"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 	"github.com/fighollow/fighollow/platform"
@@ -96,6 +97,7 @@
 	roster       *roster.Roster
 	planner      *roles.Runner
 	quarantine   *quarantine.Writer
+	streams      *streams.Journal
 	stopping     atomic.Bool
 	wasReady     atomic.Bool // result of the last readiness check
 }
@@ -114,8 +116,12 @@
 	dispatcher := platform.NewDispatcher(p.pool, gateway.NewAnnouncements(fleet, p.registry, log))
 	crashes := quarantine.New(self)
 	p.quarantine = quarantine.NewWriter(crashes, p.store, log)
+	p.streams = streams.New(streams.Options{
+		Self: self, Started: time.Now(), Entries: func() int { return p.gateway.Entries() },
+		IsMixed: func(now time.Time, service string) bool { return fleet.Pool(service).IsMixed(now) },
+	}, p.store, log)
 	p.gateway = gateway.New(gateway.Options{
-		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: p.registry, Quarantine: crashes,
+		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: p.registry, Quarantine: crashes, Streams: p.streams,
 	}, fleet, dispatcher, log)
 	decode := gateway.Decoder{Routing: platform.DecodeRouting, Upstream: platform.DecodeUpstream}
 	p.follower = gateway.NewFollower(p.store, decode, p.gateway, fleet, log)
@@ -167,6 +173,7 @@
 	background.Go(func() { p.caches.Run(bgCtx) })
 	background.Go(func() { p.roster.Run(bgCtx) })
 	background.Go(func() { p.quarantine.Run(bgCtx) })
+	background.Go(func() { p.streams.Run(bgCtx) })
 	background.Go(func() { p.follower.Follow(bgCtx, fighollow.KindQuarantine, p.quarantine.Apply) })
 	background.Go(func() { p.follower.Follow(bgCtx, fighollow.KindCrashReports, p.quarantine.ApplyReports) })
 	background.Go(func() { p.reloadOnHangup(bgCtx, hangups) })
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -44,6 +44,8 @@
 	PartReleased        = Event{8045, "partReleased", zerolog.InfoLevel, "a part of prompts is no longer in quarantine: an answer with it was completed, or its entry did not renew it"}
 	QuarantineUnwritten = Event{8046, "quarantineUnwritten", zerolog.InfoLevel, "the store did not accept a change of the quarantine, or another entry was faster; it is tried again if it is still due"}
 	QuarantineInvalid   = Event{8047, "quarantineInvalid", zerolog.WarnLevel, "an object of the quarantine could not be decoded and is ignored"}
+	StreamsUnwritten    = Event{8048, "streamsUnwritten", zerolog.InfoLevel, "the store did not accept the streams that this entry has begun while several software versions serve; they are written again. Streams that were begun since can't be taken up at another entry"}
+	StreamsInvalid      = Event{8049, "streamsInvalid", zerolog.WarnLevel, "an entry's object of begun streams could not be decoded; these can't be taken up at another entry"}
 	LeavingAnnounced    = Event{8050, "leavingAnnounced", zerolog.InfoLevel, "an upstream has announced in an answer that it leaves; this entry sends it no new work until it has started again"}
 	PauseAsked          = Event{8051, "pauseAsked", zerolog.InfoLevel, "an upstream that turned a request away asks for a pause; until untilMs this entry sends it nothing. pauseMs is less than what was asked for if that exceeds the bound"}
 	PauseMalformed      = Event{8052, "pauseMalformed", zerolog.WarnLevel, "an upstream asks for a pause that cannot be read; it changes nothing"}
@@ -59,5 +61,5 @@
 	PolicyApplied, PolicyUnread,
 	EntriesCounted, EntryLapsed, EntryLeft, RosterUnread,
 	StoreEraBegan, StoreEraInvalid, UpstreamsSettled, PresetLost, LimitChanged, LimitMalformed, RegistrationInvalid, LimitReported, StreamWaits, CallerTimedOut,
-	PartQuarantined, PartReleased, QuarantineUnwritten, QuarantineInvalid, LeavingAnnounced, PauseAsked, PauseMalformed,
+	PartQuarantined, PartReleased, QuarantineUnwritten, QuarantineInvalid, StreamsUnwritten, StreamsInvalid, LeavingAnnounced, PauseAsked, PauseMalformed,
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -51,6 +51,8 @@
 	streaming        bool   // an event was sent
 	callerLeft       bool   // the caller closed the connection
 	resumeAfter      string // id of the last event that the caller has
+	software         string // version that began the stream, which only the same can go on with; empty if none did
+	isRecorded       bool   // the stream is in the journal
 	status           int
 	firstByte, total time.Duration // from the arrival to the first byte and to the end of the answer
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/placement"
 	"github.com/fighollow/fighollow/internal/quarantine"
+	"github.com/fighollow/fighollow/internal/streams"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -24,6 +25,7 @@
 	RetryRatio float64 // extra dispatches allowed per request of a service, over all entries
 	RetrySlack int     // extra dispatches allowed beyond that in each window, over all entries
 	Registry   metrics.Registry
+	Streams    *streams.Journal    // which versions began streams; nil if only the gateway's own answers go on
 	Quarantine *quarantine.Tracker // requests and parts of prompts that crash engines; nil for one that knows only this gateway's
 }
 
@@ -181,14 +183,18 @@
 	x.subject = quarantine.NewRequest(service, x.call)
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
-	if x.traits.Engine != nil {
-		return x.generate(ctx)
+	if x.traits.Engine == nil {
+		return x.plain(ctx)
 	}
-	return x.plain(ctx)
+	if err := x.findVersion(ctx); err != nil {
+		return x.refusal(ctx, err)
+	}
+	return x.generate(ctx)
 }
 
 // finish sends the refusal, if there is one, and logs the outcome of the request.
 func (x *exchange) finish(refusal *fighollow.Refusal) {
+	x.recordEnd(refusal == nil && !x.callerLeft)
 	line := event.RequestEnded.Log(&x.log).Uint64("version", x.version).Int("attempts", x.attemptsSent)
 	if x.route != nil {
 		line.Str("route", x.route.Name).Str("service", x.service)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -64,6 +64,7 @@
 	if err := x.beginEvents(a); err != nil {
 		return err
 	}
+	x.recordBegin(a)
 	if id := lastEventID(events); id != "" {
 		x.resumeAfter = id
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -380,3 +380,23 @@
 	_, ok = p.Choose(start, q)
 	qt.Assert(t, ok, qt.IsFalse, qt.Commentf("each entry keeps one connection"))
 }
+
+// Guards against a stream that goes on at another software version, and against versions that are forgotten while callers may take
+// their streams up.
+func TestVersionRestrictsTheChoice(t *testing.T) {
+	f := newFleet("d-a-1")
+	other := engine("d-a-2")
+	other.Version = "v2"
+	f.Put(start, other, 9)
+	p := f.Pool(models)
+	q := placement.Query{Phase: fighollow.RequestWhole, Version: "v2"}
+	c, ok := p.Choose(start, q)
+	qt.Assert(t, ok && c.Upstream.ID == other.ID, qt.IsTrue)
+	qt.Assert(t, p.IsMixed(start), qt.IsTrue)
+	f.Remove(start, other.ID, 10)
+	gone := start.Add(drain)
+	_, ok = p.Choose(gone, q)
+	qt.Assert(t, ok, qt.IsFalse)
+	qt.Assert(t, p.IsMixed(gone.Add(time.Minute-time.Second)), qt.IsTrue)
+	qt.Assert(t, p.IsMixed(gone.Add(time.Minute+time.Second)), qt.IsFalse)
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -56,6 +56,7 @@
 	Target       time.Duration // latency target; 0 if there is none
 	Urgency      int           // as sent to the engine: 0 is served first, maxUrgency last
 	Tried        []string      // ids of upstreams that must not be chosen
+	Version      string        // of the software that began the stream, which only the same can go on with; empty for any
 	NoRetry      bool          // the request gets no second attempt: upstreams that refused recently are a last resort
 	Seed         uint64        // breaks ties
 }
@@ -89,6 +90,7 @@
 	entries   int // number of entries that share the connections of each upstream
 	traits    fighollow.ServiceTraits
 	instances map[string]*instance
+	versions  map[string]time.Time // of the software, when an upstream with it was last known
 	// lastReturn is the latest time that a caller was given to return when request limits were used up.
 	lastReturn      time.Time
 	lastPauseReturn time.Time      // that a caller was given when all upstreams were paused
@@ -100,7 +102,8 @@
 
 func newPool(opts Options, m *announcements) *Pool {
 	return &Pool{
-		dataCentre: opts.DataCentre, drain: opts.DrainTime, shares: opts.Shares, entries: 1, instances: make(map[string]*instance), announcements: m,
+		dataCentre: opts.DataCentre, drain: opts.DrainTime, shares: opts.Shares, entries: 1, instances: make(map[string]*instance), versions: make(map[string]time.Time),
+		announcements: m,
 	}
 }
 
@@ -146,6 +149,24 @@
 	inst.removedAt = time.Time{}
 }
 
+// versionMemory is how long after its last upstream has gone a software version counts: callers may still take up streams that it began.
+const versionMemory = time.Minute
+
+// IsMixed reports whether the service has upstreams of several software versions, or had in the last versionMemory.
+func (p *Pool) IsMixed(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, inst := range p.instances {
+		p.versions[inst.upstream.Version] = now
+	}
+	for version, at := range p.versions {
+		if now.Sub(at) > versionMemory {
+			delete(p.versions, version)
+		}
+	}
+	return len(p.versions) > 1
+}
+
 // remove records that an upstream was removed from the store. A draining one is dropped at once, any other one after a grace
 // period.
 func (p *Pool) remove(now time.Time, id string) {
@@ -176,6 +197,7 @@
 // drop removes an upstream from the pool.
 func (p *Pool) drop(now time.Time, id string) {
 	p.announcements.remember(now, p.instances[id])
+	p.versions[p.instances[id].upstream.Version] = now
 	delete(p.instances, id)
 }
 
@@ -254,6 +276,9 @@
 
 // isCandidate is isEligible for an upstream without a pause.
 func (p *Pool) isCandidate(now time.Time, inst *instance, q Query, lastResort bool) bool {
+	if q.Version != "" && inst.upstream.Version != q.Version {
+		return false
+	}
 	if inst.isLeaving() || !servesPhase(inst.upstream.Role, q.Phase) || now.Before(inst.misdirectedUntil) {
 		return false
 	}
--- /dev/null
+++ b/internal/streams/journal_test.go
@@ -0,0 +1,213 @@
+package streams_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/fighollow/fighollow/internal/streams"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+const service = "models"
+
+// store is an in-memory store of the entries' objects that counts its calls.
+type store struct {
+	fighollow.ObjectStore
+	version uint64
+	objects map[string]fighollow.Object
+	calls   int
+	down    bool
+}
+
+func (s *store) call() error {
+	s.calls++
+	if s.down {
+		return fighollow.ErrUnavailable
+	}
+	return nil
+}
+
+func (s *store) Get(_ context.Context, _ fighollow.Kind, name string) (fighollow.Object, error) {
+	if err := s.call(); err != nil {
+		return fighollow.Object{}, err
+	}
+	o, ok := s.objects[name]
+	if !ok {
+		return o, fighollow.ErrNotFound
+	}
+	return o, nil
+}
+
+func (s *store) List(context.Context, fighollow.Kind) (out []fighollow.Object, version uint64, err error) {
+	for _, o := range s.objects {
+		out = append(out, o)
+	}
+	return out, s.version, s.call()
+}
+
+func (s *store) Put(_ context.Context, o fighollow.Object, expected uint64) (uint64, error) {
+	if err := s.call(); err != nil {
+		return 0, err
+	}
+	if s.objects[o.Name].Version != expected {
+		return 0, fighollow.ErrConflict
+	}
+	s.version++
+	o.Version = s.version
+	s.objects[o.Name] = o
+	return o.Version, nil
+}
+
+func (s *store) Delete(_ context.Context, _ fighollow.Kind, name string, expected uint64) (uint64, error) {
+	if s.objects[name].Version != expected {
+		return 0, fighollow.ErrConflict
+	}
+	delete(s.objects, name)
+	return s.version, s.call()
+}
+
+// fleet is journals of entries that share a store.
+type fleet struct {
+	store *store
+	mixed bool // several versions serve
+	now   time.Time
+}
+
+func newFleet(mixed bool) *fleet {
+	return &fleet{store: &store{objects: make(map[string]fighollow.Object)}, mixed: mixed, now: time.Now()}
+}
+
+// entry starts an entry's process.
+func (f *fleet) entry(name string, age time.Duration) *streams.Journal {
+	return streams.New(streams.Options{
+		Self: name, Started: f.now.Add(-age), Entries: func() int { return 3 },
+		IsMixed: func(time.Time, string) bool { return f.mixed },
+	}, f.store, zerolog.Nop())
+}
+
+// step lets an entry write, after so long.
+func (f *fleet) step(j *streams.Journal, after time.Duration) {
+	f.now = f.now.Add(after)
+	j.Step(context.Background(), f.now)
+}
+
+const old = time.Hour // age of a process that has seen all versions
+
+// Guards against streams that can't be taken up at other entries, or go on at another version.
+func TestFind(t *testing.T) {
+	ctx := context.Background()
+	for _, test := range []struct {
+		name  string
+		mixed bool
+		age   time.Duration // of the entry that is asked
+		begun bool          // at another entry, with version v1
+		down  bool          // the store
+		want  string
+		err   error
+	}{
+		{name: "one version", age: old, begun: true},
+		{name: "one version, unknown stream, young process"},
+		{name: "one version, young process, store away", down: true, err: fighollow.ErrUnavailable},
+		{name: "several versions", mixed: true, age: old, begun: true, want: "v1"},
+		{name: "several versions, young process", mixed: true, begun: true, want: "v1"},
+		{name: "several versions, unknown stream", mixed: true, age: old, err: streams.ErrUnknown},
+		{name: "several versions, store away", mixed: true, age: old, begun: true, down: true, err: fighollow.ErrUnavailable},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(test.mixed)
+			first := f.entry("a", old)
+			first.Begin(f.now, service, "other", "v2")
+			if test.begun {
+				first.Begin(f.now, service, "s", "v1")
+			}
+			f.step(first, time.Second)
+			f.store.down = test.down
+			version, err := f.entry("b", test.age).Find(ctx, f.now, service, "s")
+			qt.Assert(t, errors.Is(err, test.err), qt.IsTrue, qt.Commentf("%v", err))
+			qt.Assert(t, version, qt.Equals, test.want)
+		})
+	}
+}
+
+// Guards against a young process that lets a stream go on at the only version left although another began it.
+func TestFindAfterARelease(t *testing.T) {
+	f := newFleet(true)
+	first := f.entry("a", old)
+	first.Begin(f.now, service, "s", "v1")
+	f.step(first, time.Second)
+	young := f.entry("b", 0)
+	f.mixed = false // as the young process sees it
+	version, err := young.Find(context.Background(), f.now, service, "s")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, version, qt.Equals, "v1")
+	_, err = young.Find(context.Background(), f.now, service, "unknown")
+	qt.Assert(t, err, qt.ErrorIs, streams.ErrUnknown)
+}
+
+// Guards against streams that are forgotten because their entry started again and wrote its object anew.
+func TestRestartedEntryKeepsItsStreams(t *testing.T) {
+	f := newFleet(true)
+	before := f.entry("a", old)
+	before.Begin(f.now, service, "s", "v1")
+	f.step(before, time.Second)
+	after := f.entry("a", 0)
+	after.Begin(f.now, service, "t", "v2")
+	f.step(after, time.Second)
+	f.step(after, time.Second)
+	for id, want := range map[string]string{"s": "v1", "t": "v2"} {
+		version, err := f.entry("b", old).Find(context.Background(), f.now, service, id)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, version, qt.Equals, want)
+	}
+}
+
+// Guards against a stream that began before a second version came and is not written.
+func TestStreamsAreWrittenOnceAnotherVersionComes(t *testing.T) {
+	f := newFleet(false)
+	j := f.entry("a", old)
+	j.Begin(f.now, service, "s", "v1")
+	f.step(j, time.Second)
+	qt.Assert(t, f.store.objects, qt.HasLen, 0)
+	f.mixed = true
+	f.step(j, time.Second)
+	version, err := f.entry("b", old).Find(context.Background(), f.now, service, "s")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, version, qt.Equals, "v1")
+}
+
+// Guards against calls of the store for each stream, and against memory and objects that grow with the streams.
+func TestManyStreamsCostFewCalls(t *testing.T) {
+	f := newFleet(true)
+	j := f.entry("a", old)
+	for i := range 100_000 {
+		id := fmt.Sprint(i)
+		j.Begin(f.now, service, id, "v1")
+		j.End(f.now, service, id, i%10 > 0)
+		f.step(j, time.Millisecond)
+	}
+	const writes, reads, searches = 100_000 / 200, 1, 3 // one write in 200 ms, one search for objects of ended entries in a minute
+	qt.Assert(t, f.store.calls <= writes+reads+searches, qt.IsTrue, qt.Commentf("%d calls in 100 s", f.store.calls))
+	size := len(f.store.objects["a"].Value)
+	qt.Assert(t, size < 200_000, qt.IsTrue, qt.Commentf("%d bytes", size))
+}
+
+// Guards against objects of entries that have ended staying for good, and against garbage in them.
+func TestObjectsOfEndedEntriesLapse(t *testing.T) {
+	f := newFleet(true)
+	f.store.objects["gone"] = fighollow.Object{Name: "gone", Version: 1, Value: []byte(`{"models":{"v1":["zz"]}}`)}
+	f.store.objects["bad"] = fighollow.Object{Name: "bad", Version: 1, Value: []byte(`[`)}
+	j := f.entry("a", 0)
+	_, err := j.Find(context.Background(), f.now, service, "s")
+	qt.Assert(t, err, qt.ErrorIs, streams.ErrUnknown)
+	for range 4 {
+		f.step(j, time.Minute)
+	}
+	qt.Assert(t, f.store.objects, qt.HasLen, 0)
+}
--- a/pkg/fighollow/object.go
+++ b/pkg/fighollow/object.go
@@ -25,6 +25,7 @@
 	KindEntry        Kind = "entry"        // the entry itself; entry name
 	KindQuarantine   Kind = "quarantine"   // entries; service and part of prompts, or fingerprint of a request
 	KindCrashReports Kind = "crashReports" // the entry itself; entry name
+	KindStreams      Kind = "streams"      // the entry itself; entry name
 )
 
 // InForceName is the name of the only object of KindInForce.
