upstream: the idle time of a connection counts from when its response arrived

Callers can get a broken attempt because the next request met the upstream's close. Cause: the idle time was counted from when the end of a response was read out of the buffer, which a slow caller does late, and the margin before the upstream's timeout was used up. It now counts from when bytes were last taken from the connection. What waits in the socket's own buffer still counts from when it is read.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -37,18 +37,23 @@
 type headReader struct {
 	r      io.Reader
 	inHead bool
-	left   int // bytes that the head may still take
+	left   int       // bytes that the head may still take
+	readAt time.Time // when bytes were last taken from the connection
 }
 
-func (h *headReader) Read(p []byte) (int, error) {
-	if !h.inHead {
-		return h.r.Read(p)
-	}
-	if h.left <= 0 {
+func (h *headReader) Read(p []byte) (n int, err error) {
+	switch {
+	case !h.inHead:
+		n, err = h.r.Read(p)
+	case h.left <= 0:
 		return 0, errHeadTooLong
+	default:
+		n, err = h.r.Read(p[:min(len(p), h.left)])
+		h.left -= n
+	}
+	if n > 0 {
+		h.readAt = time.Now()
 	}
-	n, err := h.r.Read(p[:min(len(p), h.left)])
-	h.left -= n
 	return n, err
 }
 
@@ -194,7 +199,8 @@
 		sent = err == nil
 	default: // the upstream responded early; the rest of the request body is still being sent
 	}
-	idle := idleTimeout(b.resp.Header)
+	// The caller may read what has arrived much later.
+	idle := idleTimeout(b.resp.Header) - time.Since(b.c.hr.readAt)
 	if !stopped || !sent || b.resp.Close || idle <= 0 || b.c.br.Buffered() > 0 {
 		b.c.nc.Close()
 		return
