quarantine: an entry adopts the reports of its earlier process only before it writes its own

The watch can bring this entry's own object before the store has answered the write; its breaks were then held twice.

--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -41,7 +41,7 @@
 	StreamWaits         = Event{8042, "streamWaits", zerolog.InfoLevel, "a stream broke off and waits for waitMs to be resumed, because upstreams' request limits are used up or they have asked for a pause"}
 	CallerTimedOut      = Event{8043, "callerTimedOut", zerolog.InfoLevel, "a caller's connection was closed because it sent no complete header in time, or stayed idle for too long; the line has the caller's address, which requestEnded names too if its caller left"}
 	PartQuarantined     = Event{8044, "partQuarantined", zerolog.WarnLevel, "a part of prompts, or the request with a fingerprint, crashes the service's engines: requests with it are refused. source is what this entry knows it from: attempts that broke off here and at other entries, or the store"}
-	PartReleased        = Event{8045, "partReleased", zerolog.InfoLevel, "a part of prompts is no longer in quarantine: an answer with it was completed, or its entry did not renew it"}
+	PartReleased        = Event{8045, "partReleased", zerolog.InfoLevel, "a part of prompts, or a request, is no longer in quarantine: an answer to it was completed, or its entry did not renew it"}
 	QuarantineUnwritten = Event{8046, "quarantineUnwritten", zerolog.InfoLevel, "the store did not accept a change of the quarantine, or another entry was faster; it is tried again if it is still due"}
 	QuarantineInvalid   = Event{8047, "quarantineInvalid", zerolog.WarnLevel, "an object of the quarantine could not be decoded and is ignored"}
 	StreamsUnwritten    = Event{8048, "streamsUnwritten", zerolog.InfoLevel, "the store did not accept the streams that this entry has begun while several software versions serve; they are written again. Streams that were begun since can't be taken up at another entry"}
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -64,6 +64,7 @@
 	lapse   time.Duration // after which an object that has not changed is deleted; it differs from entry to entry
 	triedAt time.Time     // when this entry last wrote its own
 	isDue   bool          // an attempt broke off here since
+	isOwn   bool          // this process has written its own, in place of those of an earlier one
 }
 
 // entryReports is the object of one entry.
@@ -110,7 +111,7 @@
 				errs = append(errs, fmt.Errorf("%w: %s: %w", ErrInvalid, o.Name, err))
 			}
 			breaks := ReadReports(now, published)
-			if e == nil && o.Name == t.self {
+			if e == nil && o.Name == t.self && !t.reports.isOwn {
 				t.breaks = slices.Concat(breaks, t.breaks) // of an earlier process of this entry
 			}
 			t.reports.byEntry[o.Name] = &entryReports{o.Version, now, breaks}
@@ -141,6 +142,7 @@
 			version = own.version
 		}
 		if len(breaks) > 0 {
+			t.reports.isOwn = true
 			out = append(out, Write{Object: fighollow.Object{Kind: fighollow.KindCrashReports, Name: t.self, Value: value}, Expected: version})
 		}
 	}
--- a/pkg/fighollow/outcome.go
+++ b/pkg/fighollow/outcome.go
@@ -33,7 +33,7 @@
 	CodeStopping        Code = "stopping"        // 503; the process is stopping
 	CodeNotReady        Code = "notReady"        // 503; the process or engine is not ready
 	CodeNoUpstream      Code = "noUpstream"      // 503; no upstream serves this target
-	CodeQuarantined     Code = "quarantined"     // 503; a part of the prompt crashes engines
+	CodeQuarantined     Code = "quarantined"     // 503; the request or a part of its prompt crashes engines
 	CodeCancelled       Code = "cancelled"       // the caller has disconnected
 	CodeUpstreamFailed  Code = "upstreamFailed"  // 504; the upstream failed after the work may have started
 	CodeDeadline        Code = "deadline"        // 504; the deadline passed after the work may have started
