--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -122,6 +122,9 @@
 			return false
 		}
 	}
+	if !t.brokeAtTwo(keys) {
+		return true // as after most failures, so that the evidence need not be judged
+	}
 	for key, c := range tallies(t.evidence(now), t.isSound) {
 		if slices.Contains(keys, key) && c.isConclusive(minCrashes-1) {
 			return false
@@ -130,6 +133,29 @@
 	return true
 }
 
+// brokeAtTwo reports whether requests with one of these keys broke off at two upstreams.
+func (t *Tracker) brokeAtTwo(keys []Key) bool {
+	first := make([]string, len(keys)) // upstream at which a request with the key broke off
+	isSecond := func(b Break) bool {
+		for i, key := range keys {
+			switch {
+			case !b.has(key) || first[i] == b.Upstream:
+			case first[i] != "":
+				return true
+			default:
+				first[i] = b.Upstream
+			}
+		}
+		return false
+	}
+	for _, e := range t.reports.byEntry {
+		if slices.ContainsFunc(e.breaks, isSecond) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(t.breaks, isSecond)
+}
+
 // Completed records that an engine completed an answer.
 func (t *Tracker) Completed(now time.Time, upstream string, r *Request) {
 	t.mu.Lock()
