--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -94,7 +94,9 @@
 func (t *Tracker) ApplyReports(now time.Time, objects []fighollow.Object, snapshot bool) (errs []error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.newsAt = now
+	if len(objects) > 0 {
+		t.newsAt = now
+	}
 	listed := make(map[string]bool)
 	for _, o := range objects {
 		e := t.reports.byEntry[o.Name]
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -13,17 +13,18 @@
 // maxParts bounds the parts of a prompt that are looked at.
 const maxParts = 16
 
-// Request is what is known of a request by which it, or others like it, can be recognised. It is read-only.
+// Request is what is known of a request by which it, or others like it, can be recognised. It is not safe for concurrent use.
 type Request struct {
 	Service      string
+	call         *fighollow.Call
 	own          uint64   // last part of the prompt, which belongs to the request or its session; 0 without a prompt
 	parts        []uint64 // the others, in the order of the prompt
-	fingerprints []uint64 // see Fingerprints
+	fingerprints []uint64 // see Fingerprints; nil until they are needed, because the whole body is hashed
 }
 
 // NewRequest returns the Request of a call to a service.
 func NewRequest(service string, c *fighollow.Call) *Request {
-	r := &Request{Service: service, fingerprints: Fingerprints(c)}
+	r := &Request{Service: service, call: c}
 	if n := len(c.Prompt); n > 0 {
 		r.own = c.Prompt[n-1].ID
 		for _, p := range c.Prompt[:min(n-1, maxParts)] {
@@ -33,12 +34,21 @@
 	return r
 }
 
-// keys returns the keys by which a request is judged.
-func (r *Request) keys() []Key {
-	out := make([]Key, 0, len(r.parts)+len(r.fingerprints))
+// partKeys returns the keys of the parts of the prompt.
+func (r *Request) partKeys() []Key {
+	out := make([]Key, 0, len(r.parts)+3)
 	for _, part := range r.parts {
 		out = append(out, Key{Service: r.Service, ID: part})
 	}
+	return out
+}
+
+// keys returns the keys by which a request is judged.
+func (r *Request) keys() []Key {
+	if r.fingerprints == nil && r.call != nil {
+		r.fingerprints = Fingerprints(r.call)
+	}
+	out := r.partKeys()
 	for _, f := range r.fingerprints {
 		out = append(out, Key{Service: r.Service, ID: f, Request: true})
 	}
--- a/internal/streams/journal.go
+++ b/internal/streams/journal.go
@@ -25,8 +25,9 @@
 	flushInterval = 200 * time.Millisecond
 	// flushIntervalPerEntry lengthens the pause in large deployments, which share the store's rate of writes.
 	flushIntervalPerEntry = 5 * time.Millisecond
-	// stepInterval is the pause between two checks for what is due.
+	// stepInterval is the pause between two checks for what is due while several versions serve, idleInterval the pause otherwise.
 	stepInterval = 50 * time.Millisecond
+	idleInterval = 250 * time.Millisecond
 	// wholeTime and brokenTime are how long a stream is remembered after it ended. The end of a whole one may not have reached its caller.
 	wholeTime  = 5 * time.Second
 	brokenTime = 30 * time.Second
@@ -256,15 +257,31 @@
 // Run writes the journal until ctx is done.
 func (j *Journal) Run(ctx context.Context) {
 	for {
+		pause := idleInterval
+		if j.hasMixed() {
+			pause = stepInterval
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(stepInterval):
+		case <-time.After(pause):
 		}
 		j.Step(ctx, time.Now())
 	}
 }
 
+// hasMixed reports whether a service had several versions at the last step.
+func (j *Journal) hasMixed() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, isMixed := range j.mixed {
+		if isMixed {
+			return true
+		}
+	}
+	return false
+}
+
 // Step writes this entry's object if that is due at now.
 func (j *Journal) Step(ctx context.Context, now time.Time) {
 	if now.Sub(j.collectedAt) >= collectInterval {
