--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -4,7 +4,7 @@
 
 // Events of the gateway: the entry on the users' platform.
 var (
-	AttemptPlaced       = Event{8001, "attemptPlaced", zerolog.InfoLevel, "an upstream was chosen for an attempt; the line has the data that the choice was based on. For a stream that goes on, after is the last event that its caller has, and resumes the request that brought the first one if the caller takes it up"}
+	AttemptPlaced       = Event{8001, "attemptPlaced", zerolog.InfoLevel, "an upstream was chosen for an attempt; the line has the data that the choice was based on. For a stream that goes on, after is the last event that its caller has, and begunBy the request that brought the first one if the caller takes it up"}
 	AttemptEnded        = Event{8002, "attemptEnded", zerolog.InfoLevel, "an attempt ended; result is its outcome and tookMs its duration. For an answer, framing is how its end is marked, bytes its length, lastEvent the last event that was relayed; insideEvent means that its bytes end within an event. For a failure, parts are those of the prompt, the last one the request's own, and fingerprints identify the request whenever it comes again"}
 	RequestEnded        = Event{8003, "requestEnded", zerolog.InfoLevel, "a request ended; the line has the final answer or the reason why there was none"}
 	RequestRetried      = Event{8004, "requestRetried", zerolog.InfoLevel, "an attempt failed; the line has whether the request is retried, and the reason"}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -114,7 +114,7 @@
 		line.Float64("limitShare", c.Share)
 	}
 	if x.resumeAfter != "" {
-		line.Str("resumes", x.call.Resumes).Str("after", x.resumeAfter)
+		line.Str("begunBy", x.call.BegunBy).Str("after", x.resumeAfter)
 	}
 	if c.Trial {
 		line.Bool("trial", true)
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -11,10 +11,10 @@
 // findVersion finds the software version that began the stream that the caller takes up, if there are several. It returns
 // fighollow.ErrNotRun if that is not known.
 func (x *exchange) findVersion(ctx context.Context) error {
-	if x.g.opts.Streams == nil || x.call.Resumes == "" && x.call.ResumeAfter == "" {
+	if x.g.opts.Streams == nil || x.call.BegunBy == "" && x.call.ResumeAfter == "" {
 		return nil
 	}
-	version, err := x.g.opts.Streams.Find(ctx, time.Now(), x.service, x.call.Resumes)
+	version, err := x.g.opts.Streams.Find(ctx, time.Now(), x.service, x.call.BegunBy)
 	if err != nil {
 		x.g.metrics.count("streams.unknown")
 		return fmt.Errorf("%w: %w", fighollow.ErrNotRun, err)
@@ -25,8 +25,8 @@
 
 // streamID returns the id of the request that brought the first event of the stream.
 func (x *exchange) streamID() string {
-	if x.call.Resumes != "" {
-		return x.call.Resumes
+	if x.call.BegunBy != "" {
+		return x.call.BegunBy
 	}
 	return x.call.ID
 }
--- a/pkg/fighollow/attempt.go
+++ b/pkg/fighollow/attempt.go
@@ -30,8 +30,8 @@
 	PromptTokens int          // length of the whole prompt; 0 if unknown
 	// ResumeAfter is the id of the last event that the caller has received; empty for a stream from its start.
 	ResumeAfter string
-	// Resumes is the id of the call that brought the caller the first event of the stream that it takes up; empty for a new stream.
-	Resumes  string
+	// BegunBy is the id of the call that brought the caller the first event of the stream that it takes up; empty for a new stream.
+	BegunBy  string
 	Caller   string    // address of the caller's end of the connection
 	Arrived  time.Time // when the header had been read
 	Deadline time.Time // when the caller stops waiting
