--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -204,3 +204,23 @@
 	qt.Assert(t, tr.Judge(now), qt.HasLen, 1)
 	qt.Assert(t, tr.Writes(now)[0].Expected, qt.Equals, uint64(7))
 }
+
+// Guards against a sound request that comes often being blamed for the crashes of engines that were running it.
+func TestRequestThatIsAnsweredOftenIsNotBlamed(t *testing.T) {
+	for _, ago := range []time.Duration{200 * time.Millisecond, 10 * time.Second} { // from its last answer to the first crash
+		tr := New("a")
+		often := func() *Request {
+			return NewRequest("s", &fighollow.Call{Method: "GET", Host: "h", Target: "/home", Caller: "10.0.0.1:5000"})
+		}
+		tr.Completed(start.Add(-ago), "x", often())
+		for i := range 4 {
+			at, upstream := start.Add(time.Duration(i)*70*time.Millisecond), fmt.Sprint("e", i)
+			tr.Broke(at, upstream, often(), tookTime)
+			tr.Broke(at, upstream, &Request{Service: "s", fingerprints: []uint64{bad}}, tookTime)
+		}
+		now := start.Add(2 * time.Second)
+		tr.Judge(now)
+		qt.Check(t, tr.Admit(now, &Request{Service: "s", fingerprints: []uint64{bad}}).Withheld, qt.IsTrue)
+		qt.Check(t, tr.Admit(now, often()).Withheld, qt.IsFalse, qt.Commentf("answered %v before", ago))
+	}
+}
