--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -87,16 +87,12 @@
 // Admit judges a request.
 func (t *Tracker) Admit(now time.Time, r *Request) Admission {
 	t.mu.Lock()
-	isEmpty := len(t.cases) == 0
-	t.mu.Unlock()
-	if isEmpty {
+	defer t.mu.Unlock()
+	if len(t.cases) == 0 {
 		return Admission{}
 	}
-	keys := r.keys()
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	var a Admission
-	for _, key := range keys {
+	for _, key := range r.keys() {
 		q := t.cases[key]
 		switch {
 		case q == nil:
@@ -118,9 +114,9 @@
 // MayRepeat reports whether a request that broke off may be sent to another engine: none of its keys is in quarantine or has been
 // in two crashes without a completed answer since.
 func (t *Tracker) MayRepeat(now time.Time, r *Request) bool {
-	keys := r.keys()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	keys := r.keys()
 	for _, key := range keys {
 		if t.cases[key] != nil {
 			return false
@@ -160,18 +156,11 @@
 	return slices.ContainsFunc(t.breaks, isSecond)
 }
 
-// Completed records that an engine completed an answer. Requests are only remembered while there is evidence that they may be in.
+// Completed records that an engine completed an answer.
 func (t *Tracker) Completed(now time.Time, upstream string, r *Request) {
-	t.mu.Lock()
-	hasNews := now.Sub(t.newsAt) < evidenceTime || len(t.cases) > 0
-	t.mu.Unlock()
-	keys := r.partKeys()
-	if hasNews {
-		keys = r.keys()
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, key := range keys {
+	for _, key := range r.keys() {
 		s := t.sound.add(now, key, upstream)
 		if q := t.cases[key]; q != nil {
 			q.sound = s
@@ -182,11 +171,10 @@
 
 // Broke records that the connection of an attempt broke while the engine worked on it, so long after it was sent.
 func (t *Tracker) Broke(now time.Time, upstream string, r *Request, after time.Duration) {
-	keys := r.keys()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.revoke(now, upstream)
-	for _, key := range keys {
+	for _, key := range r.keys() {
 		if q := t.cases[key]; q != nil && q.own && !q.probing.IsZero() {
 			q.probes++
 			q.probing, q.published, q.changedAt = time.Time{}, false, now
