quarantine: reports in an object that cannot be decoded are no evidence

An object of reports that another process wrote wrongly was logged as ignored, and what had been decoded before the error counted all the same, also an empty report.

--- a/internal/quarantine/publish_test.go
+++ b/internal/quarantine/publish_test.go
@@ -170,4 +170,9 @@
 		qt.Check(t, ReadReports(start, []Report{r}), qt.HasLen, 0, qt.Commentf("%+v", r))
 	}
 	qt.Check(t, ReadReports(start, make([]Report, 10_000)), qt.HasLen, maxPublished)
+	for _, value := range []string{``, `{`, `"a"`, `{"service":"s"}`, `[1]`, `[{"parts":"x"}]`, `[{"ageMs":1e99}]`} {
+		tr := New("a")
+		qt.Check(t, tr.ApplyReports(start, []fighollow.Object{{Name: "b", Version: 1, Value: []byte(value)}}, false), qt.HasLen, 1, qt.Commentf("%s", value))
+		qt.Check(t, tr.evidence(start), qt.HasLen, 0)
+	}
 }
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -111,6 +111,7 @@
 			var published []Report
 			if err := json.Unmarshal(o.Value, &published); err != nil {
 				errs = append(errs, fmt.Errorf("%w: %s: %w", ErrInvalid, o.Name, err))
+				published = nil // json.Unmarshal keeps what came before the error
 			}
 			breaks := ReadReports(now, published)
 			if e == nil && o.Name == t.self && !t.reports.isOwn {
