quarantine: an entry that has answered since the first crash objects as often as it takes

Cause: an entry objects once a minute. Where an entry without answers of its own blamed the part by six crashes, the others objected once, by a deletion that says nothing of their answers, and the part was blamed again by the same crashes.

Change: an answer since the first crash that counted is a reason to object each time, and who sees the objection to five crashes or more no longer counts that first crash. Each objection leaves one crash less, so that they end.

--- a/internal/quarantine/publish.go
+++ b/internal/quarantine/publish.go
@@ -76,8 +76,11 @@
 	for _, o := range objects {
 		if o.Deleted {
 			if key, ok := t.byName(o.Name); ok && o.Version > t.cases[key].version {
-				if now.Sub(t.cases[key].addedAt) < doubtTime {
+				if q := t.cases[key]; now.Sub(q.addedAt) < doubtTime {
 					t.doubt(now, key)
+					if q.crashes >= minCrashesSound { // more than a coincidence: the objector has seen an answer since the first
+						t.exonerate(key, q.crashedAt)
+					}
 				} else {
 					t.sound.set(key, soundness{at: now, before: now})
 				}
@@ -119,6 +122,15 @@
 	t.sound.set(key, s)
 }
 
+// exonerate makes crashes up to this one count no more against a key to which an entry has objected.
+func (t *Tracker) exonerate(key Key, crash time.Time) {
+	s := t.sound.get(key)
+	if at := crash.Add(time.Nanosecond - soundMargin); at.After(s.at) {
+		s.at = at
+		t.sound.set(key, s)
+	}
+}
+
 // isDoubted reports whether an entry has objected lately. One objection is enough.
 func (t *Tracker) isDoubted(now time.Time, key Key) bool {
 	return now.Sub(t.sound.get(key).doubtedAt) < evidenceTime
@@ -141,9 +153,10 @@
 		return false
 	}
 	crashedAt := now.Add(-time.Duration(s.AgeMs) * time.Millisecond)
-	isDoubtful := s.Crashes < minCrashesSound && q == nil && t.hasSoundHistory(now, key) || t.sound.get(key).at.After(crashedAt)
-	if isDoubtful && !t.isDoubted(now, key) {
-		// An answer with the part was completed here lately, or meanwhile: the crashes may be a coincidence.
+	// An answer since the first crash shows that it had another cause. One before makes few crashes a coincidence, which is said once.
+	isAnswered := t.sound.get(key).at.After(crashedAt)
+	isCoincidence := s.Crashes < minCrashesSound && q == nil && t.hasSoundHistory(now, key) && !t.isDoubted(now, key)
+	if isAnswered || isCoincidence {
 		t.doubt(now, key)
 		t.lifts[key] = version
 		delete(t.cases, key)
