--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -49,6 +49,8 @@
 	// acceptTime is how long a stopping process continues to accept connections, so that the load balancer can stop sending
 	// new ones first.
 	acceptTime = 4 * time.Second
+	// crashHops is the number of times that the store has to be followed until a crash takes effect: a report, then the quarantine.
+	crashHops = 2
 )
 
 // gatewayCommand runs an entry on the users' platform until SIGTERM begins its graceful stop.
@@ -104,9 +106,13 @@
 
 // newGatewayProcess returns a process that has not opened any sockets yet.
 func newGatewayProcess(settingsFile string, cfg platform.Settings, metricsPort int, sink *logging.Sink, log zerolog.Logger) *gatewayProcess {
+	registry := metrics.NewRegistry()
 	p := &gatewayProcess{
-		settingsFile: settingsFile, cfg: cfg, metricsPort: metricsPort, registry: metrics.NewRegistry(), sink: sink, log: log,
-		store: platform.NewStore(cfg.StoreAddress, cfg.Bounds.Stable, log), pool: upstream.New(),
+		settingsFile: settingsFile, cfg: cfg, metricsPort: metricsPort, registry: registry, sink: sink, log: log,
+		store: platform.NewStore(platform.StoreOptions{
+			Address: cfg.StoreAddress, Stable: cfg.Bounds.Stable, History: cfg.StoreHistory, Registry: registry,
+		}, log),
+		pool: upstream.New(),
 	}
 	self := cfg.Node + "@" + cfg.Address
 	divider := quota.New(self)
@@ -124,7 +130,9 @@
 		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: p.registry, Quarantine: crashes, Streams: p.streams,
 	}, fleet, dispatcher, log)
 	decode := gateway.Decoder{Routing: platform.DecodeRouting, Upstream: platform.DecodeUpstream}
-	p.follower = gateway.NewFollower(p.store, decode, p.gateway, fleet, log)
+	p.follower = gateway.NewFollower(p.store, decode, p.gateway, fleet, gateway.Freshness{
+		Routing: cfg.Bounds.Config, Upstreams: cfg.Bounds.Drain, Crashes: cfg.Bounds.Stable / crashHops,
+	}, log)
 	p.caches = gateway.NewCachePoller(dispatcher, p.gateway, fleet, log)
 	p.roster = roster.New(roster.Options{
 		Self: self, DataCentre: cfg.DataCentre, Claims: fleet.LimitClaims, Divider: divider,
@@ -198,7 +206,7 @@
 	cfg, b := &p.cfg, &p.cfg.Bounds
 	event.ProcessStarted.Log(&p.log).Str("http", cfg.Ingress).Str("readiness", cfg.Readiness).Str("store", cfg.StoreAddress).
 		Str("dataCentre", cfg.DataCentre).Str("version", version).Dur("drainMs", b.Drain).Dur("graceMs", b.Grace).
-		Dur("leaseMs", b.Lease).Dur("stableMs", b.Stable).Dur("heartbeatMs", cfg.Heartbeat).Float64("retryRatio", b.RetryRatio).Int("retrySlack", b.RetrySlack).
+		Dur("leaseMs", b.Lease).Dur("stableMs", b.Stable).Dur("configMs", b.Config).Dur("heartbeatMs", cfg.Heartbeat).Float64("retryRatio", b.RetryRatio).Int("retrySlack", b.RetrySlack).
 		Bool("fencesChecked", b.RequireFencing).Int("metricsPort", p.metricsPort).Send()
 }
 
@@ -277,7 +285,10 @@
 	gauge("store.failed", func() int64 { _, _, failed := p.store.Calls(); return failed })
 	gauge("store.eras", p.store.Eras)
 	gauge("presets.lost", p.planner.PresetsLost)
-	gauge("store.silentMs", func() int64 { return p.follower.SinceLastAnswer(time.Now()).Milliseconds() })
+	gauge("store.silentMs", func() int64 {
+		now := time.Now()
+		return min(p.follower.SinceLastAnswer(now), now.Sub(p.store.LastAnswer())).Milliseconds()
+	})
 	gauge("upstreams.connections", p.pool.Dials)
 	gauge("log.dropped", p.sink.Dropped)
 	gauge("routing.version", func() int64 {
--- a/cmd/fighollow/operator.go
+++ b/cmd/fighollow/operator.go
@@ -73,7 +73,7 @@
 	case api != "":
 		return objectapi.New(objectapi.Options{Address: api}), nil
 	case store != "":
-		return platform.NewStore(store, 0, zerolog.Nop()), nil
+		return platform.NewStore(platform.StoreOptions{Address: store}, zerolog.Nop()), nil
 	}
 	return nil, fmt.Errorf("%w: --object-api or --platform-store is missing", errUsage)
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -19,8 +20,33 @@
 	// the time within which a new configuration must be in force.
 	minStoreBackoff = 60 * time.Millisecond
 	maxStoreBackoff = 500 * time.Millisecond
+	// freshnessShare is the part of the time within which a change must take effect that a Follower may be late by on purpose. The
+	// rest is for slow calls and what is on its way.
+	freshnessShare = 0.25
 )
 
+// Freshness bounds how long a Follower pauses after a call that brought changes, so that changes in quick succession cost each entry one
+// call. Zero values mean no pause.
+type Freshness struct {
+	Routing   time.Duration // within which a new configuration must take effect
+	Upstreams time.Duration // within which an upstream that leaves must get no more work
+	Crashes   time.Duration // within which what crashes upstreams must be withheld
+}
+
+// pause returns the pause after changes of a kind.
+func (f *Freshness) pause(kind fighollow.Kind) time.Duration {
+	var bound time.Duration
+	switch kind {
+	case fighollow.KindRouting:
+		bound = f.Routing
+	case fighollow.KindInstance:
+		bound = f.Upstreams
+	case fighollow.KindQuarantine, fighollow.KindCrashReports:
+		bound = f.Crashes
+	}
+	return time.Duration(freshnessShare * float64(bound))
+}
+
 // Decoder decodes the platform's objects.
 type Decoder struct {
 	Routing  func(fighollow.Object) (*fighollow.Routing, error)
@@ -33,14 +59,16 @@
 	decode     Decoder
 	gateway    *Gateway
 	fleet      *placement.Fleet
+	freshness  Freshness
+	outage     outage
 	log        zerolog.Logger
 	synced     atomic.Bool  // the upstreams were listed at least once
 	lastAnswer atomic.Int64 // Unix milliseconds of the store's last answer about the upstreams
 }
 
 // NewFollower returns a Follower. Run starts it.
-func NewFollower(store fighollow.ObjectStore, decode Decoder, g *Gateway, fleet *placement.Fleet, log zerolog.Logger) *Follower {
-	f := &Follower{store: store, decode: decode, gateway: g, fleet: fleet, log: log}
+func NewFollower(store fighollow.ObjectStore, decode Decoder, g *Gateway, fleet *placement.Fleet, freshness Freshness, log zerolog.Logger) *Follower {
+	f := &Follower{store: store, decode: decode, gateway: g, fleet: fleet, freshness: freshness, log: log}
 	f.lastAnswer.Store(time.Now().UnixMilli())
 	return f
 }
@@ -88,6 +116,7 @@
 	lastAnswer, backoff := time.Now(), minStoreBackoff
 	down := false
 	for ctx.Err() == nil {
+		f.outage.wait(ctx)
 		u := update{snapshot: !listed}
 		var err error
 		if listed {
@@ -101,6 +130,9 @@
 		}
 		now := time.Now()
 		if err != nil {
+			if !errors.Is(err, fighollow.ErrWatchExpired) {
+				f.outage.failed(now)
+			}
 			listed = false
 			if !down && ctx.Err() == nil {
 				down = true
@@ -114,6 +146,7 @@
 			backoff = min(2*backoff, maxStoreBackoff)
 			continue
 		}
+		f.outage.ended()
 		if down {
 			down = false
 			event.StoreRegained.Log(&f.log).Str("kind", string(kind)).Int64("downMs", now.Sub(lastAnswer).Milliseconds()).Send()
@@ -124,6 +157,9 @@
 		lastAnswer, backoff = now, minStoreBackoff
 		listed, version = true, u.version
 		apply(now, u)
+		if len(u.objects) > 0 && !u.snapshot {
+			wait(ctx, f.freshness.pause(kind))
+		}
 	}
 }
 
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -215,7 +215,7 @@
 	s := newHistoryStore()
 	fleet := placement.New(placement.Options{DataCentre: "a", DrainTime: 2 * time.Second})
 	g := gateway.New(gateway.Options{}, fleet, nil, zerolog.Nop())
-	f := gateway.NewFollower(s, decodeJSON, g, fleet, zerolog.Nop())
+	f := gateway.NewFollower(s, decodeJSON, g, fleet, gateway.Freshness{}, zerolog.Nop())
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { f.Run(ctx) })
@@ -354,7 +354,7 @@
 		s.down = true
 		fleet := placement.New(placement.Options{DataCentre: "a"})
 		g := gateway.New(gateway.Options{}, fleet, nil, zerolog.Nop())
-		f := gateway.NewFollower(s, decodeJSON, g, fleet, zerolog.Nop())
+		f := gateway.NewFollower(s, decodeJSON, g, fleet, gateway.Freshness{}, zerolog.Nop())
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
 		f.Run(ctx)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -115,6 +115,7 @@
 [bounds]
 drainMs = %d
 graceS = %d
+configMs = %d
 stableWindowMs = %d
 leaseMs = %d
 retryBudgetRatio = %g
@@ -133,7 +134,7 @@
 		return err
 	}
 	r.readiness[name] = ready
-	settings := fmt.Sprintf(entrySettings, name, front, ready, memoryMB, drainMs, graceS, stableMs, leaseMs, retryRatio, retrySlack, store)
+	settings := fmt.Sprintf(entrySettings, name, front, ready, memoryMB, drainMs, graceS, configMs, stableMs, leaseMs, retryRatio, retrySlack, store)
 	file := filepath.Join(r.opts.Dir, name+".toml")
 	if err := os.WriteFile(file, []byte(settings), 0o644); err != nil {
 		return fmt.Errorf("soak: %w", err)
