quarantine, roster: four entries follow the reports of crashes, not all

Cause: all entries judged the reports of all, though one that concludes puts the key into quarantine for everybody.

Change: the first four entries by a hash, of different data centres where there are enough, follow the reports (roster.Observers; who they are follows from the list of entries that all poll, 8053). Writes pause for a second after one that was not answered, and registrations while polls fail: a write that was due had come each 100 ms.

Why it works: sites of up to four entries do what they did; beyond, a report wakes four. An observer that is killed comes back as one; one that freezes or is cut off has three others beside it, of other data centres.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -100,6 +100,7 @@
 	planner      *roles.Runner
 	quarantine   *quarantine.Writer
 	streams      *streams.Journal
+	observing    chan bool // whether this entry observes the reports of all
 	stopping     atomic.Bool
 	wasReady     atomic.Bool // result of the last readiness check
 }
@@ -112,7 +113,7 @@
 		store: platform.NewStore(platform.StoreOptions{
 			Address: cfg.StoreAddress, Stable: cfg.Bounds.Stable, History: cfg.StoreHistory, Registry: registry,
 		}, log),
-		pool: upstream.New(),
+		pool: upstream.New(), observing: make(chan bool, 1),
 	}
 	self := cfg.Node + "@" + cfg.Address
 	divider := quota.New(self)
@@ -136,12 +137,22 @@
 	p.caches = gateway.NewCachePoller(dispatcher, p.gateway, fleet, log)
 	p.roster = roster.New(roster.Options{
 		Self: self, DataCentre: cfg.DataCentre, Claims: fleet.LimitClaims, Divider: divider,
+		OnObserver: p.setObserving,
 	}, p.store, p.gateway.SetEntries, log)
 	p.planner = roles.New(roles.Options{Self: self, LeaseDuration: cfg.Bounds.Lease}, p.store, dispatcher,
 		p.gateway.Routing, fleet.Upstreams, log)
 	return p
 }
 
+// setObserving replaces what was not followed yet. The roster alone calls it.
+func (p *gatewayProcess) setObserving(isObserver bool) {
+	select {
+	case <-p.observing:
+	default:
+	}
+	p.observing <- isObserver
+}
+
 // run serves until SIGTERM or SIGINT begins the graceful stop, or a server fails.
 func (p *gatewayProcess) run(ctx context.Context) error {
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
@@ -183,7 +194,9 @@
 	background.Go(func() { p.quarantine.Run(bgCtx) })
 	background.Go(func() { p.streams.Run(bgCtx) })
 	background.Go(func() { p.follower.Follow(bgCtx, fighollow.KindQuarantine, p.quarantine.Apply) })
-	background.Go(func() { p.follower.Follow(bgCtx, fighollow.KindCrashReports, p.quarantine.ApplyReports) })
+	background.Go(func() {
+		p.follower.FollowWhile(bgCtx, fighollow.KindCrashReports, p.observing, p.quarantine.ApplyReports, p.quarantine.StopObserving)
+	})
 	background.Go(func() { p.reloadOnHangup(bgCtx, hangups) })
 	// ctx ends at the start of the stop: a stopping entry sends no more orders, and another entry takes over the lease.
 	background.Go(func() { p.planner.Run(ctx) })
--- a/internal/emulator/crashes.go
+++ b/internal/emulator/crashes.go
@@ -169,7 +169,8 @@
 	crashRest           = time.Second            // of an engine at an entry whose request failed there
 	publishCheckTime    = 250 * time.Millisecond
 	publishPause        = 500 * time.Millisecond // least time between two writes of an entry
-	watchDelay          = 100 * time.Millisecond // longest time from a write until the others know of it
+	watchDelay          = 100 * time.Millisecond // longest time from a write until the others know of it, if they have not just read another
+	watchPause          = 375 * time.Millisecond // least time between two changes that an entry reads
 	publishRenewal      = 10 * time.Second
 	publishLapse        = 40 * time.Second
 	maxCrashAttempts    = 2
@@ -223,6 +224,7 @@
 	tokens  float64
 	wrote   publication
 	seen    time.Time // the newest publication that it knows of
+	readAt  time.Time // when it last read one
 	life    int       // of its process
 }
 
@@ -605,7 +607,7 @@
 
 // watch reads what the other entries have published, if that has changed.
 func (r *CrashRun) watch(e *crashEntry) {
-	if r.cut(e) {
+	if r.cut(e) || r.Now.Sub(e.readAt) < watchPause {
 		return
 	}
 	seen := r.Now.Add(-watchDelay / 2)
@@ -616,7 +618,7 @@
 		if !l.at.After(e.seen) {
 			return
 		}
-		e.seen = l.at
+		e.seen, e.readAt = l.at, r.Now
 		published := make(map[string][]byte)
 		for name, p := range l.values {
 			if name != e.name && r.Now.Sub(p.at) < publishLapse {
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -49,6 +49,7 @@
 	LeavingAnnounced    = Event{8050, "leavingAnnounced", zerolog.InfoLevel, "an upstream has announced in an answer that it leaves; this entry sends it no new work until it has started again"}
 	PauseAsked          = Event{8051, "pauseAsked", zerolog.InfoLevel, "an upstream that turned a request away asks for a pause; until untilMs this entry sends it nothing. pauseMs is less than what was asked for if that exceeds the bound"}
 	PauseMalformed      = Event{8052, "pauseMalformed", zerolog.WarnLevel, "an upstream asks for a pause that cannot be read; it changes nothing"}
+	ObserverChanged     = Event{8053, "observerChanged", zerolog.InfoLevel, "this entry begins or ceases to follow what all entries report of crashes, because of which entries there are"}
 	RoleOrdered         = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is ordered to change its role; the line has the reason and the load that the decision was based on"}
 	RoleOrderEnded      = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "the engine accepted or refused an order for a role change, or its answer was lost; in the last case it may still carry out the order, and gets no other for some time"}
 	ReportMissing       = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
@@ -61,5 +62,5 @@
 	PolicyApplied, PolicyUnread,
 	EntriesCounted, EntryLapsed, EntryLeft, RosterUnread,
 	StoreEraBegan, StoreEraInvalid, UpstreamsSettled, PresetLost, LimitChanged, LimitMalformed, RegistrationInvalid, LimitReported, StreamWaits, CallerTimedOut,
-	PartQuarantined, PartReleased, QuarantineUnwritten, QuarantineInvalid, StreamsUnwritten, StreamsInvalid, LeavingAnnounced, PauseAsked, PauseMalformed,
+	PartQuarantined, PartReleased, QuarantineUnwritten, QuarantineInvalid, StreamsUnwritten, StreamsInvalid, LeavingAnnounced, PauseAsked, PauseMalformed, ObserverChanged,
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -96,6 +96,32 @@
 	f.listAndWatch(ctx, kind, func(now time.Time, u update) { apply(now, u.objects, u.snapshot && !u.settling) })
 }
 
+// FollowWhile is Follow during the times in which active says so. It calls ended after each of them.
+func (f *Follower) FollowWhile(ctx context.Context, kind fighollow.Kind, active <-chan bool,
+	apply func(now time.Time, objects []fighollow.Object, snapshot bool), ended func(),
+) {
+	var wg sync.WaitGroup
+	stop := func() {}
+	for {
+		select {
+		case <-ctx.Done():
+			stop()
+			wg.Wait()
+			return
+		case on := <-active:
+			stop()
+			wg.Wait()
+			if !on {
+				ended()
+				continue
+			}
+			var followCtx context.Context
+			followCtx, stop = context.WithCancel(ctx)
+			wg.Go(func() { f.Follow(followCtx, kind, apply) })
+		}
+	}
+}
+
 // update is the result of one List or Watch call of the store.
 type update struct {
 	objects  []fighollow.Object
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -58,13 +59,14 @@
 	return out
 }
 
-// reports are the breaks that entries publish, each in an object of its own.
+// reports are the breaks that entries publish, each in an object of its own. Only the observers among the entries follow those of others.
 type reports struct {
 	byEntry map[string]*entryReports
 	lapse   time.Duration // after which an object that has not changed is deleted; it differs from entry to entry
 	triedAt time.Time     // when this entry last wrote its own
 	isDue   bool          // an attempt broke off here since
 	isOwn   bool          // this process has written its own, in place of those of an earlier one
+	era     uint64        // of the store
 }
 
 // entryReports is the object of one entry.
@@ -131,6 +133,37 @@
 	return errs
 }
 
+// StopObserving forgets what other entries have published: this entry no longer follows their objects.
+func (t *Tracker) StopObserving() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for entry := range t.reports.byEntry {
+		if entry != t.self {
+			delete(t.reports.byEntry, entry)
+		}
+	}
+}
+
+// SetEra tells the era of the store. When a new one begins, this entry's reports may be missing and are written again.
+func (t *Tracker) SetEra(era uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.reports.era != era {
+		t.reports.era, t.reports.isDue = era, true
+	}
+}
+
+// applyOwn applies this entry's object as read after a write that did not find it as expected; ok is false if there is none.
+func (t *Tracker) applyOwn(now time.Time, o fighollow.Object, ok bool) []error {
+	if !ok {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.reports.byEntry, t.self)
+		return nil
+	}
+	return t.ApplyReports(now, []fighollow.Object{o}, false)
+}
+
 // reportWrites returns the writes of reports that are due: this entry's after a new break, and the deletion of those that have lapsed.
 func (t *Tracker) reportWrites(now time.Time) (out []Write) {
 	if t.reports.isDue && now.Sub(t.reports.triedAt) >= reportInterval {
@@ -145,7 +178,6 @@
 			version = own.version
 		}
 		if len(breaks) > 0 {
-			t.reports.isOwn = true
 			out = append(out, Write{Object: fighollow.Object{Kind: fighollow.KindCrashReports, Name: t.self, Value: value}, Expected: version})
 		}
 	}
@@ -158,8 +190,11 @@
 	return out
 }
 
-// written records the result of a write of reports. After a failure, the follower brings the version that the object has.
+// written records the result of a write of reports. After a conflict, the Writer reads the version that the object has.
 func (r *reports) written(w Write, version uint64, err error) {
+	if w.Object.Value != nil && (err == nil || errors.Is(err, fighollow.ErrUnknownOutcome)) {
+		r.isOwn = true
+	}
 	switch {
 	case err != nil:
 		r.isDue = r.isDue || w.Object.Value != nil
--- a/internal/quarantine/writer.go
+++ b/internal/quarantine/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -10,14 +11,20 @@
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
-// writeInterval is the pause between two checks for writes that are due.
-const writeInterval = 100 * time.Millisecond
+const (
+	// writeInterval is the pause between two checks for writes that are due.
+	writeInterval = 100 * time.Millisecond
+	// failurePause is the pause after a write that the store did not answer.
+	failurePause = time.Second
+)
 
 // Writer writes what this entry concludes to the store, and applies what the others do.
 type Writer struct {
 	tracker *Tracker
 	store   fighollow.ObjectStore
 	log     zerolog.Logger
+
+	pausedUntil time.Time // because a write was not answered
 }
 
 // NewWriter returns a Writer. Run starts it.
@@ -40,6 +47,10 @@
 // Step makes the writes that are due at now.
 func (w *Writer) Step(ctx context.Context, now time.Time) {
 	w.logQuarantined(w.tracker.Judge(now), "attempts")
+	if now.Before(w.pausedUntil) {
+		return
+	}
+	w.tracker.SetEra(fighollow.StoreEra(w.store))
 	for _, due := range w.tracker.Writes(now) {
 		var version uint64
 		var err error
@@ -49,12 +60,28 @@
 			version, err = w.store.Put(ctx, due.Object, due.Expected)
 		}
 		w.tracker.Written(due, version, err)
-		if err != nil {
-			event.QuarantineUnwritten.Log(&w.log).Str("object", due.Object.Name).Err(err).Send()
+		if err == nil {
+			continue
+		}
+		event.QuarantineUnwritten.Log(&w.log).Str("object", due.Object.Name).Err(err).Send()
+		switch {
+		case !errors.Is(err, fighollow.ErrConflict) && !errors.Is(err, fighollow.ErrNotFound):
+			w.pausedUntil = now.Add(failurePause)
+		case due.Object.Kind == fighollow.KindCrashReports && due.Object.Name == w.tracker.self:
+			w.readOwnReports(ctx, now)
 		}
 	}
 }
 
+// readOwnReports reads this entry's reports, which are not as it expected: an earlier process wrote them, or the store has lost them.
+func (w *Writer) readOwnReports(ctx context.Context, now time.Time) {
+	o, err := w.store.Get(ctx, fighollow.KindCrashReports, w.tracker.self)
+	if err != nil && !errors.Is(err, fighollow.ErrNotFound) {
+		return
+	}
+	w.logInvalid(w.tracker.applyOwn(now, o, err == nil))
+}
+
 // Apply applies objects that were listed or have changed; see Tracker.Apply.
 func (w *Writer) Apply(now time.Time, objects []fighollow.Object, snapshot bool) {
 	added, ended, errs := w.tracker.Apply(now, objects, snapshot)
@@ -62,14 +89,19 @@
 	for _, key := range ended {
 		key.log(event.PartReleased.Log(&w.log)).Send()
 	}
-	for _, err := range errs {
-		event.QuarantineInvalid.Log(&w.log).Err(err).Send()
-	}
+	w.logInvalid(errs)
 }
 
 // ApplyReports applies objects that were listed or have changed; see Tracker.ApplyReports.
 func (w *Writer) ApplyReports(now time.Time, objects []fighollow.Object, snapshot bool) {
-	for _, err := range w.tracker.ApplyReports(now, objects, snapshot) {
+	w.logInvalid(w.tracker.ApplyReports(now, objects, snapshot))
+}
+
+// StopObserving forgets the reports of other entries.
+func (w *Writer) StopObserving() { w.tracker.StopObserving() }
+
+func (w *Writer) logInvalid(errs []error) {
+	for _, err := range errs {
 		event.QuarantineInvalid.Log(&w.log).Err(err).Send()
 	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -8,6 +8,7 @@
 	"errors"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -54,6 +55,8 @@
 	Claims func(now time.Time) map[string]fighollow.LimitClaim
 	// Divider divides the limits by the claims of all entries; nil for none.
 	Divider *quota.Divider
+	// OnObserver is called when this entry becomes one of the Observers, and when it no longer is; nil for none.
+	OnObserver func(isObserver bool)
 }
 
 // Roster registers one entry and counts all entries.
@@ -72,6 +75,8 @@
 	listBytes int                             // size of the last list
 	view      view
 	lastCount int // last count passed to onCount
+	observer  bool
+	unread    bool // the last poll failed
 }
 
 // New returns a Roster; Run starts it. Run calls onCount with the number of entries whenever it changes.
@@ -97,7 +102,8 @@
 // Step writes this entry's object and polls those of all entries, each if it is due at now.
 func (r *Roster) Step(ctx context.Context, now time.Time) {
 	claims := r.currentClaims(now)
-	if r.isRenewalDue(now, claims) && now.Sub(r.triedAt) >= claimPollInterval {
+	// A poll costs less than a write, and shows when the store answers again.
+	if !r.unread && r.isRenewalDue(now, claims) && now.Sub(r.triedAt) >= claimPollInterval {
 		r.renew(ctx, now, claims)
 	}
 	if now.Sub(r.polledAt) >= r.pause(claims) {
@@ -134,6 +140,7 @@
 func (r *Roster) poll(ctx context.Context, now time.Time, claims map[string]fighollow.LimitClaim) {
 	r.polledAt = now
 	objects, err := fighollow.ListStale(ctx, r.store, fighollow.KindEntry) // seconds old at most, and cheaper
+	r.unread = err != nil
 	if err != nil {
 		event.RosterUnread.Log(&r.log).Err(err).Send()
 		return
@@ -150,6 +157,7 @@
 		r.onCount(entries)
 	}
 	registrations := r.decode(objects)
+	r.observe(objects, registrations)
 	if r.opts.Divider != nil {
 		r.divide(now, objects, registrations, claims)
 	}
@@ -186,6 +194,22 @@
 	return out
 }
 
+// observe finds out whether this entry is an observer.
+func (r *Roster) observe(objects []fighollow.Object, registrations []registration) {
+	if r.opts.OnObserver == nil {
+		return
+	}
+	dataCentres := map[string]string{r.opts.Self: r.opts.DataCentre}
+	for i, o := range objects {
+		dataCentres[o.Name] = registrations[i].DataCentre
+	}
+	if is := slices.Contains(Observers(dataCentres), r.opts.Self); is != r.observer {
+		r.observer = is
+		event.ObserverChanged.Log(&r.log).Bool("observer", is).Int("entries", len(dataCentres)).Send()
+		r.opts.OnObserver(is)
+	}
+}
+
 // divide passes the registrations to the Divider.
 func (r *Roster) divide(now time.Time, objects []fighollow.Object, registrations []registration, claims map[string]fighollow.LimitClaim) {
 	entries := make([]quota.Entry, 0, len(objects))
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -27,6 +27,7 @@
 	objects   map[string]fighollow.Object
 	loseReply bool // the next write takes effect, but its reply is lost
 	down      bool
+	puts      int
 }
 
 func newStore() *fakeStore { return &fakeStore{objects: make(map[string]fighollow.Object)} }
@@ -50,6 +51,7 @@
 func (s *fakeStore) Put(_ context.Context, o fighollow.Object, expected uint64) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.puts++
 	switch {
 	case s.down:
 		return 0, fighollow.ErrUnavailable
@@ -323,3 +325,58 @@
 		qt.Assert(t, now.Sub(renewed) < lapseTimeout, qt.IsTrue)
 	}
 }
+
+// Guards against reports of crashes that nobody follows, that each entry follows, or that only one data centre does.
+func TestObservers(t *testing.T) {
+	for _, entries := range []int{1, 3, 4, 20, 103, 350} {
+		dataCentres := make(map[string]string)
+		for i := range entries {
+			dataCentres[fmt.Sprint("n", i)] = fmt.Sprint("dc", i%5)
+		}
+		observers := Observers(dataCentres)
+		qt.Assert(t, observers, qt.HasLen, min(entries, maxObservers))
+		qt.Assert(t, Observers(dataCentres), qt.DeepEquals, observers)
+		seen := make(map[string]bool)
+		for _, name := range observers {
+			seen[dataCentres[name]] = true
+		}
+		qt.Assert(t, seen, qt.HasLen, len(observers), qt.Commentf("%d entries", entries))
+		delete(dataCentres, observers[0])
+		for _, name := range observers[1:] {
+			qt.Assert(t, slices.Contains(Observers(dataCentres), name), qt.IsTrue, qt.Commentf("%s has not changed", name))
+		}
+	}
+}
+
+// Guards against entries that do not take over when an observer is gone, and against writes while polls show that the store is away.
+func TestObserversFollowTheEntries(t *testing.T) {
+	s, ctx := newStore(), context.Background()
+	observing := make([]bool, 8)
+	var rosters []*Roster
+	for i := range observing {
+		on := func(is bool) { observing[i] = is }
+		rosters = append(rosters, New(Options{Self: fmt.Sprint("n", i), DataCentre: "a", OnObserver: on}, s, func(int) {}, zerolog.Nop()))
+	}
+	step := func(from, to time.Duration) (observers int) {
+		for at := from; at < to; at += stepInterval {
+			for _, r := range rosters {
+				r.Step(ctx, start.Add(at))
+			}
+		}
+		for _, is := range observing {
+			if is {
+				observers++
+			}
+		}
+		return observers
+	}
+	qt.Assert(t, step(0, 3*time.Second), qt.Equals, maxObservers)
+	gone := slices.Index(observing, true)
+	rosters[gone].leave()
+	rosters, observing[gone] = slices.Delete(rosters, gone, gone+1), false
+	qt.Assert(t, step(3*time.Second, 6*time.Second), qt.Equals, maxObservers)
+	s.down = true
+	before := s.puts
+	step(6*time.Second, time.Minute)
+	qt.Assert(t, s.puts-before <= len(rosters), qt.IsTrue, qt.Commentf("%d writes", s.puts-before))
+}
