roles: an engine whose report is older than its order counts as changing

Cause: the holder reads 64 reports a second, so that a report is up to 3 s old, and an engine that was ordered since still counted as one of its former role. Each order that is sent again costs, and can cut short another.

TestOrdersOfALargeFleetAreSentOnce failed before (up to 5 orders to an engine of 300).

--- a/internal/roles/runner.go
+++ b/internal/roles/runner.go
@@ -58,7 +58,7 @@
 	lease       lease
 	planners    map[string]*Planner
 	pausedUntil map[string]time.Time      // by engine whose last order had an unknown outcome
-	ordered     map[string]fighollow.Role // role in the last order sent, by engine
+	ordered     map[string]lastOrder      // last order sent, by engine
 	reports     map[string]report         // newest report by engine
 
 	policy       fighollow.Policy // policy of the preset in force
@@ -73,6 +73,12 @@
 	readAt time.Time
 }
 
+// lastOrder is an order to an engine.
+type lastOrder struct {
+	role fighollow.Role
+	at   time.Time // zero if the engine refused it
+}
+
 // New returns a Runner. routing returns the current routing, or nil before the first one is known; engines returns the
 // current engines of a service in a slice that the Runner may reorder.
 func New(opts Options, store fighollow.ObjectStore, control fighollow.EngineControl, routing func() *fighollow.Routing,
@@ -82,7 +88,7 @@
 		opts: opts, store: store, control: control, routing: routing, engines: engines, log: log,
 		lease:    lease{self: opts.Self, duration: opts.LeaseDuration},
 		planners: make(map[string]*Planner), pausedUntil: make(map[string]time.Time),
-		ordered: make(map[string]fighollow.Role), reports: make(map[string]report),
+		ordered: make(map[string]lastOrder), reports: make(map[string]report),
 	}
 }
 
@@ -290,7 +296,11 @@
 	engines := make([]Engine, len(ups))
 	for i, u := range ups {
 		rep, ok := r.reports[u.ID]
-		engines[i] = Engine{Upstream: u, Report: rep.EngineReport, Fresh: ok && now.Sub(rep.readAt) <= maxReportAge, Ordered: r.ordered[u.ID]}
+		order := r.ordered[u.ID]
+		if ok && order.at.After(rep.readAt) {
+			rep.Changing = true // the report is older than the order
+		}
+		engines[i] = Engine{Upstream: u, Report: rep.EngineReport, Fresh: ok && now.Sub(rep.readAt) <= maxReportAge, Ordered: order.role}
 	}
 	return engines
 }
@@ -313,7 +323,7 @@
 		if !ok {
 			return
 		}
-		r.ordered[u.ID] = o.Role
+		r.ordered[u.ID] = lastOrder{o.Role, time.Now()}
 		wg.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 			defer cancel()
@@ -327,8 +337,11 @@
 		if res.id == "" {
 			continue
 		}
-		if errors.Is(res.err, fighollow.ErrUnknownOutcome) {
+		switch {
+		case errors.Is(res.err, fighollow.ErrUnknownOutcome):
 			r.pausedUntil[res.id] = time.Now().Add(unknownOutcomePause)
+		case res.err != nil:
+			r.ordered[res.id] = lastOrder{role: r.ordered[res.id].role}
 		}
 		event.RoleOrderEnded.Log(&r.log).Str("upstream", res.id).Err(res.err).Send()
 	}
--- a/internal/roles/runner_test.go
+++ b/internal/roles/runner_test.go
@@ -134,6 +134,25 @@
 	qt.Assert(t, len(r.reports), qt.Equals, 300)
 }
 
+// Guards against orders that are sent again because the engine's report is older than the first one, in a fleet whose reports take several
+// rounds to read.
+func TestOrdersOfALargeFleetAreSentOnce(t *testing.T) {
+	r, _, control := newTestRunner(300)
+	qt.Assert(t, r.acquireOrRenew(context.Background()), qt.IsTrue)
+	for range 30 {
+		qt.Assert(t, r.acquireOrRenew(context.Background()), qt.IsTrue)
+		r.round(context.Background())
+	}
+	prefill := 0
+	for id, role := range control.roles {
+		qt.Check(t, control.orders[id] <= 1, qt.IsTrue, qt.Commentf("%d orders to %s", control.orders[id], id))
+		if role == fighollow.RolePrefill {
+			prefill++
+		}
+	}
+	qt.Assert(t, prefill, qt.Equals, 201)
+}
+
 // Guards against a policy that does not follow the preset in force, and against one that is replaced by an older or
 // unreadable preset.
 func TestPolicyOfThePresetInForce(t *testing.T) {
