roles: the initial proportion is ordered for the whole fleet, before the first request

Change: 16 orders in each round before demand, until the initial proportion holds; later moves take a 1/18 of the fleet at once, as they always did on the fleets of 18 for which they were tuned. A planner that finds demand when it starts sends no initial orders: it succeeds one that did.

Why no bound on the number: an order costs one or two answers, once. An engine of a fleet with the demand for which it was built earns that back in a second; only a fleet without demand loses it.

--- a/internal/roles/plan.go
+++ b/internal/roles/plan.go
@@ -15,8 +15,13 @@
 	// initialPrefillShare is the share of prefill engines before any demand is observed. Prefill processes one prompt
 	// after the other, whereas decode batches its requests, so decode needs fewer engines.
 	initialPrefillShare = 0.67
-	// maxInitialOrders bounds the role changes before demand is observed. A fleet that is large for its demand needs none.
+	// maxInitialOrders bounds the orders of a round before demand is observed. An order costs about as much as two answers, once, and an
+	// engine of a fleet that has the demand for which it was built earns that back in a second; under load it would be away for
+	// seconds. So the whole fleet is brought to the initial proportion before the first request.
 	maxInitialOrders = 16
+	// moveShare is the share of the engines that change their role at once, so that a fleet follows a shift of the mix in the same time
+	// whatever its size.
+	moveShare = 1.0 / 18
 	// prefillQueueTarget is the mean queue length per prefill engine that counts as full load.
 	prefillQueueTarget = 1.5
 	// decodeUseTarget is the mean share of KV cache or slots in use per decode engine that counts as full load.
@@ -68,9 +73,8 @@
 	// decaying peaks of the utilisation
 	peakPrefill, peakDecode float64
 
-	demandSeen    bool
-	initialOrders int // orders returned before demand was observed
-	lastChange    time.Time
+	demandSeen bool
+	lastChange time.Time
 }
 
 // NewPlanner returns a planner for a service whose engines have the given traits.
@@ -114,24 +118,25 @@
 		return nil, "settling"
 	}
 	ratio := maxDonorRatio / p.weight
+	n := max(1, int(moveShare*float64(len(prefill)+len(decode))))
 	switch {
-	case onPrefill > 1 && afterMove(p.peakDecode, len(decode)) < ratio*onPrefill:
+	case onPrefill > 1 && afterMove(p.peakDecode, len(decode), n) < ratio*onPrefill:
 		p.lastChange = now
-		return p.selectMoves(decode, prefill, 1, 1, fighollow.RolePrefill), "prefillShort"
-	case onDecode > 1 && afterMove(p.peakPrefill, len(prefill)) < ratio*onDecode:
+		return p.selectMoves(decode, prefill, n, 1, fighollow.RolePrefill), "prefillShort"
+	case onDecode > 1 && afterMove(p.peakPrefill, len(prefill), n) < ratio*onDecode:
 		p.lastChange = now
-		return p.selectMoves(prefill, decode, 1, 1, fighollow.RoleDecode), "decodeShort"
+		return p.selectMoves(prefill, decode, n, 1, fighollow.RoleDecode), "decodeShort"
 	}
 	return nil, "inProportion"
 }
 
-// afterMove returns the utilisation of a role with n engines after it has given up one; it is infinite if none would be
+// afterMove returns the utilisation of a role with so many engines after it has given up n; it is infinite if none would be
 // left.
-func afterMove(utilisation float64, n int) float64 {
-	if n < 2 {
+func afterMove(utilisation float64, engines, n int) float64 {
+	if engines <= n {
 		return math.Inf(1)
 	}
-	return utilisation * float64(n) / float64(n-1)
+	return utilisation * float64(engines) / float64(engines-n)
 }
 
 // utilisation returns the load on each role; 1 is full load.
@@ -140,19 +145,19 @@
 }
 
 // planInitial returns the orders that bring the roles to their initial proportion. It is called until demand is
-// observed, because engines that start together are discovered one after the other.
+// observed, because engines that start together are discovered one after the other. A planner that finds demand at its start keeps the
+// roles that an earlier holder of the lease has chosen.
 func (p *Planner) planInitial(now time.Time, prefill, decode []Engine) ([]Order, string) {
 	if p.prefillRunning+p.prefillQueue+p.decodeUse > 0 {
 		p.demandSeen = true
+		return nil, "demandSeen"
 	}
-	want := int(initialPrefillShare*float64(len(prefill)+len(decode)) + 0.5)
-	want = max(1, min(want, len(prefill)+len(decode)-1))
-	changing := func(e Engine) bool { return e.Report.Changing }
-	n := min(want-len(prefill), maxInitialOrders-p.initialOrders)
-	orders := p.selectMoves(slices.DeleteFunc(decode, changing), prefill, n, 1, fighollow.RolePrefill)
+	engines := len(prefill) + len(decode)
+	want := max(1, min(int(initialPrefillShare*float64(engines)+0.5), engines-1))
+	idle := slices.DeleteFunc(slices.Clone(decode), func(e Engine) bool { return e.Report.Changing })
+	orders := p.selectMoves(idle, prefill, min(want-len(prefill), maxInitialOrders), 1, fighollow.RolePrefill)
 	if len(orders) > 0 {
 		p.lastChange = now
-		p.initialOrders += len(orders)
 	}
 	return orders, "initialShare"
 }
