gateway: an entry of many may repeat in a burst what few of its requests needed before

Cause: a bucket holds no more than the entry's part of the slack, 1.1 tokens with 103 entries, so that what requests deposit is lost while nothing fails; then each entry finds for itself which engines are down.

Change: an extra arrival without a token is allowed as long as those of the last 10 s are at most a quarter of the ratio of the entry's requests in them.

--- a/internal/gateway/arrivals.go
+++ b/internal/gateway/arrivals.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "github.com/fighollow/fighollow/pkg/fighollow"
+import (
+	"time"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
 
 // arrivals counts the attempts of one request that upstreams may have received. The retry budget pays for those beyond the
 // first, rejected ones included. The first prefill that an engine accepts is free and the run after it is the first attempt;
@@ -17,22 +21,22 @@
 
 // charge is what one attempt was charged.
 type charge struct {
-	paid    bool // a token of the retry budget
-	runFree bool // it used the free run
+	paid    bool       // by the retry budget
+	from    withdrawal // if paid
+	runFree bool       // it used the free run
 }
 
 // add counts an attempt before it is sent. It returns errAttemptsExhausted or errBudgetExhausted if the attempt must not be
 // sent.
-func (a *arrivals) add(phase fighollow.RequestPhase, maxAttempts int) (charge, error) {
+func (a *arrivals) add(now time.Time, phase fighollow.RequestPhase, maxAttempts int) (charge, error) {
 	if a.counted > 0 && a.counted >= maxAttempts {
 		return charge{}, errAttemptsExhausted
 	}
 	c := charge{runFree: a.runFree && phase != fighollow.RequestPrefill}
 	if a.sent > 0 && !c.runFree {
-		if !a.budget.withdraw() {
+		if c.from, c.paid = a.budget.withdraw(now); !c.paid {
 			return charge{}, errBudgetExhausted
 		}
-		c.paid = true
 	}
 	if c.runFree {
 		a.runFree = false
@@ -48,7 +52,7 @@
 	a.counted--
 	a.runFree = a.runFree || c.runFree
 	if c.paid {
-		a.budget.refund()
+		a.budget.refund(c.from)
 	}
 }
 
@@ -62,7 +66,7 @@
 	case c.paid:
 		a.prefillUncounted = true
 		a.counted--
-		a.budget.refund()
+		a.budget.refund(c.from)
 	default:
 		a.prefillUncounted, a.runFree = true, true
 		a.counted--
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	charged, err := x.arrivals.add(phase, x.route.MaxAttempts)
+	charged, err := x.arrivals.add(now, phase, x.route.MaxAttempts)
 	if err != nil {
 		x.pool.Withdraw(c.Upstream.ID)
 		return nil, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -169,7 +169,7 @@
 	x.pool, x.budget = x.g.fleet.Pool(service), x.g.budget(service)
 	x.arrivals = arrivals{budget: x.budget}
 	x.service, x.traits = service, t.routing.Services[service]
-	x.budget.deposit()
+	x.budget.deposit(x.call.Arrived)
 	x.deadline = x.call.Deadline
 	if limit := x.call.Arrived.Add(x.route.Timeout); x.route.Timeout > 0 && limit.Before(x.deadline) {
 		x.deadline = limit
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -110,7 +110,7 @@
 	if _, ok := x.pool.Choose(time.Now(), x.query(a.phase)); !ok {
 		return false
 	}
-	if !x.budget.canWithdraw() {
+	if !x.budget.canWithdraw(time.Now()) {
 		return false // the next attempt would be refused
 	}
 	x.mayHaveRun = true
