gateway: a computed prompt is offered to several decode engines

Change: a KV cache that no engine has taken is offered to the next decode engine, until two have refused it; only then is the prompt computed again. Connections that are refused at once no longer end a request after the third: 16 do, or three that took 100 ms.

Why it is safe: an attempt that was not sent, or that was answered as not run, has not run; an engine that cannot fetch the cache refuses, too.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -37,7 +37,10 @@
 	arrivals     arrivals            // attempts that count against the route's limit and the retry budget
 	tried        []string            // ids of upstreams that failed or refused the request
 	mayHaveRun   bool                // an attempt of unknown outcome was sent
-	unreachable  int                 // attempts for which no connection could be made
+	unreachable  int                 // attempts for which no connection could be made in time
+	unsent       int                 // attempts for which no connection could be made, those included
+	kv           *fighollow.KVCache  // of the prompt, which a decode engine has not taken yet
+	kvRefused    int                 // decode engines that refused it
 	refused      int                 // attempts that upstreams refused
 	overTarget   time.Duration       // by how much a request that was refused as too late would have missed its latency target
 	permitWait   time.Duration       // for which a stream that broke off has waited for a permit
@@ -59,8 +62,14 @@
 
 func (x *exchange) firstByteMs() int64 { return x.firstByte.Milliseconds() }
 
-// maxUnreachable is the number of failed connections after which a request gives up. Each costs a dial timeout.
-const maxUnreachable = 3
+const (
+	// maxUnreachable is the number of connections after which a request gives up that failed after slowDial. Each costs a dial timeout.
+	maxUnreachable = 3
+	slowDial       = 100 * time.Millisecond
+	// maxUnsent is the same for all failed connections. An upstream that is down refuses them at once, and an entry that has many peers
+	// meets many of a large fleet's upstreams for the first time since they ended.
+	maxUnsent = 16
+)
 
 // mayRepeat reports whether the route allows the request to run again after an attempt of unknown outcome.
 func (x *exchange) mayRepeat() bool {
@@ -152,7 +161,10 @@
 	case errors.Is(err, fighollow.ErrNotRun):
 		x.arrivals.undo(a.charge)
 		x.attemptsSent--
-		x.unreachable++
+		x.unsent++
+		if time.Since(a.placed.SentAt) >= slowDial {
+			x.unreachable++
+		}
 		x.tried = append(x.tried, a.upstream.ID)
 		a.end(placement.Unreachable, err)
 	case err != nil:
@@ -164,6 +176,7 @@
 		a.end(placement.Failed, err)
 	case a.reply.NotRun:
 		x.refused++
+		x.kvRefused++
 		x.tried = append(x.tried, a.upstream.ID)
 		a.reply.Body.Close()
 		result := placement.Full
@@ -288,7 +301,7 @@
 		return false, "noBudget"
 	case errors.Is(err, placement.ErrTooLate):
 		return false, "tooLate"
-	case x.unreachable >= maxUnreachable:
+	case x.unreachable >= maxUnreachable, x.unsent >= maxUnsent:
 		return false, "unreachable"
 	case errors.Is(err, fighollow.ErrNotRun):
 		return true, "notRun"
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -24,6 +24,9 @@
 			continue
 		}
 		if !x.shouldRetry(ctx, err) {
+			if x.kv != nil {
+				x.releaseKV(x.kv)
+			}
 			return x.refusal(ctx, err)
 		}
 		if x.headerSent {
@@ -53,9 +56,14 @@
 
 // generateOnce makes one attempt at the whole answer, or at its remainder if part of it was sent.
 func (x *exchange) generateOnce(ctx context.Context) error {
-	kv, err := x.prefill(ctx)
-	if err != nil {
-		return err
+	kv := x.kv
+	x.kv = nil
+	if kv == nil {
+		var err error
+		if kv, err = x.prefill(ctx); err != nil {
+			return err
+		}
+		x.kvRefused = 0
 	}
 	phase := fighollow.RequestWhole
 	if kv != nil {
@@ -65,12 +73,25 @@
 	if err == nil {
 		return x.relay(ctx, a)
 	}
-	if kv != nil && !x.mayHaveRun {
+	switch {
+	case kv == nil || x.mayHaveRun:
+	case x.canReuseKV(err):
+		x.kv = kv
+	default:
 		x.releaseKV(kv)
 	}
 	return err
 }
 
+// maxKVRefused is the number of decode engines that may refuse a KV cache before it is computed again: one may be full, but two also
+// refuse a cache that they cannot fetch.
+const maxKVRefused = 2
+
+// canReuseKV reports whether another decode engine can take the KV cache after an attempt that ended with err.
+func (x *exchange) canReuseKV(err error) bool {
+	return errors.Is(err, fighollow.ErrNotRun) && x.kvRefused < maxKVRefused
+}
+
 // prefill has a prefill engine compute the prompt. It returns nil without an error if a decode engine is to compute the
 // prompt, because no prefill engine takes it or the route allows no further call. The first call that an engine accepts does
 // not count as an attempt.
