--- a/internal/roles/runner.go
+++ b/internal/roles/runner.go
@@ -57,9 +57,9 @@
 	log         zerolog.Logger
 	lease       lease
 	planners    map[string]*Planner
-	pausedUntil map[string]time.Time      // by engine whose last order had an unknown outcome
-	ordered     map[string]lastOrder      // last order sent, by engine
-	reports     map[string]report         // newest report by engine
+	pausedUntil map[string]time.Time // by engine whose last order had an unknown outcome
+	ordered     map[string]lastOrder // last order sent, by engine
+	reports     map[string]report    // newest report by engine
 
 	policy       fighollow.Policy // policy of the preset in force
 	preset       choice
