callerconn: the beginning of a pipelined request is counted that was read with the request before

Change: the reader of headers finds the length of the body (Content-Length, or none) and follows what comes after it. When the server reads again, a header that has begun has the header timeout, not the idle one. After a chunked body nothing is known, as before.

TestPipelinedRequestInPartsSurvivesTheIdleTimeout/GET failed before, bound unchanged; /POST is new.

--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -106,6 +108,9 @@
 	case http.StateActive:
 		c.answered = false
 		c.await(stateBusy, 0)
+		if c.ahead.complete { // the server has begun to serve the request that follows
+			c.ahead = ahead{body: unknownLength}
+		}
 	case http.StateNew, http.StateHijacked, http.StateClosed:
 	}
 }
@@ -180,26 +185,68 @@
 	return "busy"
 }
 
-// headerEnd finds the blank line that ends a header which arrives in parts.
-type headerEnd struct {
-	begun     bool // a line other than a blank one has begun; servers skip blank lines before a request
-	lineBytes int  // of the line that has not ended yet, without a CR
+// maxFieldBytes is how much of a header line is kept to find the length of the body.
+const maxFieldBytes = 128
+
+// header finds the blank line that ends a header which arrives in parts, and the length of the body that follows.
+type header struct {
+	begun     bool   // a line other than a blank one has begun; servers skip blank lines before a request
+	lineBytes int    // of the line that has not ended yet, without a CR
+	line      []byte // its beginning
+	body      int64  // length in bytes, or unknownLength
 }
 
-// scan reads the next part and reports whether the header ends in it.
-func (h *headerEnd) scan(p []byte) bool {
-	for _, b := range p {
+const unknownLength = -1
+
+// scan reads the next part. It returns the number of bytes that belong to the header, and whether the header ends in them.
+func (h *header) scan(p []byte) (n int, ended bool) {
+	for i, b := range p {
 		switch {
 		case b == '\n' && h.lineBytes == 0 && h.begun:
-			return true
+			return i + 1, true
 		case b == '\n':
-			h.lineBytes = 0
+			h.endLine()
 		case b != '\r':
 			h.begun = true
-			h.lineBytes++
+			if h.lineBytes++; len(h.line) < maxFieldBytes {
+				h.line = append(h.line, b)
+			}
+		}
+	}
+	return len(p), false
+}
+
+// endLine reads the line that has ended, if it is a field that tells the length of the body.
+func (h *header) endLine() {
+	if name, value, ok := strings.Cut(string(h.line), ":"); ok && h.body != unknownLength {
+		switch strings.ToLower(name) {
+		case "transfer-encoding":
+			h.body = unknownLength
+		case "content-length":
+			var err error
+			if h.body, err = strconv.ParseInt(strings.TrimSpace(value), 10, 64); err != nil || h.body < 0 || h.lineBytes > maxFieldBytes {
+				h.body = unknownLength
+			}
 		}
 	}
-	return false
+	h.lineBytes, h.line = 0, h.line[:0]
+}
+
+// ahead follows what a caller sends after the header of the request that is being served: the rest of its body, and the next header. The
+// server may read both together.
+type ahead struct {
+	body     int64 // bytes of the body still to come, or unknownLength: then nothing is known of what follows
+	next     header
+	complete bool // next has ended; nothing is known of what follows
+}
+
+func (a *ahead) scan(p []byte) {
+	if a.body == unknownLength || a.complete {
+		return
+	}
+	n := min(a.body, int64(len(p)))
+	a.body -= n
+	_, a.complete = a.next.scan(p[n:])
 }
 
 // Conn is a connection that a Listener accepted.
@@ -213,24 +260,31 @@
 	state    connState
 	answered bool // the server has ended a request and has not read since; it may hold the next request already
 	closed   bool // nothing is read any more
-	header   headerEnd
+	header   header
+	ahead    ahead
 	timer    *time.Timer
 	timerID  uint64 // of the timer that counts
 }
 
 // await starts to wait for the bytes of the next request. c.mu must be held.
 func (c *Conn) await(s connState, timeout time.Duration) {
-	c.state, c.header = s, headerEnd{}
+	c.state, c.header = s, header{}
 	c.startTimer(timeout, timeout)
 }
 
 // beginRead starts the idle timeout at the first read after a response: until then, the server may serve a request that it has
 // read together with the one before. c.mu must be held.
 func (c *Conn) beginRead() {
-	if c.answered {
-		c.answered = false
-		c.await(stateIdle, c.l.timeouts().Idle)
+	if !c.answered {
+		return
 	}
+	c.answered = false
+	if c.ahead.next.begun && !c.ahead.complete {
+		c.await(stateHeader, c.l.timeouts().Header)
+		c.header = c.ahead.next
+		return
+	}
+	c.await(stateIdle, c.l.timeouts().Idle)
 }
 
 // startTimer replaces the timer, which expires after delay; zero stops it. The wait that it ends was bounded by timeout. c.mu must
@@ -275,11 +329,16 @@
 
 // received updates what c waits for after bytes of a request were read. c.mu must be held.
 func (c *Conn) received(p []byte) {
-	if len(p) == 0 || c.state == stateBusy {
+	if len(p) == 0 {
+		return
+	}
+	if c.state == stateBusy {
+		c.ahead.scan(p)
 		return
 	}
-	if c.header.scan(p) {
-		c.state = stateBusy
+	if n, ended := c.header.scan(p); ended {
+		c.state, c.ahead = stateBusy, ahead{body: c.header.body}
+		c.ahead.scan(p[n:])
 		c.startTimer(0, 0)
 		return
 	}
--- a/internal/callerconn/listener_test.go
+++ b/internal/callerconn/listener_test.go
@@ -250,6 +250,15 @@
 
 // Guards against the idle timeout cutting a pipelined request of which only the last line was read after the response before it.
 func TestPipelinedRequestInPartsSurvivesTheIdleTimeout(t *testing.T) {
+	for _, first := range []string{
+		"GET / HTTP/1.1\r\nHost: h\r\n\r\n", "POST / HTTP/1.1\r\ncontent-length: 5\r\nHost: h\r\n\r\n\r\na\r\n",
+	} {
+		t.Run(first[:4], func(t *testing.T) { playPipelined(t, first) })
+	}
+}
+
+// playPipelined sends a request and the beginning of another one at once, and the rest after the first answer.
+func playPipelined(t *testing.T, first string) {
 	const idle = 100 * time.Millisecond
 	l := listen(t, callerconn.Timeouts{Idle: idle})
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
@@ -266,7 +275,7 @@
 	s.Start()
 	defer s.Close()
 	c := dial(t, l)
-	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n")
+	_, err := io.WriteString(c, first+"GET / HTTP/1.1\r\nHost: h\r\n")
 	qt.Assert(t, err, qt.IsNil)
 	r := bufio.NewReader(c)
 	for i := range 2 {
