quarantine, gateway: few of the entries that know better object; changes of upstreams are read less often

Changes: an entry objects after up to 2 s, by a hash of its name and the key, and not if the object is gone by then; the spread grows with the square of the number of entries, as an objection wakes them all (0.1 s at 22, 2 s at 100). The pause after changes of upstreams is 0.4 of the drain time in place of 0.25.

Why it is safe: an upstream that leaves serves on for the drain time; an objection counts as one within 3 s.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -23,6 +23,8 @@
 	// freshnessShare is the part of the time within which a change must take effect that a Follower may be late by on purpose. The
 	// rest is for slow calls and what is on its way.
 	freshnessShare = 0.25
+	// upstreamsShare is the same for upstreams, of which a large fleet has changes all the time. One that leaves serves on meanwhile.
+	upstreamsShare = 0.4
 )
 
 // Freshness bounds how long a Follower pauses after a call that brought changes, so that changes in quick succession cost each entry one
@@ -35,16 +37,15 @@
 
 // pause returns the pause after changes of a kind.
 func (f *Freshness) pause(kind fighollow.Kind) time.Duration {
-	var bound time.Duration
 	switch kind {
 	case fighollow.KindRouting:
-		bound = f.Routing
+		return time.Duration(freshnessShare * float64(f.Routing))
 	case fighollow.KindInstance:
-		bound = f.Upstreams
+		return time.Duration(upstreamsShare * float64(f.Upstreams))
 	case fighollow.KindQuarantine, fighollow.KindCrashReports:
-		bound = f.Crashes
+		return time.Duration(freshnessShare * float64(f.Crashes))
 	}
-	return time.Duration(freshnessShare * float64(bound))
+	return 0
 }
 
 // Decoder decodes the platform's objects.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,6 +113,7 @@
 	defer g.mu.Unlock()
 	g.entries = max(1, n)
 	g.fleet.SetEntries(g.entries)
+	g.opts.Quarantine.SetEntries(g.entries)
 	if g.entriesCounted {
 		g.updateBudgets()
 		return
--- a/internal/quarantine/publish.go
+++ b/internal/quarantine/publish.go
@@ -9,9 +9,18 @@
 	"strconv"
 	"time"
 
+	"github.com/fighollow/fighollow/internal/rendezvous"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
+const (
+	// objectionSpreadPerPair and maxObjectionSpread are the time over which the entries object to a quarantine, so that most see that
+	// another one has: each objection is a call of the store and wakes all entries, so that what it saves grows with their square. It
+	// is well below doubtTime.
+	objectionSpreadPerPair = 200 * time.Microsecond
+	maxObjectionSpread     = 2 * time.Second
+)
+
 // ErrInvalid is returned for what another process has written and what cannot be read.
 var ErrInvalid = errors.New("quarantine: unusable object")
 
@@ -75,6 +84,7 @@
 	listed := make(map[Key]bool)
 	for _, o := range objects {
 		if o.Deleted {
+			t.forgetLift(o.Name)
 			if key, ok := t.byName(o.Name); ok && o.Version > t.cases[key].version {
 				if q := t.cases[key]; now.Sub(q.addedAt) < doubtTime {
 					t.doubt(now, key)
@@ -136,6 +146,22 @@
 	return now.Sub(t.sound.get(key).doubtedAt) < evidenceTime
 }
 
+// objectionDelay returns how long this entry waits before it objects: another one may be faster. Its objection ends the quarantine for all.
+func (t *Tracker) objectionDelay(key Key) time.Duration {
+	spread := min(time.Duration(t.entries*(t.entries-1))*objectionSpreadPerPair, maxObjectionSpread)
+	return time.Duration(float64(spread) * float64(rendezvous.Score(rendezvous.Key(t.self), key.ID)>>11) / (1 << 53))
+}
+
+// forgetLift forgets the deletion of an object that is gone.
+func (t *Tracker) forgetLift(name string) {
+	for key := range t.lifts {
+		if key.objectName() == name {
+			delete(t.lifts, key)
+			delete(t.liftAt, key)
+		}
+	}
+}
+
 // byName returns the key in quarantine whose object has this name.
 func (t *Tracker) byName(name string) (Key, bool) {
 	for key := range t.cases {
@@ -158,7 +184,7 @@
 	isCoincidence := s.Crashes < minCrashesSound && q == nil && t.hasSoundHistory(now, key) && !t.isDoubted(now, key)
 	if isAnswered || isCoincidence {
 		t.doubt(now, key)
-		t.lifts[key] = version
+		t.lifts[key], t.liftAt[key] = version, now.Add(t.objectionDelay(key))
 		delete(t.cases, key)
 		return false
 	}
@@ -205,6 +231,9 @@
 	}
 	out = append(out, t.reportWrites(now)...)
 	for key, version := range t.lifts {
+		if now.Before(t.liftAt[key]) {
+			continue
+		}
 		out = append(out, Write{key, fighollow.Object{Kind: fighollow.KindQuarantine, Name: key.objectName()}, version})
 	}
 	slices.SortFunc(out, func(a, b Write) int { return cmp.Compare(a.Object.Name, b.Object.Name) })
@@ -223,6 +252,7 @@
 	if w.Object.Value == nil {
 		if (err == nil || settled) && t.lifts[w.Key] == w.Expected {
 			delete(t.lifts, w.Key)
+			delete(t.liftAt, w.Key)
 		}
 		return
 	}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -47,9 +47,11 @@
 	sound   soundMemory
 	alive   map[string]time.Time // when each upstream last replied to this entry
 	cases   map[Key]*quarantined
-	judged  time.Time      // when the evidence was last judged
-	newsAt  time.Time      // when an attempt last broke off, here or by a report of another entry
-	lifts   map[Key]uint64 // versions of cases to delete from the store
+	judged  time.Time         // when the evidence was last judged
+	newsAt  time.Time         // when an attempt last broke off, here or by a report of another entry
+	lifts   map[Key]uint64    // versions of cases to delete from the store
+	liftAt  map[Key]time.Time // when an objection among them is due
+	entries int
 }
 
 // quarantined is a part or a request in quarantine.
@@ -73,10 +75,17 @@
 func New(self string) *Tracker {
 	return &Tracker{
 		self: self, reports: newReports(), sound: newSoundMemory(), alive: make(map[string]time.Time), cases: make(map[Key]*quarantined),
-		lifts: make(map[Key]uint64),
+		lifts: make(map[Key]uint64), liftAt: make(map[Key]time.Time), entries: 1,
 	}
 }
 
+// SetEntries sets how many entries there are, this one included.
+func (t *Tracker) SetEntries(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.entries = n
+}
+
 // Admission says whether a request may be sent to an engine.
 type Admission struct {
 	Withheld bool
@@ -303,6 +312,7 @@
 		t.drop(oldest)
 	}
 	delete(t.lifts, key)
+	delete(t.liftAt, key)
 	t.cases[key] = q
 }
 
@@ -357,6 +367,7 @@
 func (t *Tracker) drop(key Key) {
 	if q := t.cases[key]; q != nil && q.version > 0 {
 		t.lifts[key] = q.version
+		delete(t.liftAt, key)
 	}
 	delete(t.cases, key)
 }
--- a/internal/quarantine/writer_test.go
+++ b/internal/quarantine/writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -85,3 +86,38 @@
 	step(w, now.Add(10*time.Second), 2*time.Second)
 	qt.Assert(t, s.object.Version > 0, qt.IsTrue)
 }
+
+// Guards against a sound part whose quarantine is ended by all entries that know better at once, each with a call, or by none.
+func TestFewEntriesObject(t *testing.T) {
+	const entries, readTime = 100, 700 * time.Millisecond
+	var trackers []*Tracker
+	for i := range entries {
+		tr := New(fmt.Sprint("n", i))
+		tr.SetEntries(entries)
+		tr.Completed(start, "x", prompt(1, bad))
+		tr.Apply(start.Add(time.Second), []fighollow.Object{object(7, storedBad)}, false)
+		trackers = append(trackers, tr)
+	}
+	var deletedAt time.Time
+	calls := 0
+	for at := start.Add(time.Second); at.Before(start.Add(5 * time.Second)); at = at.Add(writeInterval) {
+		if !deletedAt.IsZero() && at.Sub(deletedAt) == readTime {
+			for _, tr := range trackers {
+				tr.Apply(at, []fighollow.Object{{Kind: fighollow.KindQuarantine, Name: "models-29a", Version: 8, Deleted: true}}, false)
+			}
+		}
+		for _, tr := range trackers {
+			for _, w := range caseWrites(tr, at) {
+				calls++
+				if deletedAt.IsZero() {
+					deletedAt = at
+					tr.Written(w, 8, nil)
+				} else {
+					tr.Written(w, 0, fighollow.ErrNotFound)
+				}
+			}
+		}
+	}
+	qt.Assert(t, deletedAt.Sub(start) < time.Second+doubtTime, qt.IsTrue)
+	qt.Assert(t, calls <= entries*2/3, qt.IsTrue, qt.Commentf("%d calls", calls))
+}
