--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -38,15 +38,12 @@
 	active   int
 	handles  map[string]bool
 	nextID   int
-	limit    string // Server-Limit in all answers; empty for none
-	cut      bool   // the engine does not reach the store
 	down     bool
 	conns    map[net.Conn]bool
 	listener net.Listener
 	ran      map[string]bool // requests that it began to work on
 	answers  int             // since the start of duplicates
 	repeats  repeats
-	arrived  []time.Time // requests, calls of the control API excluded
 }
 
 // startEngine starts an engine, which registers itself and writes its entry again and again.
@@ -96,7 +93,7 @@
 	e.mu.Unlock()
 	e.serve(l)
 	e.beat()
-	e.rec.say("engine %s is back at %s as %s", e.zone, e.addr, id)
+	e.rec.say("the engine at %s is back as %s", e.addr, id)
 	return nil
 }
 
@@ -107,11 +104,11 @@
 	return e.ran[id]
 }
 
-// beat writes the entry, unless the engine is down or cut off from the store.
+// beat writes the entry, unless the engine is down.
 func (e *engine) beat() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.down || e.cut {
+	if e.down {
 		return
 	}
 	spec := map[string]any{
@@ -160,32 +157,7 @@
 	e.rec.say("engine %s reports draining", e.id)
 }
 
-// setLimit sets the limit that all answers name.
-func (e *engine) setLimit(limit string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.limit = limit
-	e.rec.say("engine %s names Server-Limit %q from now on", e.id, limit)
-}
-
-// setCut cuts the engine off from the store, or ends that, whereupon it writes its entry at once.
-func (e *engine) setCut(cut bool) {
-	e.mu.Lock()
-	e.cut = cut
-	e.mu.Unlock()
-	e.rec.say("engine %s cut off from the store: %t", e.id, cut)
-	e.beat()
-}
-
-// arrivals returns when requests arrived.
-func (e *engine) arrivals() []time.Time {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return append([]time.Time(nil), e.arrived...)
-}
-
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	control := strings.HasPrefix(r.URL.Path, "/api/")
 	if want, id := r.Header.Get("Expect-Instance"), e.identity(); want != "" && want != id {
 		e.rec.add("engine %s answers %s %s, which expects %s, with 421", id, r.Method, r.URL.Path, want)
 		if r.URL.Path == "/api/kv-events" {
@@ -196,12 +168,6 @@
 		return
 	}
 	e.countAnswer()
-	e.mu.Lock()
-	limit := e.limit
-	e.mu.Unlock()
-	if limit != "" && !control {
-		w.Header().Set("Server-Limit", limit)
-	}
 	switch {
 	case r.URL.Path == "/api/report":
 		e.report(w)
@@ -297,7 +263,6 @@
 	}
 	prefill, source := r.Header.Get("Inference-Stage") == "prefill", r.Header.Get("Kv-Source")
 	e.mu.Lock()
-	e.arrived = append(e.arrived, time.Now())
 	stage, busy := e.stage, e.busy
 	e.mu.Unlock()
 	e.rec.add("engine %s gets %s from %s prefill=%t source=%q last=%q", e.id, id, r.RemoteAddr, prefill, source, r.Header.Get("Last-Event-Id"))
--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -13,15 +13,14 @@
 
 // gateway is a process of the project, started with the command of the deploy file.
 type gateway struct {
-	name, zone  string
-	front       string // address for clients
-	ready       string // address of the readiness check
-	port        *storePort
-	cmd         *exec.Cmd
-	logPath     string
-	settingsAt  string
-	repository  string
-	metricsPort string
+	name, zone string
+	front      string // address for clients
+	ready      string // address of the readiness check
+	port       *storePort
+	cmd        *exec.Cmd
+	logPath    string
+	settingsAt string
+	repository string
 }
 
 const settingsText = `node = %q
@@ -136,7 +135,7 @@
 	if err != nil {
 		return err
 	}
-	defer logFile.Close()
+	defer func() { _ = logFile.Close() }()                                        // the process has its own descriptor
 	g.cmd = exec.Command("target/fighollow", "gateway", "--metrics-port", "9464") // as in deploy/system.toml
 	g.cmd.Dir = g.repository
 	g.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "FIGHOLLOW_BOOT=" + g.settingsAt}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -58,7 +58,7 @@
 		return failed
 	}
 	if os.Getenv("KEEP") == "" {
-		defer os.RemoveAll(dir)
+		defer func() { _ = os.RemoveAll(dir) }() // it is a temporary one
 	} else {
 		fmt.Println("logs are in", dir)
 	}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -90,21 +90,6 @@
 	s.writeLocked("servers", id, data)
 }
 
-// remove removes an engine's entry at once, as when it has left.
-func (s *store) remove(id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.removeLocked("servers", id)
-}
-
-// has reports whether an engine's entry is there.
-func (s *store) has(id string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, ok := s.objects["servers"][id]
-	return ok
-}
-
 // put writes an object as the operator does.
 func (s *store) put(kind, name string, spec any) {
 	data, _ := json.Marshal(spec)
