streams, placement: an entry that does not know a stream asks the store at which versions streams can have begun

Cause: streams.Find took what an entry knows for all that there is.

Change: an object of the store lists, for each service, the versions at which streams may have begun. An entry lists a version before it begins an answer there, unless there are no engines of listed ones. One that does not know a stream reads the list after the request has come, goes on at the only version, and asks the journals if there are several.

Why it works: whoever began the stream has read or written a list with its version before, and a read that begins later sees it.

On the related path Pool.put, an upstream that starts again with another version hid the version before.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -119,13 +119,16 @@
 	divider := quota.New(self)
 	fleet := placement.New(placement.Options{
 		DataCentre: cfg.DataCentre, DrainTime: cfg.Bounds.Drain, Heartbeat: cfg.Heartbeat, Shares: divider,
+		AdmitVersions: true,
 	})
 	dispatcher := platform.NewDispatcher(p.pool, gateway.NewAnnouncements(fleet, p.registry, log))
 	crashes := quarantine.New(self)
 	p.quarantine = quarantine.NewWriter(crashes, p.store, log)
 	p.streams = streams.New(streams.Options{
 		Self: self, Started: time.Now(), Entries: func() int { return p.gateway.Entries() },
-		IsMixed: func(now time.Time, service string) bool { return fleet.Pool(service).IsMixed(now) },
+		Services: func() []string { return p.gateway.EngineServices() },
+		Versions: func(now time.Time, service string) []string { return fleet.Pool(service).Versions(now) },
+		Admit:    func(service string, versions []string) { fleet.Pool(service).Admit(versions) },
 	}, p.store, log)
 	p.gateway = gateway.New(gateway.Options{
 		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: p.registry, Quarantine: crashes, Streams: p.streams,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"hash/maphash"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -98,6 +99,22 @@
 	return nil
 }
 
+// EngineServices returns the services of the configuration in force that have model engines, in order.
+func (g *Gateway) EngineServices() []string {
+	r := g.Routing()
+	if r == nil {
+		return nil
+	}
+	var out []string
+	for name, traits := range r.Services {
+		if traits.Engine != nil {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // SetRetries changes the bounds of the retry budgets; see Options.
 func (g *Gateway) SetRetries(ratio float64, slack int) {
 	g.mu.Lock()
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -15,6 +15,9 @@
 	Heartbeat time.Duration
 	// Shares divides the upstreams' request limits among the entries; nil if they are all this entry's.
 	Shares fighollow.LimitShares
+	// AdmitVersions keeps answers from beginning at engines of software versions for which Pool.Admit was not called, while there are
+	// others.
+	AdmitVersions bool
 }
 
 // Fleet holds the upstreams of all services. Each service has its own lock. It is safe for concurrent use.
@@ -94,7 +97,7 @@
 	}
 	delete(f.departed, u.ID)
 	f.services[u.ID], f.versions[u.ID] = u.Service, version
-	f.pool(u.Service).put(u)
+	f.pool(u.Service).put(now, u)
 }
 
 // Remove removes an upstream whose object was deleted at version. It ignores a version older than the stored one.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -392,11 +392,53 @@
 	q := placement.Query{Phase: fighollow.RequestWhole, Version: "v2"}
 	c, ok := p.Choose(start, q)
 	qt.Assert(t, ok && c.Upstream.ID == other.ID, qt.IsTrue)
-	qt.Assert(t, p.IsMixed(start), qt.IsTrue)
+	qt.Assert(t, p.Versions(start), qt.DeepEquals, []string{"", "v2"})
 	f.Remove(start, other.ID, 10)
 	gone := start.Add(drain)
 	_, ok = p.Choose(gone, q)
 	qt.Assert(t, ok, qt.IsFalse)
-	qt.Assert(t, p.IsMixed(gone.Add(time.Minute-time.Second)), qt.IsTrue)
-	qt.Assert(t, p.IsMixed(gone.Add(time.Minute+time.Second)), qt.IsFalse)
+	qt.Assert(t, p.Versions(gone.Add(time.Minute-time.Second)), qt.DeepEquals, []string{"", "v2"})
+	qt.Assert(t, p.Versions(gone.Add(time.Minute+time.Second)), qt.DeepEquals, []string{""})
+}
+
+// Guards against a version that is forgotten because its only engine started again with another one.
+func TestVersionOfAnUpstreamThatStartsAgain(t *testing.T) {
+	f := newFleet("d-a-1")
+	p := f.Pool(models)
+	again := engine("d-a-1")
+	again.Version = "v2"
+	f.Put(start, again, 9)
+	qt.Assert(t, p.Versions(start.Add(time.Second)), qt.DeepEquals, []string{"", "v2"})
+}
+
+// Guards against answers that begin at engines of a version of which other entries don't know, and against refusals where there are no
+// other engines.
+func TestAnswersBeginAtAdmittedVersions(t *testing.T) {
+	f := placement.New(placement.Options{DataCentre: "a", DrainTime: drain, AdmitVersions: true})
+	f.Configure(&fighollow.Routing{Services: map[string]fighollow.ServiceTraits{models: {Name: models, Engine: &fighollow.EngineTraits{Slots: 8}}}})
+	p := f.Pool(models)
+	chosen := func(phase fighollow.RequestPhase, version string) map[string]bool {
+		out := make(map[string]bool)
+		for seed := range uint64(64) {
+			if c, ok := p.Choose(start, placement.Query{Phase: phase, Version: version, Seed: seed}); ok {
+				out[c.Upstream.ID] = true
+			}
+		}
+		return out
+	}
+	for i, e := range []string{"d-a-1", "d-a-2"} {
+		u := engine(e)
+		u.Version = fmt.Sprintf("v%d", i+1)
+		f.Put(start, u, uint64(i+1))
+	}
+	both := map[string]bool{"d-a-1": true, "d-a-2": true}
+	qt.Assert(t, chosen(fighollow.RequestWhole, ""), qt.DeepEquals, both, qt.Commentf("no version is admitted"))
+	p.Admit([]string{"v1"})
+	qt.Assert(t, chosen(fighollow.RequestWhole, ""), qt.DeepEquals, map[string]bool{"d-a-1": true})
+	qt.Assert(t, chosen(fighollow.RequestWhole, "v2"), qt.DeepEquals, map[string]bool{"d-a-2": true}, qt.Commentf("an answer that has begun"))
+	p.Admit([]string{"v1", "v2"})
+	qt.Assert(t, chosen(fighollow.RequestWhole, ""), qt.DeepEquals, both)
+	p.Admit([]string{"v1"})
+	f.Remove(start, "d-a-1", 9)
+	qt.Assert(t, chosen(fighollow.RequestWhole, ""), qt.DeepEquals, map[string]bool{"d-a-2": true}, qt.Commentf("none is left"))
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -91,6 +93,9 @@
 	traits    fighollow.ServiceTraits
 	instances map[string]*instance
 	versions  map[string]time.Time // of the software, when an upstream with it was last known
+	gated     bool                 // Admit says at which versions answers may begin
+	admitted  map[string]bool      // versions that Admit was given
+	withholds bool                 // engines of other versions are not used, as there are some of these
 	// lastReturn is the latest time that a caller was given to return when request limits were used up.
 	lastReturn      time.Time
 	lastPauseReturn time.Time      // that a caller was given when all upstreams were paused
@@ -103,7 +108,7 @@
 func newPool(opts Options, m *announcements) *Pool {
 	return &Pool{
 		dataCentre: opts.DataCentre, drain: opts.DrainTime, shares: opts.Shares, entries: 1, instances: make(map[string]*instance), versions: make(map[string]time.Time),
-		announcements: m,
+		gated: opts.AdmitVersions, announcements: m,
 	}
 }
 
@@ -137,10 +142,14 @@
 }
 
 // put adds or updates an upstream.
-func (p *Pool) put(u fighollow.Upstream) {
+func (p *Pool) put(now time.Time, u fighollow.Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	inst, known := p.instances[u.ID], p.announcements.of(incarnationOf(u))
+	if inst != nil {
+		p.versions[inst.upstream.Version] = now // the upstream can start again with another one
+	}
+	p.versions[u.Version] = now
 	if inst == nil {
 		inst = newInstance(u, p.kvCapacity(), known)
 		p.instances[u.ID] = inst
@@ -152,8 +161,8 @@
 // versionMemory is how long after its last upstream has gone a software version counts: callers may still take up streams that it began.
 const versionMemory = time.Minute
 
-// IsMixed reports whether the service has upstreams of several software versions, or had in the last versionMemory.
-func (p *Pool) IsMixed(now time.Time) bool {
+// Versions returns, in order, the software versions of the service's upstreams, and those that one of them had in the last versionMemory.
+func (p *Pool) Versions(now time.Time) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, inst := range p.instances {
@@ -164,7 +173,48 @@
 			delete(p.versions, version)
 		}
 	}
-	return len(p.versions) > 1
+	return slices.Sorted(maps.Keys(p.versions))
+}
+
+// Admit replaces the software versions whose engines may begin answers. Others are used only if there is no engine of these; see
+// Options.AdmitVersions.
+func (p *Pool) Admit(versions []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.admitted = make(map[string]bool, len(versions))
+	for _, v := range versions {
+		p.admitted[v] = true
+	}
+}
+
+// updateWithheld finds out whether engines of versions that are not admitted are withheld. p.mu must be held.
+func (p *Pool) updateWithheld() {
+	p.withholds = false
+	if !p.gated || p.traits.Engine == nil {
+		return
+	}
+	for version := range p.versions {
+		if !p.admitted[version] {
+			p.withholds = p.hasAdmitted()
+			return
+		}
+	}
+}
+
+// hasAdmitted reports whether an engine of an admitted version answers requests.
+func (p *Pool) hasAdmitted() bool {
+	for _, inst := range p.instances {
+		if p.admitted[inst.upstream.Version] && inst.removedAt.IsZero() && !inst.isLeaving() && servesPhase(inst.upstream.Role, fighollow.RequestWhole) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayBegin reports whether the software version of an engine allows the attempt. An answer that has begun goes on at its version, and a
+// prompt may be computed at any.
+func (p *Pool) mayBegin(inst *instance, q Query) bool {
+	return !p.withholds || q.Version != "" || q.Phase == fighollow.RequestPrefill || p.admitted[inst.upstream.Version]
 }
 
 // remove records that an upstream was removed from the store. A draining one is dropped at once, any other one after a grace
@@ -217,6 +267,7 @@
 // prepare updates what changes with time before an upstream is chosen. p.mu must be held.
 func (p *Pool) prepare(now time.Time, q Query) {
 	p.expire(now)
+	p.updateWithheld()
 	p.times.assume(q)
 	p.updateLimits(now)
 }
@@ -282,6 +333,9 @@
 	if inst.isLeaving() || !servesPhase(inst.upstream.Role, q.Phase) || now.Before(inst.misdirectedUntil) {
 		return false
 	}
+	if !p.mayBegin(inst, q) {
+		return false
+	}
 	if !lastResort && (now.Before(inst.ejectedUntil) || now.Before(inst.fullUntil) || !inst.removedAt.IsZero() || q.NoRetry && inst.fullBackoff > 0) {
 		return false
 	}
--- a/internal/streams/journal.go
+++ b/internal/streams/journal.go
@@ -1,8 +1,10 @@
 // Package streams records which software version of an engine began each stream. What two versions write does not fit together, so a stream
 // that breaks off may go on only at the version that began it, whichever entry its caller turns to.
 //
-// An entry knows the streams that it began itself. While engines of several versions serve, it writes those that its callers may take up
-// to an object of its own, all in one write and at most once in a flushInterval, so that other entries find them when it has ended.
+// An entry knows the streams that it began itself. The versions at which streams may have begun are an object of the store for each service,
+// which lists a version before the first stream begins at it. An entry that does not know a stream reads that object: what it knows of
+// the upstreams itself can be old. If several versions are listed, the entries write the streams that their callers may take up to an
+// object of their own, all in one write and at most once in a flushInterval, so that others find them when an entry has ended.
 package streams
 
 import (
@@ -37,10 +39,10 @@
 	// findPause is the pause between two searches for a stream whose entry may not have written it yet, and findTries how many are made.
 	findPause = 250 * time.Millisecond
 	findTries = 3
+	// findTimeout bounds all searches for a stream. Callers give up after some seconds without an event.
+	findTimeout = time.Second
 	// callTimeout bounds a call of the store.
 	callTimeout = time.Second
-	// youngTime is how long after its start a process may not know that its service had other versions.
-	youngTime = time.Minute
 	// collectInterval is the pause between two searches for objects of entries that have ended, and lapseTime how long such an object
 	// stays unchanged before it is deleted.
 	collectInterval = time.Minute
@@ -71,10 +73,14 @@
 
 // Options configures a Journal.
 type Options struct {
-	Self    string                                   // unique among the entries
-	Started time.Time                                // of the process
-	Entries func() int                               // number of entries
-	IsMixed func(now time.Time, service string) bool // whether engines of several versions serve, or did in the last youngTime
+	Self     string          // unique among the entries
+	Started  time.Time       // of the process
+	Entries  func() int      // number of entries
+	Services func() []string // whose streams can be taken up
+	// Versions returns the software versions of a service's upstreams, now or lately, as far as this entry knows.
+	Versions func(now time.Time, service string) []string
+	// Admit is called with the versions at which streams may begin, whenever they have been read or written; nil for none.
+	Admit func(service string, versions []string)
 }
 
 // Journal records the streams of one entry. It is safe for concurrent use.
@@ -85,7 +91,7 @@
 
 	mu      sync.Mutex
 	streams map[key]stream
-	mixed   map[string]bool // by service that had streams, whether several versions served at the last step
+	mixed   map[string]bool // by service that had streams, whether streams of several versions were possible at the last step
 	isDue   bool            // what is to be written has changed since the last write
 
 	// The following are used by Step only.
@@ -94,9 +100,13 @@
 	flushedAt   time.Time
 	collectedAt time.Time
 	seen        map[string]seenObject // by entry
+	records     map[string]*record    // by service
 
 	listMu  sync.Mutex
 	listing listing
+
+	readMu   sync.Mutex
+	readings map[string]*reading // by service
 }
 
 // seenObject is an entry's object as it was first seen.
@@ -105,19 +115,11 @@
 	at      time.Time
 }
 
-// listing is what the entries have written.
-type listing struct {
-	began    time.Time // when it was asked for
-	err      error
-	versions map[key]string
-	services map[string]bool // that have several versions
-}
-
 // New returns an empty Journal; Run writes it.
 func New(opts Options, store fighollow.ObjectStore, log zerolog.Logger) *Journal {
 	return &Journal{
 		opts: opts, store: store, log: log, streams: make(map[key]stream), mixed: make(map[string]bool), collectedAt: opts.Started,
-		seen: make(map[string]seenObject),
+		seen: make(map[string]seenObject), records: make(map[string]*record), readings: make(map[string]*reading),
 	}
 }
 
@@ -167,96 +169,6 @@
 	}
 }
 
-// Find returns the version that began a stream, or nothing if its service has had only one. It asks the store if this entry does not know
-// the stream and several versions serve, or may have before this process started. It returns ErrUnknown, or the error of ctx or the store.
-func (j *Journal) Find(ctx context.Context, now time.Time, service, id string) (version string, err error) {
-	k, isMixed := newKey(service, id), j.opts.IsMixed(now, service)
-	if version, ok := j.known(k); ok {
-		return version, nil
-	}
-	if !isMixed && now.Sub(j.opts.Started) > youngTime {
-		return "", nil
-	}
-	for try := range findTries {
-		if try > 0 {
-			select {
-			case <-ctx.Done():
-				return "", ctx.Err()
-			case <-time.After(findPause):
-			}
-		}
-		l := j.list(ctx, time.Now())
-		if l.err != nil {
-			err = l.err
-			continue
-		}
-		if version, ok := l.versions[k]; ok {
-			return version, nil
-		}
-		if !isMixed && !l.services[service] {
-			return "", nil
-		}
-		err = ErrUnknown
-	}
-	return "", err
-}
-
-func (j *Journal) known(k key) (version string, ok bool) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	s, ok := j.streams[k]
-	return s.version, ok
-}
-
-// list returns what the entries have written, read at now or later. Streams that are looked for at the same time share a call.
-func (j *Journal) list(ctx context.Context, now time.Time) listing {
-	j.listMu.Lock()
-	defer j.listMu.Unlock()
-	if j.listing.began.After(now) {
-		return j.listing
-	}
-	l := listing{began: time.Now(), versions: make(map[key]string), services: make(map[string]bool)}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	objects, _, err := j.store.List(ctx, fighollow.KindStreams)
-	l.err = err
-	for _, o := range objects {
-		if err := l.add(o); err != nil {
-			event.StreamsInvalid.Log(&j.log).Str("entry", o.Name).Err(err).Send()
-		}
-	}
-	j.listing = l
-	return l
-}
-
-// hashBase is the base in which hashes are written.
-const hashBase = 36
-
-// stored is the value of an entry's object: by service and version, the hashes of streams.
-type stored map[string]map[string][]string
-
-// add adds the streams of an entry's object.
-func (l *listing) add(o fighollow.Object) error {
-	var s stored
-	if err := json.Unmarshal(o.Value, &s); err != nil {
-		return err
-	}
-	n := 0
-	for service, versions := range s {
-		l.services[service] = true
-		for version, hashes := range versions {
-			for _, text := range hashes {
-				hash, err := strconv.ParseUint(text, hashBase, 64)
-				if n++; err != nil || n > maxListed {
-					return fighollow.ErrInvalid
-				}
-				l.versions[key{service, hash}] = version
-			}
-		}
-	}
-	return nil
-}
-
 // Run writes the journal until ctx is done.
 func (j *Journal) Run(ctx context.Context) {
 	for {
@@ -273,7 +185,7 @@
 	}
 }
 
-// hasMixed reports whether a service had several versions at the last step.
+// hasMixed reports whether streams of several versions of a service were possible at the last step.
 func (j *Journal) hasMixed() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -285,8 +197,11 @@
 	return false
 }
 
-// Step writes this entry's object if that is due at now.
+// Step writes the versions of the services, and this entry's object, if that is due at now.
 func (j *Journal) Step(ctx context.Context, now time.Time) {
+	for _, service := range j.opts.Services() {
+		j.recordVersions(ctx, now, service)
+	}
 	if now.Sub(j.collectedAt) >= collectInterval {
 		j.collect(ctx, now)
 	}
@@ -359,7 +274,7 @@
 	if err != nil {
 		return true
 	}
-	old := listing{versions: make(map[key]string), services: make(map[string]bool)}
+	old := listing{versions: make(map[key]string)}
 	if err := old.add(o); err != nil {
 		event.StreamsInvalid.Log(&j.log).Str("entry", o.Name).Err(err).Send()
 	}
@@ -382,7 +297,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for service, was := range j.mixed {
-		is := j.opts.IsMixed(now, service)
+		is := j.isMixed(now, service)
 		j.mixed[service], j.isDue = is, j.isDue || is != was
 	}
 	if !j.isDue {
--- a/pkg/fighollow/object.go
+++ b/pkg/fighollow/object.go
@@ -26,6 +26,7 @@
 	KindQuarantine   Kind = "quarantine"   // entries; service and part of prompts, or fingerprint of a request
 	KindCrashReports Kind = "crashReports" // the entry itself; entry name
 	KindStreams      Kind = "streams"      // the entry itself; entry name
+	KindVersions     Kind = "versions"     // entries; service
 )
 
 // InForceName is the name of the only object of KindInForce.
