peers, streams: entries tell each other which version began a stream, so that it goes on when its entry has ended without the store

Cause: only the store carried the version of a stream to other entries, and an entry writes its streams there once it knows of several versions. The one that was cut off did not, and could not have written.

Change: an entry tells two others of each stream before its caller has the first event, and again each 20 s while it runs. A take-up that the entry does not know asks four others for 150 ms at most, then the store as before. Messages are datagrams of msgpack at the first free port of internalPorts, or one that the system chooses; an entry publishes the address with its registration. Copies are kept for 30 to 60 s and bounded. Weighed in design.md, 11.3: TCP connections, copies only while several versions serve, asking all.

Why it works: the message needs neither the store nor the entry's later life, and two copies bear the loss of one more entry or message. What peers don't know proves nothing; the store's list of versions still decides then.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/gateway"
 	"github.com/fighollow/fighollow/internal/logging"
+	"github.com/fighollow/fighollow/internal/peers"
 	"github.com/fighollow/fighollow/internal/placement"
 	"github.com/fighollow/fighollow/internal/quarantine"
 	"github.com/fighollow/fighollow/internal/quota"
@@ -100,6 +101,7 @@
 	planner      *roles.Runner
 	quarantine   *quarantine.Writer
 	streams      *streams.Journal
+	peers        *peers.Link
 	observing    chan bool // whether this entry observes the reports of all
 	stopping     atomic.Bool
 	wasReady     atomic.Bool // result of the last readiness check
@@ -124,11 +126,13 @@
 	dispatcher := platform.NewDispatcher(p.pool, gateway.NewAnnouncements(fleet, p.registry, log))
 	crashes := quarantine.New(self)
 	p.quarantine = quarantine.NewWriter(crashes, p.store, log)
+	p.peers = peers.New(self, log)
 	p.streams = streams.New(streams.Options{
 		Self: self, Started: time.Now(), Entries: func() int { return p.gateway.Entries() },
 		Services: func() []string { return p.gateway.EngineServices() },
 		Versions: func(now time.Time, service string) []string { return fleet.Pool(service).Versions(now) },
 		Admit:    func(service string, versions []string) { fleet.Pool(service).Admit(versions) },
+		Peers:    p.peers,
 	}, p.store, log)
 	p.gateway = gateway.New(gateway.Options{
 		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: p.registry, Quarantine: crashes, Streams: p.streams,
@@ -140,7 +144,7 @@
 	p.caches = gateway.NewCachePoller(dispatcher, p.gateway, fleet, log)
 	p.roster = roster.New(roster.Options{
 		Self: self, DataCentre: cfg.DataCentre, Claims: fleet.LimitClaims, Divider: divider,
-		OnObserver: p.setObserving,
+		OnObserver: p.setObserving, Address: p.peers.Address, OnPeers: p.peers.SetPeers,
 	}, p.store, p.gateway.SetEntries, log)
 	p.planner = roles.New(roles.Options{Self: self, LeaseDuration: cfg.Bounds.Lease}, p.store, dispatcher,
 		p.gateway.Routing, fleet.Upstreams, log)
@@ -175,6 +179,9 @@
 	if err != nil {
 		return fmt.Errorf("listen for readiness checks: %w", err)
 	}
+	if err := p.peers.Listen(p.cfg.Address, p.cfg.PeerPorts[0], p.cfg.PeerPorts[1]); err != nil {
+		return fmt.Errorf("listen for other entries: %w", err)
+	}
 	callers := callerconn.NewListener(callerListener, p.callerTimeouts, p.log)
 	callerServer := &http.Server{
 		Handler:           callerconn.ResetAborted(platform.NewIngress(p.gateway, p.stopping.Load)),
@@ -196,6 +203,7 @@
 	background.Go(func() { p.roster.Run(bgCtx) })
 	background.Go(func() { p.quarantine.Run(bgCtx) })
 	background.Go(func() { p.streams.Run(bgCtx) })
+	background.Go(func() { p.peers.Run(bgCtx, p.streams) })
 	background.Go(func() { p.follower.Follow(bgCtx, fighollow.KindQuarantine, p.quarantine.Apply) })
 	background.Go(func() {
 		p.follower.FollowWhile(bgCtx, fighollow.KindCrashReports, p.observing, p.quarantine.ApplyReports, p.quarantine.StopObserving)
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -53,6 +53,8 @@
 	VersionsRecorded    = Event{8054, "versionsRecorded", zerolog.InfoLevel, "this entry has written the software versions of a service at which streams may begin, because upstreams of a new one were registered or one has not been seen for some time"}
 	VersionsUnwritten   = Event{8055, "versionsUnwritten", zerolog.InfoLevel, "the software versions of a service could not be read or written; it is tried again. Until then, answers begin at engines of a new version only if there are no others"}
 	StreamTakenUp       = Event{8056, "streamTakenUp", zerolog.InfoLevel, "a caller takes up a stream that broke off; software is the version at which it must go on, and source where this entry has found it. Without it the request is refused"}
+	PeerUntold          = Event{8057, "peerUntold", zerolog.DebugLevel, "a message to another entry was not sent; streams of this entry have one copy less, or a question one answer less"}
+	PeerUnread          = Event{8058, "peerUnread", zerolog.InfoLevel, "a message of another entry could not be received or decoded; it is ignored"}
 	RoleOrdered         = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is ordered to change its role; the line has the reason and the load that the decision was based on"}
 	RoleOrderEnded      = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "the engine accepted or refused an order for a role change, or its answer was lost; in the last case it may still carry out the order, and gets no other for some time"}
 	ReportMissing       = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
@@ -65,5 +67,5 @@
 	PolicyApplied, PolicyUnread,
 	EntriesCounted, EntryLapsed, EntryLeft, RosterUnread,
 	StoreEraBegan, StoreEraInvalid, UpstreamsSettled, PresetLost, LimitChanged, LimitMalformed, RegistrationInvalid, LimitReported, StreamWaits, CallerTimedOut,
-	PartQuarantined, PartReleased, QuarantineUnwritten, QuarantineInvalid, StreamsUnwritten, StreamsInvalid, LeavingAnnounced, PauseAsked, PauseMalformed, ObserverChanged, VersionsRecorded, VersionsUnwritten, StreamTakenUp,
+	PartQuarantined, PartReleased, QuarantineUnwritten, QuarantineInvalid, StreamsUnwritten, StreamsInvalid, LeavingAnnounced, PauseAsked, PauseMalformed, ObserverChanged, VersionsRecorded, VersionsUnwritten, StreamTakenUp, PeerUntold, PeerUnread,
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -57,6 +57,10 @@
 	Divider *quota.Divider
 	// OnObserver is called when this entry becomes one of the Observers, and when it no longer is; nil for none.
 	OnObserver func(isObserver bool)
+	// Address returns where peers reach this entry, for publication with its registration, and OnPeers is called with the addresses of
+	// all entries that have one, by name, after each poll; nil for none.
+	Address func() string
+	OnPeers func(addresses map[string]string)
 }
 
 // Roster registers one entry and counts all entries.
@@ -158,6 +162,7 @@
 	}
 	registrations := r.decode(objects)
 	r.observe(objects, registrations)
+	r.passPeers(objects, registrations)
 	if r.opts.Divider != nil {
 		r.divide(now, objects, registrations, claims)
 	}
@@ -210,6 +215,20 @@
 	}
 }
 
+// passPeers passes the entries' addresses on.
+func (r *Roster) passPeers(objects []fighollow.Object, registrations []registration) {
+	if r.opts.OnPeers == nil {
+		return
+	}
+	addresses := make(map[string]string)
+	for i, o := range objects {
+		if a := registrations[i].Address; a != "" {
+			addresses[o.Name] = a
+		}
+	}
+	r.opts.OnPeers(addresses)
+}
+
 // divide passes the registrations to the Divider.
 func (r *Roster) divide(now time.Time, objects []fighollow.Object, registrations []registration, claims map[string]fighollow.LimitClaim) {
 	entries := make([]quota.Entry, 0, len(objects))
@@ -235,14 +254,19 @@
 type registration struct {
 	DataCentre string               `json:"dataCentre"`
 	Beat       uint64               `json:"beat"`
-	Limits     map[string]claimText `json:"limits,omitempty"` // claims to request limits, by upstream
+	Address    string               `json:"address,omitempty"` // IP:port for messages of other entries
+	Limits     map[string]claimText `json:"limits,omitempty"`  // claims to request limits, by upstream
 }
 
 // renew writes the entry's own object.
 func (r *Roster) renew(ctx context.Context, now time.Time, claims map[string]fighollow.LimitClaim) {
 	r.triedAt = now
 	r.beat++
-	value, err := json.Marshal(registration{DataCentre: r.opts.DataCentre, Beat: r.beat, Limits: claimTexts(claims)})
+	reg := registration{DataCentre: r.opts.DataCentre, Beat: r.beat, Limits: claimTexts(claims)}
+	if r.opts.Address != nil {
+		reg.Address = r.opts.Address()
+	}
+	value, err := json.Marshal(reg)
 	if err != nil {
 		panic(err) // strings and numbers always encode
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -380,3 +380,31 @@
 	step(6*time.Second, time.Minute)
 	qt.Assert(t, s.puts-before <= len(rosters), qt.IsTrue, qt.Commentf("%d writes", s.puts-before))
 }
+
+// Guards against entries that cannot reach each other without the store, also after one has started again at another address.
+func TestEntriesLearnTheAddressesOfOthers(t *testing.T) {
+	s, ctx := newStore(), context.Background()
+	known := make(map[string]map[string]string)
+	entry := func(name, address string) *Roster {
+		return New(Options{
+			Self: name, DataCentre: "a", Address: func() string { return address }, OnPeers: func(a map[string]string) { known[name] = a },
+		}, s, func(int) {}, zerolog.Nop())
+	}
+	a, b, silent := entry("a", "10.1.0.1:7380"), entry("b", "10.1.0.2:7380"), New(Options{Self: "c", DataCentre: "a"}, s, func(int) {}, zerolog.Nop())
+	s.objects["d"] = fighollow.Object{Name: "d", Version: 1, Value: []byte(`{"address":7}`)}
+	step := func(at time.Duration) {
+		for _, r := range []*Roster{a, b, silent} {
+			r.Step(ctx, start.Add(at))
+		}
+	}
+	step(0)
+	step(2 * time.Second)
+	qt.Assert(t, known["a"], qt.DeepEquals, map[string]string{"a": "10.1.0.1:7380", "b": "10.1.0.2:7380"})
+	b = entry("b", "10.1.0.2:7381")
+	step(4 * time.Second)
+	step(6 * time.Second)
+	qt.Assert(t, known["a"], qt.DeepEquals, map[string]string{"a": "10.1.0.1:7380", "b": "10.1.0.2:7381"})
+	s.down = true
+	step(8 * time.Second)
+	qt.Assert(t, known["a"], qt.DeepEquals, map[string]string{"a": "10.1.0.1:7380", "b": "10.1.0.2:7381"})
+}
--- a/internal/streams/find.go
+++ b/internal/streams/find.go
@@ -16,12 +16,14 @@
 
 const (
 	sourceOwn         source = "own"         // it has begun the stream
+	sourceCopy        source = "copy"        // another entry has told it
+	sourcePeer        source = "peer"        // another entry has answered its question
 	sourceOnlyVersion source = "onlyVersion" // no stream can have begun at another
 	sourceJournal     source = "journal"     // another entry, or an earlier process of this one, has written it
 )
 
-// Find returns the version at which a stream must go on, which is empty if that does not matter. It asks the store if this entry does not
-// know the stream. It returns ErrUnknown, or the error of the store.
+// Find returns the version at which a stream must go on, which is empty if that does not matter. If this entry does not know the stream, it
+// asks its peers, and the store if none of them does. It returns ErrUnknown, or the error of the store.
 func (j *Journal) Find(ctx context.Context, now time.Time, service, id string) (version string, err error) {
 	version, from, err := j.find(ctx, now, newKey(service, id))
 	event.StreamTakenUp.Log(&j.log).Str("service", service).Str("begunBy", id).Str("software", version).Str("source", string(from)).Err(err).Send()
@@ -32,6 +34,14 @@
 	if version, ok := j.known(k); ok {
 		return version, sourceOwn, nil
 	}
+	if version, ok := j.copied(k); ok {
+		return version, sourceCopy, nil
+	}
+	if j.opts.Peers != nil {
+		if version, ok := j.opts.Peers.Ask(ctx, k.service, k.hash); ok {
+			return version, sourcePeer, nil
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	for try := range findTries {
--- a/internal/streams/journal.go
+++ b/internal/streams/journal.go
@@ -1,8 +1,11 @@
 // Package streams records which software version of an engine began each stream. What two versions write does not fit together, so a stream
 // that breaks off may go on only at the version that began it, whichever entry its caller turns to.
 //
-// An entry knows the streams that it began itself. The versions at which streams may have begun are an object of the store for each service,
-// which lists a version before the first stream begins at it. An entry that does not know a stream reads that object: what it knows of
+// An entry knows the streams that it began itself, and some of those that others told it of: each entry tells a few others of each stream,
+// and asks them for one that it does not know.
+//
+// The versions at which streams may have begun are an object of the store for each service,
+// which lists a version before the first stream begins at it. If no entry knows a stream, the one that is asked for it reads that object: what it knows of
 // the upstreams itself can be old. If several versions are listed, the entries write the streams that their callers may take up to an
 // object of their own, all in one write and at most once in a flushInterval, so that others find them when an entry has ended.
 package streams
@@ -33,6 +36,8 @@
 	// wholeTime and brokenTime are how long a stream is remembered after it ended. The end of a whole one may not have reached its caller.
 	wholeTime  = time.Second
 	brokenTime = 30 * time.Second
+	// retellInterval is the pause after which peers are told again of a stream that runs. Those that were told can have ended.
+	retellInterval = 20 * time.Second
 	// maxStreams bounds the streams that are remembered, and maxListed those that are read of one object.
 	maxStreams = 8192
 	maxListed  = 8192
@@ -68,6 +73,7 @@
 type stream struct {
 	version string
 	running int       // answers that relay it
+	toldAt  time.Time // when peers were last told of it
 	until   time.Time // when it is forgotten, unless it runs
 }
 
@@ -81,6 +87,8 @@
 	Versions func(now time.Time, service string) []string
 	// Admit is called with the versions at which streams may begin, whenever they have been read or written; nil for none.
 	Admit func(service string, versions []string)
+	// Peers are the other entries, which are told of each stream; nil for none.
+	Peers fighollow.StreamPeers
 }
 
 // Journal records the streams of one entry. It is safe for concurrent use.
@@ -91,6 +99,7 @@
 
 	mu      sync.Mutex
 	streams map[key]stream
+	copies  copies          // of the streams of others
 	mixed   map[string]bool // by service that had streams, whether streams of several versions were possible at the last step
 	isDue   bool            // what is to be written has changed since the last write
 
@@ -99,6 +108,7 @@
 	isSynced    bool   // version is that of the store, and the object's streams are known
 	flushedAt   time.Time
 	collectedAt time.Time
+	retoldAt    time.Time
 	seen        map[string]seenObject // by entry
 	records     map[string]*record    // by service
 
@@ -118,28 +128,56 @@
 // New returns an empty Journal; Run writes it.
 func New(opts Options, store fighollow.ObjectStore, log zerolog.Logger) *Journal {
 	return &Journal{
-		opts: opts, store: store, log: log, streams: make(map[key]stream), mixed: make(map[string]bool), collectedAt: opts.Started,
+		opts: opts, store: store, log: log, streams: make(map[key]stream), mixed: make(map[string]bool), collectedAt: opts.Started, retoldAt: opts.Started,
 		seen: make(map[string]seenObject), records: make(map[string]*record), readings: make(map[string]*reading),
 	}
 }
 
 // Begin records that an answer relays a stream which began with the request of this id at an engine of this version. End must follow.
 func (j *Journal) Begin(now time.Time, service, id, version string) {
+	k := newKey(service, id)
+	j.begin(now, k, version)
+	j.tell(k, version)
+}
+
+func (j *Journal) begin(now time.Time, k key, version string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	k := newKey(service, id)
 	s, ok := j.streams[k]
 	if !ok && len(j.streams) >= maxStreams {
 		j.forget(now)
 	}
 	if !ok && len(j.streams) >= maxStreams {
-		return // not known to others
+		return // known to the peers only
 	}
-	s.version = version
+	s.version, s.toldAt = version, now
 	s.running++
 	j.streams[k], j.isDue = s, true
-	if _, ok := j.mixed[service]; !ok {
-		j.mixed[service] = false
+	if _, ok := j.mixed[k.service]; !ok {
+		j.mixed[k.service] = false
+	}
+}
+
+// tell tells peers of a stream.
+func (j *Journal) tell(k key, version string) {
+	if j.opts.Peers != nil {
+		j.opts.Peers.Tell(fighollow.StreamOrigin{Service: k.service, Stream: k.hash, Version: version})
+	}
+}
+
+// retell tells peers again of the streams that have run for long.
+func (j *Journal) retell(now time.Time) {
+	due := make(map[key]string)
+	j.mu.Lock()
+	for k, s := range j.streams {
+		if s.running > 0 && now.Sub(s.toldAt) >= retellInterval {
+			s.toldAt = now
+			j.streams[k], due[k] = s, s.version
+		}
+	}
+	j.mu.Unlock()
+	for k, version := range due {
+		j.tell(k, version)
 	}
 }
 
@@ -202,6 +240,10 @@
 	for _, service := range j.opts.Services() {
 		j.recordVersions(ctx, now, service)
 	}
+	if now.Sub(j.retoldAt) >= retellInterval {
+		j.retoldAt = now
+		j.retell(now)
+	}
 	if now.Sub(j.collectedAt) >= collectInterval {
 		j.collect(ctx, now)
 	}
--- a/internal/streams/journal_test.go
+++ b/internal/streams/journal_test.go
@@ -110,10 +110,16 @@
 
 // entry starts an entry's process.
 func (f *fleet) entry(name string, age time.Duration) *streams.Journal {
+	return f.entryOf(name, age, nil)
+}
+
+// entryOf is entry for one with peers.
+func (f *fleet) entryOf(name string, age time.Duration, peers fighollow.StreamPeers) *streams.Journal {
 	return streams.New(streams.Options{
 		Self: name, Started: f.now.Add(-age), Entries: func() int { return 3 },
 		Services: func() []string { return []string{service} },
 		Versions: func(time.Time, string) []string { return f.serving },
+		Peers:    peers,
 		Admit:    func(_ string, versions []string) { f.admitted[name] = versions },
 	}, f.store, zerolog.Nop())
 }
