objectapi, platform: one odd object does not keep an entry from reading the others

What callers saw (other operators): an odd entry of another writer among those of the engines, and machines that ended again and again or stopped following the list.

Cause: an answer of the store holds the objects of many writers and is decoded as one text. encoding/json refuses a text of more than 10,000 levels as a whole, so that one such object made each list and watch fail for ever.

Change: objectapi.Unmarshal reads values below 64 levels as null if an answer cannot be decoded otherwise; the platform's store and the product's own client use it for lists, watches, reads and answers to writes.

Why it works: the repaired text has a bounded depth whatever a writer stores, and the odd object is then judged alone, by its own decoder.

--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -113,7 +112,7 @@
 		return fmt.Errorf("%w: objectapi: GET %s: %w", fighollow.ErrUnavailable, path, err)
 	}
 	if status == http.StatusOK {
-		if err := json.Unmarshal(body, out); err != nil {
+		if err := Unmarshal(body, out); err != nil {
 			return fmt.Errorf("%w: objectapi: response to GET %s: %w", fighollow.ErrUnavailable, path, err)
 		}
 		return nil
@@ -139,7 +138,7 @@
 	var reply struct {
 		Version uint64 `json:"version"`
 	}
-	if err := json.Unmarshal(body, &reply); err != nil || reply.Version == 0 {
+	if err := Unmarshal(body, &reply); err != nil || reply.Version == 0 {
 		return 0, fmt.Errorf("%w: objectapi: response to %s %s has no version", fighollow.ErrUnknownOutcome, method, path)
 	}
 	return reply.Version, nil
