streams: take-ups share a failure of the store, and a new process lists its versions sooner

An entry whose callers take streams up while the store is away made a call for each batch, and each caller waited for it. A failure now counts for half a second. A process checks each 50 ms what is due until it has read the versions of its services; until then its answers begin at unlisted versions.

--- a/internal/streams/find.go
+++ b/internal/streams/find.go
@@ -93,12 +93,13 @@
 type reading struct {
 	mu       sync.Mutex
 	began    time.Time // when it was asked for
+	ended    time.Time
 	versions []string
 	err      error
 }
 
 // readVersions returns the versions that the store lists for a service, read at now or later. Streams that are looked for at the same time
-// share a call.
+// share a call, and those that are looked for within failurePause of a failure share that.
 func (j *Journal) readVersions(ctx context.Context, service string, now time.Time) ([]string, error) {
 	j.readMu.Lock()
 	r := j.readings[service]
@@ -109,7 +110,7 @@
 	j.readMu.Unlock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.began.After(now) {
+	if r.began.After(now) || r.err != nil && now.Sub(r.ended) < failurePause {
 		return r.versions, r.err
 	}
 	r.began = time.Now()
@@ -118,7 +119,7 @@
 	defer cancel()
 	var o recordValue
 	o, _, r.err = j.readRecord(ctx, service)
-	r.versions = o.Versions
+	r.versions, r.ended = o.Versions, time.Now()
 	return r.versions, r.err
 }
 
--- a/internal/streams/journal.go
+++ b/internal/streams/journal.go
@@ -30,7 +30,8 @@
 	flushInterval = 200 * time.Millisecond
 	// flushIntervalPerEntry lengthens the pause in large deployments, which share the store's rate of writes.
 	flushIntervalPerEntry = 5 * time.Millisecond
-	// stepInterval is the pause between two checks for what is due while several versions serve, idleInterval the pause otherwise.
+	// stepInterval is the pause between two checks for what is due while several versions serve or none has been listed yet, idleInterval
+	// the pause otherwise.
 	stepInterval = 50 * time.Millisecond
 	idleInterval = 250 * time.Millisecond
 	// wholeTime and brokenTime are how long a stream is remembered after it ended. The end of a whole one may not have reached its caller.
@@ -46,6 +47,8 @@
 	findTries = 3
 	// findTimeout bounds all searches for a stream. Callers give up after some seconds without an event.
 	findTimeout = time.Second
+	// failurePause is how long the store is not asked again after it has failed to answer a search.
+	failurePause = 500 * time.Millisecond
 	// callTimeout bounds a call of the store.
 	callTimeout = time.Second
 	// collectInterval is the pause between two searches for objects of entries that have ended, and lapseTime how long such an object
@@ -211,7 +214,7 @@
 func (j *Journal) Run(ctx context.Context) {
 	for {
 		pause := idleInterval
-		if j.hasMixed() {
+		if j.hasMixed() || !j.hasRecords(time.Now()) {
 			pause = stepInterval
 		}
 		select {
--- a/internal/streams/journal_test.go
+++ b/internal/streams/journal_test.go
@@ -26,6 +26,7 @@
 	calls    int
 	written  int // bytes of entries' objects
 	down     bool
+	slow     time.Duration // that a Get takes
 	changed  func() // called once after the next Get of versions, as another entry would write then; nil for none
 }
 
@@ -47,6 +48,7 @@
 }
 
 func (s *store) Get(_ context.Context, kind fighollow.Kind, name string) (fighollow.Object, error) {
+	time.Sleep(s.slow)
 	if err := s.call(); err != nil {
 		return fighollow.Object{}, err
 	}
--- a/internal/streams/versions.go
+++ b/internal/streams/versions.go
@@ -43,6 +43,18 @@
 	return len(union(listed, j.opts.Versions(now, service))) > 1
 }
 
+// hasRecords reports whether the versions of all services that have upstreams have been read or written. Run alone calls it.
+func (j *Journal) hasRecords(now time.Time) bool {
+	services := j.opts.Services()
+	for _, service := range services {
+		r := j.records[service]
+		if (r == nil || !r.isRead) && len(j.opts.Versions(now, service)) > 0 {
+			return false
+		}
+	}
+	return len(services) > 0
+}
+
 // recordVersions makes the store list the versions of a service's upstreams, so that streams can begin at them, and no longer those that
 // have not been seen for versionLapse.
 func (j *Journal) recordVersions(ctx context.Context, now time.Time, service string) {
@@ -59,7 +71,11 @@
 	r.triedAt = now
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := j.writeRecord(ctx, now, service, r, serving); err != nil {
+	err := j.writeRecord(ctx, now, service, r, serving)
+	if errors.Is(err, fighollow.ErrConflict) {
+		return // another entry was faster, and has listed the same or more
+	}
+	if err != nil {
 		event.VersionsUnwritten.Log(&j.log).Str("service", service).Strs("versions", serving).Err(err).Send()
 		return
 	}
--- a/internal/streams/versions_test.go
+++ b/internal/streams/versions_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -86,3 +88,25 @@
 	f.step(f.entry("c", 0), time.Second)
 	qt.Assert(t, f.listed(), qt.Equals, `{"versions":["v1","v2"]}`)
 }
+
+// Guards against a call of the store for each stream that is taken up, and against callers that wait for a store that has just failed.
+func TestTakeUpsShareCalls(t *testing.T) {
+	f := newFleet("v1")
+	j := f.entry("a", old)
+	find := func(n int) {
+		var wg sync.WaitGroup
+		for i := range n {
+			wg.Go(func() { _, _ = j.Find(context.Background(), time.Now(), service, fmt.Sprint(i)) })
+		}
+		wg.Wait()
+	}
+	f.store.slow = 20 * time.Millisecond
+	find(50)
+	qt.Assert(t, f.store.calls <= 3, qt.IsTrue, qt.Commentf("%d calls", f.store.calls))
+	f.store.down, f.store.calls = true, 0
+	start := time.Now()
+	find(50)
+	find(50)
+	waited := time.Since(start)
+	qt.Assert(t, f.store.calls <= 2+int(waited/(500*time.Millisecond)), qt.IsTrue, qt.Commentf("%d calls in %v", f.store.calls, waited))
+}
