--- a/internal/streams/journal_test.go
+++ b/internal/streams/journal_test.go
@@ -27,7 +27,7 @@
 	written  int // bytes of entries' objects
 	down     bool
 	slow     time.Duration // that a Get takes
-	changed  func() // called once after the next Get of versions, as another entry would write then; nil for none
+	changed  func()        // called once after the next Get of versions, as another entry would write then; nil for none
 }
 
 func (s *store) Era() uint64 { return s.era }
