placement, streams: answers begin at no version that the store does not list, even where there is no other, for 2 s

A process that starts when all engines have a new version began streams there before the list had it; an entry that is out of step and reads the list in that moment could have taken the old version for the only one. And an entry that has not heard of an upstream could have taken its version off the list while others begin streams there: before a version lapses, the store's own upstreams are read.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -131,8 +131,11 @@
 		Self: self, Started: time.Now(), Entries: func() int { return p.gateway.Entries() },
 		Services: func() []string { return p.gateway.EngineServices() },
 		Versions: func(now time.Time, service string) []string { return fleet.Pool(service).Versions(now) },
-		Admit:    func(service string, versions []string) { fleet.Pool(service).Admit(versions) },
-		Peers:    p.peers,
+		Registered: func(ctx context.Context, service string) ([]string, error) {
+			return p.follower.RegisteredVersions(ctx, service)
+		},
+		Admit: func(service string, versions []string) { fleet.Pool(service).Admit(versions) },
+		Peers: p.peers,
 	}, p.store, log)
 	p.gateway = gateway.New(gateway.Options{
 		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: p.registry, Quarantine: crashes, Streams: p.streams,
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -97,6 +98,22 @@
 	f.listAndWatch(ctx, kind, func(now time.Time, u update) { apply(now, u.objects, u.snapshot && !u.settling) })
 }
 
+// RegisteredVersions returns the software versions of a service's upstreams that the store has now.
+func (f *Follower) RegisteredVersions(ctx context.Context, service string) ([]string, error) {
+	objects, _, err := f.store.List(ctx, fighollow.KindInstance)
+	if err != nil {
+		return nil, err
+	}
+	var out []string
+	for _, o := range objects {
+		// Those that cannot be decoded are not used.
+		if u, err := f.decode.Upstream(o); err == nil && u.Service == service && !slices.Contains(out, u.Version) {
+			out = append(out, u.Version)
+		}
+	}
+	return out, nil
+}
+
 // FollowWhile is Follow during the times in which active says so. It calls ended after each of them.
 func (f *Follower) FollowWhile(ctx context.Context, kind fighollow.Kind, active <-chan bool,
 	apply func(now time.Time, objects []fighollow.Object, snapshot bool), ended func(),
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -15,8 +15,8 @@
 	Heartbeat time.Duration
 	// Shares divides the upstreams' request limits among the entries; nil if they are all this entry's.
 	Shares fighollow.LimitShares
-	// AdmitVersions keeps answers from beginning at engines of software versions for which Pool.Admit was not called, while there are
-	// others.
+	// AdmitVersions keeps answers from beginning at engines of software versions that Pool.Admit was not given, while there are others and
+	// for 2 s after such an engine is first known.
 	AdmitVersions bool
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -417,10 +417,11 @@
 	f := placement.New(placement.Options{DataCentre: "a", DrainTime: drain, AdmitVersions: true})
 	f.Configure(&fighollow.Routing{Services: map[string]fighollow.ServiceTraits{models: {Name: models, Engine: &fighollow.EngineTraits{Slots: 8}}}})
 	p := f.Pool(models)
+	now := start
 	chosen := func(phase fighollow.RequestPhase, version string) map[string]bool {
 		out := make(map[string]bool)
 		for seed := range uint64(64) {
-			if c, ok := p.Choose(start, placement.Query{Phase: phase, Version: version, Seed: seed}); ok {
+			if c, ok := p.Choose(now, placement.Query{Phase: phase, Version: version, Seed: seed}); ok {
 				out[c.Upstream.ID] = true
 			}
 		}
@@ -432,13 +433,20 @@
 		f.Put(start, u, uint64(i+1))
 	}
 	both := map[string]bool{"d-a-1": true, "d-a-2": true}
-	qt.Assert(t, chosen(fighollow.RequestWhole, ""), qt.DeepEquals, both, qt.Commentf("no version is admitted"))
+	none := map[string]bool{}
+	qt.Assert(t, chosen(fighollow.RequestWhole, ""), qt.DeepEquals, none, qt.Commentf("no version is admitted yet"))
+	now = start.Add(2 * time.Second)
+	qt.Assert(t, chosen(fighollow.RequestWhole, ""), qt.DeepEquals, both, qt.Commentf("no version can be admitted"))
 	p.Admit([]string{"v1"})
 	qt.Assert(t, chosen(fighollow.RequestWhole, ""), qt.DeepEquals, map[string]bool{"d-a-1": true})
 	qt.Assert(t, chosen(fighollow.RequestWhole, "v2"), qt.DeepEquals, map[string]bool{"d-a-2": true}, qt.Commentf("an answer that has begun"))
 	p.Admit([]string{"v1", "v2"})
 	qt.Assert(t, chosen(fighollow.RequestWhole, ""), qt.DeepEquals, both)
 	p.Admit([]string{"v1"})
-	f.Remove(start, "d-a-1", 9)
+	f.Remove(now, "d-a-1", 9)
 	qt.Assert(t, chosen(fighollow.RequestWhole, ""), qt.DeepEquals, map[string]bool{"d-a-2": true}, qt.Commentf("none is left"))
+	late := engine("d-a-3")
+	late.Version = "v3"
+	f.Put(now, late, 10)
+	qt.Assert(t, chosen(fighollow.RequestWhole, ""), qt.DeepEquals, map[string]bool{"d-a-2": true}, qt.Commentf("a version that is new"))
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -92,10 +92,10 @@
 	entries   int // number of entries that share the connections of each upstream
 	traits    fighollow.ServiceTraits
 	instances map[string]*instance
-	versions  map[string]time.Time // of the software, when an upstream with it was last known
-	gated     bool                 // Admit says at which versions answers may begin
-	admitted  map[string]bool      // versions that Admit was given
-	withholds bool                 // engines of other versions are not used, as there are some of these
+	versions  map[string]versionTimes // of the software
+	gated     bool                    // Admit says at which versions answers may begin
+	admitted  map[string]bool         // versions that Admit was given
+	withheld  map[string]bool         // versions at which answers don't begin now
 	// lastReturn is the latest time that a caller was given to return when request limits were used up.
 	lastReturn      time.Time
 	lastPauseReturn time.Time      // that a caller was given when all upstreams were paused
@@ -107,8 +107,8 @@
 
 func newPool(opts Options, m *announcements) *Pool {
 	return &Pool{
-		dataCentre: opts.DataCentre, drain: opts.DrainTime, shares: opts.Shares, entries: 1, instances: make(map[string]*instance), versions: make(map[string]time.Time),
-		gated: opts.AdmitVersions, announcements: m,
+		dataCentre: opts.DataCentre, drain: opts.DrainTime, shares: opts.Shares, entries: 1, instances: make(map[string]*instance), versions: make(map[string]versionTimes),
+		gated: opts.AdmitVersions, withheld: make(map[string]bool), announcements: m,
 	}
 }
 
@@ -147,9 +147,9 @@
 	defer p.mu.Unlock()
 	inst, known := p.instances[u.ID], p.announcements.of(incarnationOf(u))
 	if inst != nil {
-		p.versions[inst.upstream.Version] = now // the upstream can start again with another one
+		p.seeVersion(now, inst.upstream.Version) // the upstream can start again with another one
 	}
-	p.versions[u.Version] = now
+	p.seeVersion(now, u.Version)
 	if inst == nil {
 		inst = newInstance(u, p.kvCapacity(), known)
 		p.instances[u.ID] = inst
@@ -158,26 +158,43 @@
 	inst.removedAt = time.Time{}
 }
 
-// versionMemory is how long after its last upstream has gone a software version counts: callers may still take up streams that it began.
-const versionMemory = time.Minute
+const (
+	// versionMemory is how long after its last upstream has gone a software version counts: callers may still take up streams that it began.
+	versionMemory = time.Minute
+	// admissionTimeout is how long answers don't begin at a version that is not admitted, although there are no engines of others.
+	admissionTimeout = 2 * time.Second
+)
+
+// versionTimes is when a software version was known.
+type versionTimes struct {
+	first, last time.Time
+}
+
+func (p *Pool) seeVersion(now time.Time, version string) {
+	t, known := p.versions[version]
+	if !known {
+		t.first = now
+	}
+	t.last = now
+	p.versions[version] = t
+}
 
 // Versions returns, in order, the software versions of the service's upstreams, and those that one of them had in the last versionMemory.
 func (p *Pool) Versions(now time.Time) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, inst := range p.instances {
-		p.versions[inst.upstream.Version] = now
+		p.seeVersion(now, inst.upstream.Version)
 	}
-	for version, at := range p.versions {
-		if now.Sub(at) > versionMemory {
+	for version, t := range p.versions {
+		if now.Sub(t.last) > versionMemory {
 			delete(p.versions, version)
 		}
 	}
 	return slices.Sorted(maps.Keys(p.versions))
 }
 
-// Admit replaces the software versions whose engines may begin answers. Others are used only if there is no engine of these; see
-// Options.AdmitVersions.
+// Admit replaces the software versions whose engines may begin answers; see Options.AdmitVersions.
 func (p *Pool) Admit(versions []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -187,16 +204,16 @@
 	}
 }
 
-// updateWithheld finds out whether engines of versions that are not admitted are withheld. p.mu must be held.
-func (p *Pool) updateWithheld() {
-	p.withholds = false
+// updateWithheld finds out at which versions answers don't begin: those that are not admitted, while there are engines of others or until
+// admissionTimeout. p.mu must be held.
+func (p *Pool) updateWithheld(now time.Time) {
+	clear(p.withheld)
 	if !p.gated || p.traits.Engine == nil {
 		return
 	}
-	for version := range p.versions {
-		if !p.admitted[version] {
-			p.withholds = p.hasAdmitted()
-			return
+	for version, t := range p.versions {
+		if !p.admitted[version] && (now.Sub(t.first) < admissionTimeout || p.hasAdmitted()) {
+			p.withheld[version] = true
 		}
 	}
 }
@@ -214,7 +231,7 @@
 // mayBegin reports whether the software version of an engine allows the attempt. An answer that has begun goes on at its version, and a
 // prompt may be computed at any.
 func (p *Pool) mayBegin(inst *instance, q Query) bool {
-	return !p.withholds || q.Version != "" || q.Phase == fighollow.RequestPrefill || p.admitted[inst.upstream.Version]
+	return q.Version != "" || q.Phase == fighollow.RequestPrefill || !p.withheld[inst.upstream.Version]
 }
 
 // remove records that an upstream was removed from the store. A draining one is dropped at once, any other one after a grace
@@ -247,7 +264,7 @@
 // drop removes an upstream from the pool.
 func (p *Pool) drop(now time.Time, id string) {
 	p.announcements.remember(now, p.instances[id])
-	p.versions[p.instances[id].upstream.Version] = now
+	p.seeVersion(now, p.instances[id].upstream.Version)
 	delete(p.instances, id)
 }
 
@@ -267,7 +284,7 @@
 // prepare updates what changes with time before an upstream is chosen. p.mu must be held.
 func (p *Pool) prepare(now time.Time, q Query) {
 	p.expire(now)
-	p.updateWithheld()
+	p.updateWithheld(now)
 	p.times.assume(q)
 	p.updateLimits(now)
 }
--- a/internal/streams/journal.go
+++ b/internal/streams/journal.go
@@ -88,6 +88,8 @@
 	Services func() []string // whose streams can be taken up
 	// Versions returns the software versions of a service's upstreams, now or lately, as far as this entry knows.
 	Versions func(now time.Time, service string) []string
+	// Registered returns the software versions of a service's upstreams that the store has now.
+	Registered func(ctx context.Context, service string) ([]string, error)
 	// Admit is called with the versions at which streams may begin, whenever they have been read or written; nil for none.
 	Admit func(service string, versions []string)
 	// Peers are the other entries, which are told of each stream; nil for none.
--- a/internal/streams/journal_test.go
+++ b/internal/streams/journal_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -99,6 +100,7 @@
 type fleet struct {
 	store    *store
 	serving  []string            // versions of the upstreams, as the entries that step next know them
+	missed   []string            // versions of upstreams of which these entries have not heard
 	admitted map[string][]string // versions at which an entry may begin streams
 	now      time.Time
 }
@@ -122,7 +124,10 @@
 		Services: func() []string { return []string{service} },
 		Versions: func(time.Time, string) []string { return f.serving },
 		Peers:    peers,
-		Admit:    func(_ string, versions []string) { f.admitted[name] = versions },
+		Registered: func(context.Context, string) ([]string, error) {
+			return slices.Concat(f.serving, f.missed), f.store.call()
+		},
+		Admit: func(_ string, versions []string) { f.admitted[name] = versions },
 	}, f.store, zerolog.Nop())
 }
 
--- a/internal/streams/versions.go
+++ b/internal/streams/versions.go
@@ -118,6 +118,14 @@
 	if err != nil && !errors.Is(err, fighollow.ErrInvalid) {
 		return err
 	}
+	if slices.ContainsFunc(old.Versions, func(v string) bool { return r.hasLapsed(now, v) }) {
+		// What this entry knows of the upstreams can be old.
+		registered, err := j.opts.Registered(ctx, service)
+		if err != nil {
+			return err
+		}
+		r.observe(now, registered)
+	}
 	listed := slices.DeleteFunc(slices.Clone(old.Versions), func(v string) bool { return r.hasLapsed(now, v) })
 	next := union(listed, serving)
 	if err != nil || !slices.Equal(next, old.Versions) {
--- a/internal/streams/versions_test.go
+++ b/internal/streams/versions_test.go
@@ -61,7 +61,13 @@
 	f.step(j, time.Minute)
 	_, err := f.entry("b", old).Find(context.Background(), f.now, service, "s")
 	qt.Assert(t, err, qt.ErrorIs, streams.ErrUnknown)
+	f.missed = []string{"v1"} // an upstream that has come back
 	f.step(j, time.Minute+time.Second)
+	qt.Assert(t, f.listed(), qt.Equals, `{"versions":["v1","v2"]}`)
+	f.missed = nil
+	f.step(j, time.Second)
+	qt.Assert(t, f.listed(), qt.Equals, `{"versions":["v1","v2"]}`)
+	f.step(j, 2*time.Minute+time.Second)
 	qt.Assert(t, f.listed(), qt.Equals, `{"versions":["v2"]}`)
 	version, err := f.entry("b", old).Find(context.Background(), f.now, service, "s")
 	qt.Assert(t, err, qt.IsNil)
