--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -41,6 +41,7 @@
 	kindAsk          // has no version
 	kindKnown        // the answer to a kindAsk
 	kindUnknown      // the answer to a kindAsk of which the version is not known
+	kindTopic        // a topicMessage
 )
 
 // message is a datagram.
@@ -55,9 +56,10 @@
 
 // peer is another entry.
 type peer struct {
-	name    string
-	hash    uint64
-	address netip.AddrPort
+	name       string
+	dataCentre string
+	hash       uint64
+	address    netip.AddrPort
 }
 
 // question is a question that waits for answers.
@@ -73,6 +75,8 @@
 	self string
 	conn *net.UDPConn // set by Listen
 	log  zerolog.Logger
+	// subscribers does not change once Run was called.
+	subscribers map[Topic]func(from string, data []byte)
 
 	mu        sync.Mutex
 	peers     []peer
@@ -84,7 +88,9 @@
 
 // New returns the Link of the entry self. It reaches nobody before Listen and SetPeers, and answers once Run is called.
 func New(self string, log zerolog.Logger) *Link {
-	return &Link{self: self, log: log, questions: make(map[uint64]*question)}
+	return &Link{
+		self: self, log: log, questions: make(map[uint64]*question), subscribers: make(map[Topic]func(from string, data []byte)),
+	}
 }
 
 // Listen opens the socket at the first free port from first to last, or at a port that the system chooses if first is 0. It must be called
@@ -112,15 +118,15 @@
 	return l.conn.LocalAddr().String()
 }
 
-// SetPeers replaces the known entries, given as addresses by name. This entry itself, and those whose address cannot be read, are left out.
-func (l *Link) SetPeers(addresses map[string]string) {
+// SetPeers replaces the known entries, given by name. This entry itself, and those whose address cannot be read, are left out.
+func (l *Link) SetPeers(entries map[string]fighollow.Peer) {
 	var peers []peer
-	for name, address := range addresses {
-		a, err := netip.ParseAddrPort(address)
+	for name, e := range entries {
+		a, err := netip.ParseAddrPort(e.Address)
 		if name == l.self || err != nil || a.Port() == 0 {
 			continue
 		}
-		peers = append(peers, peer{name, rendezvous.Key(name), a})
+		peers = append(peers, peer{name, e.DataCentre, rendezvous.Key(name), a})
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -159,8 +165,8 @@
 	}
 }
 
-// send sends a message, unless it is too long.
-func (l *Link) send(m *message, to netip.AddrPort) {
+// send sends a message or a topicMessage, unless it is too long.
+func (l *Link) send(m any, to netip.AddrPort) {
 	data, err := msgpack.Marshal(m)
 	if err == nil && len(data) > maxMessage {
 		err = fmt.Errorf("peers: a message of %d bytes", len(data))
@@ -242,17 +248,21 @@
 			time.Sleep(repeatDelay) // an error that lasts must not use up the processor
 			continue
 		}
-		var m message
-		if err := msgpack.Unmarshal(buf[:n], &m); err != nil {
+		if err := l.receive(buf[:n], from, memory); err != nil {
 			event.PeerUnread.Log(&l.log).Stringer("peer", from).Err(err).Send()
-			continue
 		}
-		l.receive(&m, from, memory)
 	}
 }
 
-// receive handles a message.
-func (l *Link) receive(m *message, from netip.AddrPort, memory fighollow.StreamMemory) {
+// receive handles a datagram.
+func (l *Link) receive(data []byte, from netip.AddrPort, memory fighollow.StreamMemory) error {
+	if isTopicMessage(data) {
+		return l.publish(data, from)
+	}
+	var m message
+	if err := msgpack.Unmarshal(data, &m); err != nil {
+		return err
+	}
 	switch m.Kind {
 	case kindTell:
 		memory.Remember(time.Now(), fighollow.StreamOrigin{Service: m.Service, Stream: m.Stream, Version: m.Version})
@@ -263,8 +273,9 @@
 		}
 		l.send(&answer, from)
 	case kindKnown, kindUnknown:
-		l.answer(m, from)
+		l.answer(&m, from)
 	}
+	return nil
 }
 
 // answer passes an answer to its question, if that waits for this peer. A late one can be to a question that an earlier process of this
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -48,7 +48,7 @@
 // newEntries starts entries that know each other.
 func newEntries(t *testing.T, n int) []*entry {
 	out := make([]*entry, n)
-	addresses := make(map[string]string)
+	addresses := make(map[string]fighollow.Peer)
 	for i := range out {
 		name := fmt.Sprint("entry-", i)
 		e := &entry{Link: peers.New(name, zerolog.Nop()), memory: &memory{streams: make(map[uint64]string)}}
@@ -61,7 +61,7 @@
 			wg.Wait()
 		})
 		t.Cleanup(e.stop)
-		out[i], addresses[name] = e, e.Address()
+		out[i], addresses[name] = e, fighollow.Peer{Address: e.Address(), DataCentre: fmt.Sprint("dc-", i%2)}
 	}
 	for _, e := range out {
 		e.SetPeers(addresses)
@@ -106,7 +106,9 @@
 	start := time.Now()
 	_, ok := entries[0].Ask(context.Background(), service, 1)
 	qt.Assert(t, ok, qt.IsFalse)
-	entries[0].SetPeers(map[string]string{"entry-0": entries[0].Address(), "bad": "10.1.0.38", "odd": "10.1.0.38:70000", "none": "127.0.0.1:0"})
+	entries[0].SetPeers(map[string]fighollow.Peer{
+		"entry-0": {Address: entries[0].Address()}, "bad": {Address: "10.1.0.38"}, "odd": {Address: "10.1.0.38:70000"}, "none": {Address: "127.0.0.1:0"},
+	})
 	_, ok = entries[0].Ask(context.Background(), service, 1)
 	qt.Assert(t, ok, qt.IsFalse)
 	qt.Assert(t, time.Since(start) < time.Second, qt.IsTrue)
@@ -157,7 +159,7 @@
 	stranger, err := net.ListenPacket("udp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = stranger.Close() })
-	e.SetPeers(map[string]string{"other": conn.LocalAddr().String()})
+	e.SetPeers(map[string]fighollow.Peer{"other": {Address: conn.LocalAddr().String()}})
 	go func() {
 		buf := make([]byte, 2000)
 		for i := range 2 {
@@ -233,3 +235,42 @@
 	cancel()
 	l.Run(ctx, nil)
 }
+
+// Guards against data that reaches other peers than those it was sent to, or that strangers make entries accept.
+func TestDataReachesItsPeers(t *testing.T) {
+	type received struct{ to, from, data string }
+	got := make(chan received, 16)
+	entries := make([]*peers.Link, 4)
+	known := make(map[string]fighollow.Peer)
+	for i := range entries {
+		name := fmt.Sprint("entry-", i)
+		entries[i] = peers.New(name, zerolog.Nop())
+		entries[i].Subscribe(peers.TopicWork, func(from string, data []byte) { got <- received{name, from, string(data)} })
+		qt.Assert(t, entries[i].Listen("127.0.0.1", 0, 0), qt.IsNil)
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { entries[i].Run(ctx, &memory{streams: make(map[uint64]string)}) })
+		t.Cleanup(func() {
+			cancel()
+			wg.Wait()
+		})
+		if i < 3 {
+			known[name] = fighollow.Peer{Address: entries[i].Address(), DataCentre: fmt.Sprint("dc-", i%2)}
+		}
+	}
+	for _, e := range entries {
+		e.SetPeers(known)
+	}
+	entries[3].Send(peers.TopicWork, []byte("stranger"), "entry-0")
+	entries[0].Send(peers.TopicUsage, []byte("no subscriber"), "entry-1")
+	entries[1].SendDataCentre(peers.TopicWork, []byte("all of dc-0"), "dc-0")
+	seen := make(map[received]bool)
+	for range 2 {
+		seen[<-got] = true
+	}
+	entries[0].Send(peers.TopicWork, []byte("one"), "entry-1", "unknown")
+	seen[<-got] = true
+	qt.Assert(t, seen, qt.DeepEquals, map[received]bool{
+		{"entry-0", "entry-1", "all of dc-0"}: true, {"entry-2", "entry-1", "all of dc-0"}: true, {"entry-1", "entry-0", "one"}: true,
+	})
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -57,10 +57,10 @@
 	Divider *quota.Divider
 	// OnObserver is called when this entry becomes one of the Observers, and when it no longer is; nil for none.
 	OnObserver func(isObserver bool)
-	// Address returns where peers reach this entry, for publication with its registration, and OnPeers is called with the addresses of
-	// all entries that have one, by name, after each poll; nil for none.
+	// Address returns where peers reach this entry, for publication with its registration, and OnPeers is called with all entries that
+	// have an address, by name, after each poll; nil for none.
 	Address func() string
-	OnPeers func(addresses map[string]string)
+	OnPeers func(peers map[string]fighollow.Peer)
 }
 
 // Roster registers one entry and counts all entries.
@@ -215,18 +215,18 @@
 	}
 }
 
-// passPeers passes the entries' addresses on.
+// passPeers passes the entries that have addresses on.
 func (r *Roster) passPeers(objects []fighollow.Object, registrations []registration) {
 	if r.opts.OnPeers == nil {
 		return
 	}
-	addresses := make(map[string]string)
+	peers := make(map[string]fighollow.Peer)
 	for i, o := range objects {
 		if a := registrations[i].Address; a != "" {
-			addresses[o.Name] = a
+			peers[o.Name] = fighollow.Peer{Address: a, DataCentre: registrations[i].DataCentre}
 		}
 	}
-	r.opts.OnPeers(addresses)
+	r.opts.OnPeers(peers)
 }
 
 // divide passes the registrations to the Divider.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -384,10 +384,10 @@
 // Guards against entries that cannot reach each other without the store, also after one has started again at another address.
 func TestEntriesLearnTheAddressesOfOthers(t *testing.T) {
 	s, ctx := newStore(), context.Background()
-	known := make(map[string]map[string]string)
+	known := make(map[string]map[string]fighollow.Peer)
 	entry := func(name, address string) *Roster {
 		return New(Options{
-			Self: name, DataCentre: "a", Address: func() string { return address }, OnPeers: func(a map[string]string) { known[name] = a },
+			Self: name, DataCentre: "a", Address: func() string { return address }, OnPeers: func(p map[string]fighollow.Peer) { known[name] = p },
 		}, s, func(int) {}, zerolog.Nop())
 	}
 	a, b, silent := entry("a", "10.1.0.1:7380"), entry("b", "10.1.0.2:7380"), New(Options{Self: "c", DataCentre: "a"}, s, func(int) {}, zerolog.Nop())
@@ -399,12 +399,17 @@
 	}
 	step(0)
 	step(2 * time.Second)
-	qt.Assert(t, known["a"], qt.DeepEquals, map[string]string{"a": "10.1.0.1:7380", "b": "10.1.0.2:7380"})
+	qt.Assert(t, known["a"], qt.DeepEquals, map[string]fighollow.Peer{
+		"a": {Address: "10.1.0.1:7380", DataCentre: "a"}, "b": {Address: "10.1.0.2:7380", DataCentre: "a"},
+	})
+	moved := map[string]fighollow.Peer{
+		"a": {Address: "10.1.0.1:7380", DataCentre: "a"}, "b": {Address: "10.1.0.2:7381", DataCentre: "a"},
+	}
 	b = entry("b", "10.1.0.2:7381")
 	step(4 * time.Second)
 	step(6 * time.Second)
-	qt.Assert(t, known["a"], qt.DeepEquals, map[string]string{"a": "10.1.0.1:7380", "b": "10.1.0.2:7381"})
+	qt.Assert(t, known["a"], qt.DeepEquals, moved)
 	s.down = true
 	step(8 * time.Second)
-	qt.Assert(t, known["a"], qt.DeepEquals, map[string]string{"a": "10.1.0.1:7380", "b": "10.1.0.2:7381"})
+	qt.Assert(t, known["a"], qt.DeepEquals, moved)
 }
--- a/pkg/fighollow/attempt.go
+++ b/pkg/fighollow/attempt.go
@@ -31,10 +31,20 @@
 	// ResumeAfter is the id of the last event that the caller has received; empty for a stream from its start.
 	ResumeAfter string
 	// BegunBy is the id of the call that brought the caller the first event of the stream that it takes up; empty for a new stream.
-	BegunBy  string
-	Caller   string    // address of the caller's end of the connection
-	Arrived  time.Time // when the header had been read
-	Deadline time.Time // when the caller stops waiting
+	BegunBy string
+	// Credentials are the values of the header that holds the caller's key, one for each time that it was sent. They are never logged.
+	Credentials []string
+	Caller      string    // address of the caller's end of the connection
+	Arrived     time.Time // when the header had been read
+	Deadline    time.Time // when the caller stops waiting
+}
+
+// Identity is on whose behalf an attempt is sent.
+type Identity struct {
+	// Checked reports that keys are required: the caller's key is not forwarded, and upstreams are told Workspace and nothing else that
+	// the caller sent in its place.
+	Checked   bool
+	Workspace string // empty for a public route without a valid key
 }
 
 // KVCache refers to the KV cache of a prompt at the engine that computed it.
@@ -58,6 +68,7 @@
 	ResumeAfter string
 	Urgency     int       // from 0, served first, to 9; used by engines only
 	Deadline    time.Time // when the sender stops waiting
+	Identity    Identity
 }
 
 // Framing is how the end of a message's body is marked.
--- a/pkg/fighollow/object.go
+++ b/pkg/fighollow/object.go
@@ -27,6 +27,7 @@
 	KindCrashReports Kind = "crashReports" // the entry itself; entry name
 	KindStreams      Kind = "streams"      // the entry itself; entry name
 	KindVersions     Kind = "versions"     // entries; service
+	KindUsageReports Kind = "usageReports" // entries; always UsageReportsName
 )
 
 // InForceName is the name of the only object of KindInForce.
--- a/pkg/fighollow/peers.go
+++ b/pkg/fighollow/peers.go
@@ -5,6 +5,12 @@
 	"time"
 )
 
+// Peer is another entry of the deployment.
+type Peer struct {
+	Address    string // IP:port for messages
+	DataCentre string
+}
+
 // StreamOrigin says which software version began a stream.
 type StreamOrigin struct {
 	Service string
--- a/pkg/fighollow/routing.go
+++ b/pkg/fighollow/routing.go
@@ -40,7 +40,8 @@
 	Timeout     time.Duration // from arrival to the end of the response; 0 for none
 	// TargetLatency is the target for the time to the complete response, or to the first event of a stream.
 	TargetLatency time.Duration
-	Priority      int // 0 is the most urgent
+	Priority      int  // 0 is the most urgent
+	Public        bool // needs no key where keys are required
 }
 
 // EngineTraits are the properties that all engines of a service have in common.
@@ -69,12 +70,23 @@
 	MaxBodyBytes   int64
 }
 
+// KeyedWorkspace is a workspace of a Routing whose callers present a key with each request.
+type KeyedWorkspace struct {
+	Name string
+	Keys []string // secrets, which are never logged
+	// Priority is 0 for the most urgent; nil if the configuration gives none.
+	Priority *int
+}
+
 // Routing is one complete version of the routing configuration. It is immutable once decoded.
 type Routing struct {
 	Version  uint64
 	Routes   []Route
 	Services map[string]ServiceTraits
 	Limits   IngressLimits
+	// KeysRequired reports that requests for routes that are not public need the key of one of Workspaces, which may be empty.
+	KeysRequired bool
+	Workspaces   []KeyedWorkspace
 }
 
 // Upstream is an engine or an instance of a plain service to which requests are sent directly.
