placement: backlog of engines from the work that all entries place

An entry knew only its own prompts at an engine, a thirtieth of the work with 31 entries. From 8 entries on (until below 6), Fleet.AddWork takes the prompts that others report, placed and ended, OnWork tells those of this entry, and the cost of a prompt counts the work of all that is left, by urgency. Slowness then compares a result with what was expected of it and the work before it, so that known queueing does not count twice. An entry that reports more than four times the mean engine time per entry is ignored for 30 s. With fewer entries nothing changes.

Tests: internal/placement/backlog_test.go.

--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -25,7 +25,8 @@
 	opts Options
 
 	mu       sync.Mutex
-	entries  int // number of entries that share the upstreams' connections
+	entries  int  // number of entries that share the upstreams' connections
+	sharing  bool // the entries share what they place
 	pools    map[string]*Pool
 	services map[string]string // service by upstream id
 	versions map[string]uint64 // store version of the upstream's object, by upstream id
@@ -34,6 +35,11 @@
 	announcements *announcements
 	// distrustUntil is when the store's objects of upstreams that have left are believed again after its return from a copy.
 	distrustUntil time.Time
+
+	onWork         func(now time.Time, w Work)
+	senders        senderBudgets
+	promptEngines  int // that compute prompts, as of enginesCounted
+	enginesCounted time.Time
 }
 
 // New returns an empty Fleet that assumes a single entry.
@@ -41,6 +47,7 @@
 	return &Fleet{
 		opts: opts, entries: 1, pools: make(map[string]*Pool), services: make(map[string]string), versions: make(map[string]uint64),
 		departed: make(map[string]departure), announcements: newAnnouncements(),
+		senders: make(senderBudgets),
 	}
 }
 
@@ -56,6 +63,8 @@
 	if p == nil {
 		p = newPool(f.opts, f.announcements)
 		p.setEntries(f.entries)
+		p.setSharing(f.sharing)
+		p.setOnWork(f.onWork)
 		f.pools[service] = p
 	}
 	return p
@@ -73,11 +82,20 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.entries = max(1, n)
+	f.sharing = f.entries >= minSharingEntries || f.sharing && f.entries >= keepSharingEntries
 	for _, p := range f.pools {
 		p.setEntries(f.entries)
+		p.setSharing(f.sharing)
 	}
 }
 
+// SharesWork reports whether the entries tell each other what they place, as their number says.
+func (f *Fleet) SharesWork() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sharing
+}
+
 // Put adds or updates an upstream. It ignores a version that is not newer than the one already stored, and what an older copy
 // of the store says of an upstream that has changed or left since.
 func (f *Fleet) Put(now time.Time, u fighollow.Upstream, version uint64) {
--- a/internal/placement/instance.go
+++ b/internal/placement/instance.go
@@ -29,14 +29,16 @@
 // instance is one upstream with its in-flight attempts, its measurements and the mirror of its prefix cache.
 type instance struct {
 	upstream         fighollow.Upstream
-	hash             uint64                  // hash of its id for rendezvous hashing
-	removedAt        time.Time               // when it was removed from the store; zero while it is listed
-	open             int                     // attempts of this entry in flight, each on its own connection
-	running          int                     // those of them that generate or compute a plain answer
-	pending          [maxUrgency + 1]float64 // milliseconds of work of this entry's unfinished prompts, by urgency
-	prefills         int                     // unfinished prompts of this entry
-	exports          int                     // those of them whose answers are generated elsewhere
+	hash             uint64        // hash of its id for rendezvous hashing
+	removedAt        time.Time     // when it was removed from the store; zero while it is listed
+	open             int           // attempts of this entry in flight, each on its own connection
+	running          int           // those of them that generate or compute a plain answer
+	pending          workByUrgency // work of this entry's unfinished prompts
+	backlog          backlog       // while the entries share what they place
+	prefills         int           // unfinished prompts of this entry
+	exports          int           // those of them whose answers are generated elsewhere
 	speed            engineSpeed
+	pace             pace          // while the entries share what they place
 	latency          latency       // until a plain answer or the first event of a stream
 	failureRate      float64       // moving average, from 0 to 1
 	ejectedUntil     time.Time     // gets no work before, unless there is no other
@@ -65,26 +67,17 @@
 	if u.StartedMs != inst.upstream.StartedMs || u.Address != inst.upstream.Address {
 		inst.cache = newPrefixCache(capacity)
 		inst.failureRate, inst.ejection, inst.ejectedUntil, inst.misdirectedUntil = 0, 0, time.Time{}, time.Time{}
-		inst.speed = engineSpeed{}
+		inst.speed, inst.pace, inst.backlog = engineSpeed{}, pace{}, backlog{}
 		inst.named, inst.limited = quota.Named{}, false
 		inst.announced, inst.trials = known, 0
 	}
 	if u.Role != inst.upstream.Role {
 		inst.misdirectedUntil = time.Time{}
-		inst.speed = engineSpeed{} // measured with the other role
+		inst.speed, inst.pace = engineSpeed{}, pace{} // measured with the other role
 	}
 	inst.upstream = u
 }
 
-// workAheadMs returns the work of this entry, in milliseconds, that the engine does before a new request of this urgency.
-func (inst *instance) workAheadMs(urgency int) float64 {
-	var ms float64
-	for _, w := range inst.pending[:urgency+1] {
-		ms += w
-	}
-	return ms
-}
-
 // recordSuccess records an answer that shows the upstream to be healthy.
 func (inst *instance) recordSuccess() {
 	inst.failureRate -= failureWeight * inst.failureRate
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -30,10 +30,14 @@
 	UpstreamID    string
 	Phase         fighollow.RequestPhase
 	SentAt        time.Time
-	PrefillTokens float64 // prompt tokens that the engine computes; 0 for a decode
-	workMs        float64 // expected time for which the prompt occupies the engine
-	backlog       bool    // earlier prompts of this entry were unfinished at the engine
-	computing     bool    // the engine has not computed the prompt yet
+	PrefillTokens float64       // prompt tokens that the engine computes; 0 for a decode
+	workMs        float64       // expected time for which the prompt occupies the engine
+	backlog       bool          // earlier prompts of this entry were unfinished at the engine
+	computing     bool          // the engine has not computed the prompt yet
+	told          Work          // to other entries; set if shared
+	shared        bool          // the entries shared what they placed when it was sent
+	aheadMs       float64       // work that preceded it then; set if shared
+	addedBefore   workByUrgency // others' work that had been reported then; set if shared
 	prompt        []fighollow.PromptPart
 	urgency       int
 	incarnation   incarnation
@@ -46,10 +50,14 @@
 	a := &Attempt{UpstreamID: c.Upstream.ID, Phase: q.Phase, SentAt: now, prompt: q.Prompt, urgency: q.Urgency, incarnation: incarnationOf(c.Upstream), trial: c.Trial}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	inst := p.instances[a.UpstreamID]
-	if inst == nil {
-		return a
+	if inst := p.instances[a.UpstreamID]; inst != nil {
+		p.begin(now, inst, a, c, q)
 	}
+	return a
+}
+
+// begin records an attempt at inst.
+func (p *Pool) begin(now time.Time, inst *instance, a *Attempt, c Choice, q Query) {
 	inst.open++
 	// The engine holds the prompt only once it has computed it, but requests that follow at once wait for the same part.
 	inst.cache.add(now, q.Prompt, false)
@@ -57,19 +65,29 @@
 		inst.running++
 	}
 	if q.Phase != fighollow.RequestDecode && p.traits.Engine != nil {
-		p.beginPrompt(inst, a, c, q)
+		p.beginPrompt(now, inst, a, c, q)
 	}
-	return a
 }
 
 // beginPrompt adds the computation of a prompt to the work of its engine.
-func (p *Pool) beginPrompt(inst *instance, a *Attempt, c Choice, q Query) {
+func (p *Pool) beginPrompt(now time.Time, inst *instance, a *Attempt, c Choice, q Query) {
 	a.PrefillTokens = float64(max(0, q.PromptTokens-c.Cached-c.Fetched))
 	a.workMs, a.backlog, a.computing = p.times.occupiedMs(a.PrefillTokens), inst.prefills > 0, true
 	if q.Phase == fighollow.RequestWhole {
 		a.workMs = p.times.wholeMs(a.PrefillTokens)
 	}
+	if p.sharing {
+		p.drainBacklog(now, inst)
+		a.workMs = p.times.sharedWorkMs(a.PrefillTokens, q.Phase)
+		a.shared, a.aheadMs, a.addedBefore = true, p.pendingMs(inst, q.Urgency), inst.backlog.added
+	}
 	inst.pending[q.Urgency] += a.workMs
+	if a.shared && p.onWork != nil {
+		a.told = Work{
+			Engine: EngineHash(c.Upstream), DataCentre: c.Upstream.DataCentre, Phase: a.Phase, Urgency: a.urgency, Ms: a.workMs * p.pace.mean(),
+		}
+		p.onWork(now, a.told)
+	}
 	inst.prefills++
 	if q.Phase == fighollow.RequestPrefill {
 		inst.exports++
@@ -77,18 +95,37 @@
 }
 
 // endPrompt removes the computation of a prompt from the work of its engine. Calls after the first do nothing.
-func (inst *instance) endPrompt(a *Attempt) {
+func (p *Pool) endPrompt(now time.Time, inst *instance, a *Attempt) {
 	if !a.computing {
 		return
 	}
+	if a.shared && p.sharing {
+		p.drainBacklog(now, inst)
+	}
 	a.computing = false
 	inst.prefills = max(0, inst.prefills-1)
 	if a.Phase == fighollow.RequestPrefill {
 		inst.exports = max(0, inst.exports-1)
 	}
 	inst.pending[a.urgency] = max(0, inst.pending[a.urgency]-a.workMs)
+	if a.shared {
+		inst.backlog.end(a.urgency, a.workMs)
+	}
 	if inst.prefills == 0 {
-		inst.pending = [maxUrgency + 1]float64{} // drops rounding errors
+		inst.pending = workByUrgency{} // drops rounding errors
+		inst.backlog.ownDone = workByUrgency{}
+	}
+	if a.told.Ms > 0 && p.sharing && p.onWork != nil {
+		a.told.Ended = true
+		p.onWork(now, a.told)
+	}
+}
+
+// endComputed is endPrompt for a prompt that the engine has computed.
+func (p *Pool) endComputed(now time.Time, inst *instance, a *Attempt) {
+	p.endPrompt(now, inst, a)
+	if a.shared && p.sharing && p.current(a.incarnation) != nil {
+		inst.backlog.computed(a.urgency, &a.addedBefore)
 	}
 }
 
@@ -104,7 +141,7 @@
 	inst.endPause(a)
 	if a.computing {
 		p.observeWhole(now, inst, a)
-		inst.endPrompt(a)
+		p.endComputed(now, inst, a)
 		return
 	}
 	inst.latency.observe(now, now.Sub(a.SentAt))
@@ -122,7 +159,10 @@
 	}
 	before := inst.unavailableUntil()
 	inst.open = max(0, inst.open-1)
-	inst.endPrompt(a)
+	if r == Answered && a.computing {
+		p.endComputed(now, inst, a)
+	}
+	p.endPrompt(now, inst, a)
 	if a.Phase != fighollow.RequestPrefill {
 		inst.running = max(0, inst.running-1)
 	}
@@ -140,7 +180,7 @@
 		inst.recordSuccess()
 		switch a.Phase {
 		case fighollow.RequestPrefill:
-			p.observePrompt(now, a.SentAt, inst, a.PrefillTokens, a.backlog)
+			p.observePrompt(now, inst, a)
 			inst.cache.add(now, a.prompt, true)
 		case fighollow.RequestWhole:
 			if p.traits.Engine == nil {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -73,7 +73,7 @@
 	Cached    int     // prompt tokens that the engine is expected to hold
 	FetchFrom string  // address of an engine that holds more of the prompt; empty if there is none
 	Fetched   int     // prompt tokens to fetch from it, beyond Cached
-	PendingMs float64 // work of this entry that the engine does first, in milliseconds
+	PendingMs float64 // known work that the engine does first, in milliseconds
 	Running   int     // attempts of this entry that the engine runs
 	Limited   bool    // the upstream has a request limit
 	Share     float64 // this entry's share of that limit, in requests a second
@@ -92,6 +92,7 @@
 	entries   int // number of entries that share the connections of each upstream
 	traits    fighollow.ServiceTraits
 	instances map[string]*instance
+	byHash    map[uint64]*instance    // by EngineHash
 	versions  map[string]versionTimes // of the software
 	gated     bool                    // Admit says at which versions answers may begin
 	admitted  map[string]bool         // versions that Admit was given
@@ -103,11 +104,20 @@
 
 	times      promptTimes // what was measured of prompts
 	firstEvent typical     // latency until the first event of an answer, or until a whole plain one
+
+	sharing bool // the entries share what they place
+	pace    fleetPace
+	onWork  func(now time.Time, w Work)
+	// backlogsAt is when the next values were updated: what is assumed of others' work at engines of other data centres, and the latency of
+	// a prompt without tokens.
+	backlogsAt                     time.Time
+	remotePrefillMs, remoteWholeMs workByUrgency
+	resultLatencyMs                float64
 }
 
 func newPool(opts Options, m *announcements) *Pool {
 	return &Pool{
-		dataCentre: opts.DataCentre, drain: opts.DrainTime, shares: opts.Shares, entries: 1, instances: make(map[string]*instance), versions: make(map[string]versionTimes),
+		dataCentre: opts.DataCentre, drain: opts.DrainTime, shares: opts.Shares, entries: 1, instances: make(map[string]*instance), byHash: make(map[uint64]*instance), versions: make(map[string]versionTimes),
 		gated: opts.AdmitVersions, withheld: make(map[string]bool), announcements: m,
 	}
 }
@@ -154,7 +164,9 @@
 		inst = newInstance(u, p.kvCapacity(), known)
 		p.instances[u.ID] = inst
 	}
+	delete(p.byHash, EngineHash(inst.upstream))
 	inst.update(u, p.kvCapacity(), known)
+	p.byHash[EngineHash(u)] = inst
 	inst.removedAt = time.Time{}
 }
 
@@ -265,6 +277,7 @@
 func (p *Pool) drop(now time.Time, id string) {
 	p.announcements.remember(now, p.instances[id])
 	p.seeVersion(now, p.instances[id].upstream.Version)
+	delete(p.byHash, EngineHash(p.instances[id].upstream))
 	delete(p.instances, id)
 }
 
@@ -292,6 +305,9 @@
 // choose returns ErrNoUpstream if no upstream is eligible, ErrLimited if request limits exclude those that are, or ErrPaused if
 // only pauses prevent the attempt. p.mu must be held.
 func (p *Pool) choose(now time.Time, q Query) (Choice, error) {
+	if p.sharing && q.Phase != fighollow.RequestDecode && p.traits.Engine != nil {
+		p.prepareBacklogs(now)
+	}
 	loc, maxOpen, jitter := p.locatePrefix(now, q), p.maxOpen(), p.jitterMs(q)
 	best := Choice{CostMs: math.Inf(1)}
 	var excluded []excludedUpstream
@@ -388,8 +404,8 @@
 	c := Choice{Upstream: inst.upstream, Running: inst.running, Limited: inst.limited, Share: inst.permits.Share.PerSecond}
 	switch q.Phase {
 	case fighollow.RequestPrefill:
-		c.PendingMs = inst.workAheadMs(q.Urgency)
-		c.CostMs = inst.speed.slowness(now)*(c.PendingMs+p.times.aloneMs(p.prefillCostTokens(now, inst, q, loc, &c))) + p.transferMs(c.Fetched)
+		c.PendingMs = p.pendingMs(inst, q.Urgency)
+		c.CostMs = p.slowness(now, inst)*(c.PendingMs+p.times.aloneMs(p.prefillCostTokens(now, inst, q, loc, &c))) + p.transferMs(c.Fetched)
 	case fighollow.RequestDecode:
 		c.CostMs = runningCost*p.firstEvent.ms()*float64(inst.running) + inst.latency.estimate(now)
 	default:
@@ -397,9 +413,9 @@
 			c.CostMs = inst.latency.estimate(now) * (1 + float64(inst.running)/float64(max(1, inst.upstream.Slots)))
 			break
 		}
-		c.PendingMs = inst.workAheadMs(q.Urgency)
+		c.PendingMs = p.pendingMs(inst, q.Urgency)
 		ms := p.times.wholeMs(p.prefillCostTokens(now, inst, q, loc, &c))
-		c.CostMs = inst.speed.slowness(now)*(c.PendingMs+ms) + interruptionCost*ms*float64(inst.running*p.entries) +
+		c.CostMs = p.slowness(now, inst)*(c.PendingMs+ms) + interruptionCost*ms*float64(inst.running*p.entries) +
 			runningCost*p.firstEvent.ms()*float64(inst.running) + inst.latency.estimate(now)
 	}
 	if inst.upstream.DataCentre != p.dataCentre {
--- a/internal/placement/prompttime.go
+++ b/internal/placement/prompttime.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
 
 const (
 	// slowSampleWeight is the weight of a sample above the fitted line, relative to one below it, in a fit of the durations of
@@ -30,6 +34,15 @@
 	return t.next.estimate(tokens)
 }
 
+// sharedWorkMs returns for how long a prompt occupies its engine, for other entries. What is the same for each prompt is left out: it is
+// latency more than work.
+func (t *promptTimes) sharedWorkMs(tokens float64, phase fighollow.RequestPhase) float64 {
+	if phase == fighollow.RequestWhole {
+		return t.wholeMs(tokens) - t.wholeMs(0)
+	}
+	return t.aloneMs(tokens) - t.aloneMs(0)
+}
+
 // wholeMs returns how long a decode engine takes to compute a prompt, until its first event arrives.
 func (t *promptTimes) wholeMs(tokens float64) float64 {
 	if t.whole.weight < minFitSamples {
@@ -45,16 +58,17 @@
 	}
 }
 
-// observePrompt adds the result at now of a prompt with this many computed tokens that was sent at sent. backlog reports
-// whether earlier prompts of this entry were unfinished at that time.
-func (p *Pool) observePrompt(now, sent time.Time, inst *instance, tokens float64, backlog bool) {
-	lastEnd := inst.speed.lastEnd
+// observePrompt adds the result at now of a prompt.
+func (p *Pool) observePrompt(now time.Time, inst *instance, a *Attempt) {
+	lastEnd, tokens := inst.speed.lastEnd, a.PrefillTokens
 	switch {
-	case !backlog:
-		ms := milliseconds(now.Sub(sent))
+	case a.shared:
+		p.observeShared(now, inst, a, &p.times.alone)
+	case !a.backlog:
+		ms := milliseconds(now.Sub(a.SentAt))
 		inst.speed.observe(now, ms, p.times.alone.known(tokens))
 		p.times.alone.observe(tokens, ms, slowSampleWeight)
-	case lastEnd.After(sent):
+	case lastEnd.After(a.SentAt):
 		ms := milliseconds(now.Sub(lastEnd))
 		inst.speed.observe(now, ms, p.times.next.known(tokens))
 		p.times.next.observe(tokens, ms, 1)
@@ -63,8 +77,25 @@
 	}
 }
 
+// observeShared adds the result at now of a prompt that was sent while the entries shared what they place. It is compared with what was
+// expected of it and of the work that preceded it, so that known queueing does not make an engine look slow.
+func (p *Pool) observeShared(now time.Time, inst *instance, a *Attempt, own *lineFit) {
+	ms := milliseconds(now.Sub(a.SentAt))
+	if expected := own.known(a.PrefillTokens); expected > 0 {
+		p.pace.observe(now, &inst.pace, ms, expected+a.aheadMs)
+	}
+	inst.speed.observe(now, 0, 0)
+	if !a.backlog {
+		own.observe(a.PrefillTokens, ms, envelopeWeight)
+	}
+}
+
 // observeWhole adds the first event at now of a prompt that a decode engine computed itself.
 func (p *Pool) observeWhole(now time.Time, inst *instance, a *Attempt) {
+	if a.shared {
+		p.observeShared(now, inst, a, &p.times.whole)
+		return
+	}
 	if a.backlog {
 		return
 	}
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -40,3 +40,11 @@
 		s.expected++
 	}
 }
+
+// slowness returns by which factor prompts take longer at an engine than expected for the service.
+func (p *Pool) slowness(now time.Time, inst *instance) float64 {
+	if p.sharing {
+		return p.pace.slowness(now, &inst.pace)
+	}
+	return inst.speed.slowness(now)
+}
