workshare, gateway: entries tell each other which prompts they place

Placed and ended prompts are sent to the entries of the engine's data centre, in batches of 20 to 200 ms; an end alone waits for 200 ms at most, for the next placement. The process wakes up only while something waits. Metrics work.sent, received, ignored, dropped, added and addedMs; events 8078 workUnread and 8079 workShared.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -34,6 +34,7 @@
 	"github.com/fighollow/fighollow/internal/roster"
 	"github.com/fighollow/fighollow/internal/streams"
 	"github.com/fighollow/fighollow/internal/upstream"
+	"github.com/fighollow/fighollow/internal/workshare"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 	"github.com/fighollow/fighollow/platform"
 )
@@ -102,6 +103,7 @@
 	quarantine   *quarantine.Writer
 	streams      *streams.Journal
 	peers        *peers.Link
+	work         *workshare.Sharer
 	observing    chan bool // whether this entry observes the reports of all
 	stopping     atomic.Bool
 	wasReady     atomic.Bool // result of the last readiness check
@@ -127,6 +129,12 @@
 	crashes := quarantine.New(self)
 	p.quarantine = quarantine.NewWriter(crashes, p.store, log)
 	p.peers = peers.New(self, log)
+	p.work = workshare.New(workshare.Options{
+		Self: self, MaxData: peers.MaxData, Registry: registry,
+		Send: func(data []byte, dataCentre string) { p.peers.SendDataCentre(peers.TopicWork, data, dataCentre) },
+	}, fleet, log)
+	fleet.OnWork(p.work.Add)
+	p.peers.Subscribe(peers.TopicWork, func(from string, data []byte) { p.work.Receive(time.Now(), from, data) })
 	p.streams = streams.New(streams.Options{
 		Self: self, Started: time.Now(), Entries: func() int { return p.gateway.Entries() },
 		Services: func() []string { return p.gateway.EngineServices() },
@@ -147,13 +155,19 @@
 	p.caches = gateway.NewCachePoller(dispatcher, p.gateway, fleet, log)
 	p.roster = roster.New(roster.Options{
 		Self: self, DataCentre: cfg.DataCentre, Claims: fleet.LimitClaims, Divider: divider,
-		OnObserver: p.setObserving, Address: p.peers.Address, OnPeers: p.peers.SetPeers,
+		OnObserver: p.setObserving, Address: p.peers.Address, OnPeers: p.setPeers,
 	}, p.store, p.gateway.SetEntries, log)
 	p.planner = roles.New(roles.Options{Self: self, LeaseDuration: cfg.Bounds.Lease}, p.store, dispatcher,
 		p.gateway.Routing, fleet.Upstreams, log)
 	return p
 }
 
+// setPeers passes the known entries on to those that send messages to them. The roster alone calls it.
+func (p *gatewayProcess) setPeers(known map[string]fighollow.Peer) {
+	p.peers.SetPeers(known)
+	p.work.SetPeers(known)
+}
+
 // setObserving replaces what was not followed yet. The roster alone calls it.
 func (p *gatewayProcess) setObserving(isObserver bool) {
 	select {
@@ -207,6 +221,7 @@
 	background.Go(func() { p.quarantine.Run(bgCtx) })
 	background.Go(func() { p.streams.Run(bgCtx) })
 	background.Go(func() { p.peers.Run(bgCtx, p.streams) })
+	background.Go(func() { p.work.Run(bgCtx) })
 	background.Go(func() { p.follower.Follow(bgCtx, fighollow.KindQuarantine, p.quarantine.Apply) })
 	background.Go(func() {
 		p.follower.FollowWhile(bgCtx, fighollow.KindCrashReports, p.observing, p.quarantine.ApplyReports, p.quarantine.StopObserving)
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -55,6 +55,8 @@
 	StreamTakenUp       = Event{8056, "streamTakenUp", zerolog.InfoLevel, "a caller takes up a stream that broke off; software is the version at which it must go on, and source where this entry has found it. Without it the request is refused"}
 	PeerUntold          = Event{8057, "peerUntold", zerolog.DebugLevel, "a message to another entry was not sent; streams of this entry have one copy less, or a question one answer less"}
 	PeerUnread          = Event{8058, "peerUnread", zerolog.InfoLevel, "a message of another entry could not be received or decoded; it is ignored"}
+	WorkUnread          = Event{8078, "workUnread", zerolog.InfoLevel, "a message of another entry about the prompts that it placed could not be decoded and is ignored; engines' backlogs are underestimated by these. Logged at most every 10 s"}
+	WorkShared          = Event{8079, "workShared", zerolog.InfoLevel, "the entries of the deployment begin or cease to tell each other which prompts they place, because of their number"}
 	RoleOrdered         = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is ordered to change its role; the line has the reason and the load that the decision was based on"}
 	RoleOrderEnded      = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "the engine accepted or refused an order for a role change, or its answer was lost; in the last case it may still carry out the order, and gets no other for some time"}
 	ReportMissing       = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
@@ -67,5 +69,5 @@
 	PolicyApplied, PolicyUnread,
 	EntriesCounted, EntryLapsed, EntryLeft, RosterUnread,
 	StoreEraBegan, StoreEraInvalid, UpstreamsSettled, PresetLost, LimitChanged, LimitMalformed, RegistrationInvalid, LimitReported, StreamWaits, CallerTimedOut,
-	PartQuarantined, PartReleased, QuarantineUnwritten, QuarantineInvalid, StreamsUnwritten, StreamsInvalid, LeavingAnnounced, PauseAsked, PauseMalformed, ObserverChanged, VersionsRecorded, VersionsUnwritten, StreamTakenUp, PeerUntold, PeerUnread,
+	PartQuarantined, PartReleased, QuarantineUnwritten, QuarantineInvalid, StreamsUnwritten, StreamsInvalid, LeavingAnnounced, PauseAsked, PauseMalformed, ObserverChanged, VersionsRecorded, VersionsUnwritten, StreamTakenUp, PeerUntold, PeerUnread, WorkUnread, WorkShared,
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,7 +129,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.entries = max(1, n)
+	shared := g.fleet.SharesWork()
 	g.fleet.SetEntries(g.entries)
+	if shares := g.fleet.SharesWork(); shares != shared {
+		event.WorkShared.Log(&g.log).Bool("shared", shares).Int("entries", g.entries).Send()
+	}
 	g.opts.Quarantine.SetEntries(g.entries)
 	if g.entriesCounted {
 		g.updateBudgets()
