--- a/internal/emulator/config.go
+++ b/internal/emulator/config.go
@@ -27,6 +27,7 @@
 	Traits               fighollow.EngineTraits
 	PrefillRate          float64       // prompt tokens per millisecond
 	RateSpread           float64       // prefill rates are drawn uniformly from PrefillRate * (1 ± RateSpread)
+	RateFactors          []float64     // factors on PrefillRate of the engines in turn; replaces RateSpread unless empty
 	PrefillChunk         int           // prompt tokens computed in one chunk
 	PrefillOverhead      time.Duration // added to each prefill, on top of its computation
 	DecodeStep           time.Duration // base time of a decode step, which gives each running request one output token
@@ -72,6 +73,11 @@
 	ChangeRoles bool // the planner changes the roles of engines as demand changes
 	// RoleChangeWeight is the cost weight of role changes, as in a preset; 0 means 1.
 	RoleChangeWeight float64
+	// ShareWork lets the entries tell each other which prompts they place. MessageLoss is the share of their messages that is lost.
+	ShareWork   bool
+	MessageLoss float64
+	// FalseReports lets the first entry report an hour of work at each engine ten times a second.
+	FalseReports bool
 }
 
 // Policies returns the policies that the emulate command compares.
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -13,6 +13,9 @@
 	ComputedTokens int // prompt tokens that engines computed
 	FetchedTokens  int // prompt tokens that prefill engines fetched from the caches of others
 	RoleChanges    int // role changes that the planner ordered
+	Messages       int // that entries sent to a data centre, of prompts that they placed
+	Datagrams      int // of these, one for each entry that received one
+	MessageBytes   int // of the datagrams
 }
 
 // ClassResult counts the requests of one class by their outcome.
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/fighollow/fighollow/internal/placement"
 	"github.com/fighollow/fighollow/internal/roles"
+	"github.com/fighollow/fighollow/internal/workshare"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -36,7 +37,9 @@
 	entries     []*placement.Fleet
 	result      Result
 	planner     *roles.Planner
-	lastRequest uint64 // number of the newest request
+	lastRequest uint64              // number of the newest request
+	sharers     []*workshare.Sharer // of the entries, if they share work
+	messages    *rand.Rand          // draws the messages that are lost
 }
 
 // epoch is the virtual time at which every run begins. Any constant works.
@@ -56,6 +59,9 @@
 	for _, f := range cfg.Faults {
 		r.After(f.Start, func() { r.inject(f) })
 	}
+	if cfg.Policy.ShareWork {
+		r.shareWork()
+	}
 	if cfg.Policy.WatchCaches {
 		r.After(cacheReportInterval, r.reportCaches)
 	}
@@ -89,6 +95,9 @@
 			e.upstream.Role = fighollow.RolePrefill
 		}
 		r.engines = append(r.engines, e)
+		if f := r.cfg.Engine.RateFactors; len(f) > 0 {
+			e.prefillRate = r.cfg.Engine.PrefillRate * f[i/len(r.cfg.DataCentres)%len(f)]
+		}
 		byAddress[e.upstream.Address] = e
 	}
 	for i := range r.cfg.Entries {
--- /dev/null
+++ b/internal/emulator/sharing.go
@@ -0,0 +1,77 @@
+package emulator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/fighollow/fighollow/internal/peers"
+	"github.com/fighollow/fighollow/internal/placement"
+	"github.com/fighollow/fighollow/internal/workshare"
+	"github.com/fighollow/fighollow/pkg/fighollow"
+)
+
+// falseReportInterval is the pause between two false reports, and falseReportMs the work in them.
+const (
+	falseReportInterval = 100 * time.Millisecond
+	falseReportMs       = 3_600_000
+)
+
+// shareWork connects the entries by messages that take networkDelay.
+func (r *run) shareWork() {
+	r.messages = rand.New(rand.NewPCG(r.cfg.Seed, 2))
+	known := make(map[string]fighollow.Peer)
+	for i := range r.entries {
+		known[entryName(i)] = fighollow.Peer{DataCentre: r.cfg.DataCentres[i%len(r.cfg.DataCentres)]}
+	}
+	for i, f := range r.entries {
+		s := workshare.New(workshare.Options{
+			Self: entryName(i), MaxData: peers.MaxData, Send: func(data []byte, dataCentre string) { r.deliver(i, data, dataCentre) },
+		}, f, zerolog.Nop())
+		s.SetPeers(known)
+		r.sharers = append(r.sharers, s)
+		f.OnWork(func(now time.Time, w placement.Work) {
+			s.Add(now, w)
+			r.tickAt(s)
+		})
+		f.SetEntries(len(r.entries))
+	}
+	if r.cfg.Policy.FalseReports {
+		r.After(falseReportInterval, r.reportFalsely)
+	}
+}
+
+func entryName(i int) string { return fmt.Sprintf("entry-%d", i) }
+
+// tickAt sends what waits once it is due, as Sharer.Run does.
+func (r *run) tickAt(s *workshare.Sharer) {
+	if next, waiting := s.Tick(r.Now); waiting {
+		r.After(next.Sub(r.Now), func() { s.Tick(r.Now) })
+	}
+}
+
+// deliver brings a message of an entry to the others of a data centre.
+func (r *run) deliver(from int, data []byte, dataCentre string) {
+	r.result.Messages++
+	for i, s := range r.sharers {
+		if i == from || r.cfg.DataCentres[i%len(r.cfg.DataCentres)] != dataCentre || r.messages.Float64() < r.cfg.Policy.MessageLoss {
+			continue
+		}
+		r.result.Datagrams++
+		r.result.MessageBytes += len(data)
+		r.After(networkDelay, func() { s.Receive(r.Now, entryName(from), data) })
+	}
+}
+
+// reportFalsely lets the first entry report work at all engines that it did not place.
+func (r *run) reportFalsely() {
+	r.After(falseReportInterval, r.reportFalsely)
+	for _, e := range r.engines {
+		r.sharers[0].Add(r.Now, placement.Work{
+			Engine: placement.EngineHash(e.upstream), DataCentre: e.upstream.DataCentre, Phase: fighollow.RequestPrefill, Ms: falseReportMs,
+		})
+	}
+	r.tickAt(r.sharers[0])
+}
