--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -57,6 +57,7 @@
 	PeerUnread          = Event{8058, "peerUnread", zerolog.InfoLevel, "a message of another entry could not be received or decoded; it is ignored"}
 	WorkUnread          = Event{8078, "workUnread", zerolog.InfoLevel, "a message of another entry about the prompts that it placed could not be decoded and is ignored; engines' backlogs are underestimated by these. Logged at most every 10 s"}
 	WorkShared          = Event{8079, "workShared", zerolog.InfoLevel, "the entries of the deployment begin or cease to tell each other which prompts they place, because of their number"}
+	WorkDistrusted      = Event{8080, "workDistrusted", zerolog.WarnLevel, "another entry reports more work than it can have placed; its reports are ignored for 30 s. Logged at most every 10 s; check the log and the clock of that entry"}
 	RoleOrdered         = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is ordered to change its role; the line has the reason and the load that the decision was based on"}
 	RoleOrderEnded      = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "the engine accepted or refused an order for a role change, or its answer was lost; in the last case it may still carry out the order, and gets no other for some time"}
 	ReportMissing       = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
@@ -69,5 +70,5 @@
 	PolicyApplied, PolicyUnread,
 	EntriesCounted, EntryLapsed, EntryLeft, RosterUnread,
 	StoreEraBegan, StoreEraInvalid, UpstreamsSettled, PresetLost, LimitChanged, LimitMalformed, RegistrationInvalid, LimitReported, StreamWaits, CallerTimedOut,
-	PartQuarantined, PartReleased, QuarantineUnwritten, QuarantineInvalid, StreamsUnwritten, StreamsInvalid, LeavingAnnounced, PauseAsked, PauseMalformed, ObserverChanged, VersionsRecorded, VersionsUnwritten, StreamTakenUp, PeerUntold, PeerUnread, WorkUnread, WorkShared,
+	PartQuarantined, PartReleased, QuarantineUnwritten, QuarantineInvalid, StreamsUnwritten, StreamsInvalid, LeavingAnnounced, PauseAsked, PauseMalformed, ObserverChanged, VersionsRecorded, VersionsUnwritten, StreamTakenUp, PeerUntold, PeerUnread, WorkUnread, WorkShared, WorkDistrusted,
 }
--- a/internal/placement/backlog_test.go
+++ b/internal/placement/backlog_test.go
@@ -67,7 +67,7 @@
 	c := f.AddWork(start, "a", []placement.Work{unknown, workAt("p-a-1", 10, 100), workAt("p-a-1", -1, 100), workAt("p-a-1", 0, -100)})
 	qt.Assert(t, c, qt.Equals, placement.WorkCounts{Ignored: 4})
 	qt.Assert(t, f.AddWork(start, "b", []placement.Work{workAt("p-a-1", 0, 4000)}).Added, qt.Equals, 1)
-	qt.Assert(t, f.AddWork(start, "b", []placement.Work{workAt("p-a-1", 0, 3_600_000)}).Added, qt.Equals, 0)
+	qt.Assert(t, f.AddWork(start, "b", []placement.Work{workAt("p-a-1", 0, 3_600_000)}), qt.Equals, placement.WorkCounts{Ignored: 1, Distrusted: true})
 	qt.Assert(t, f.AddWork(start.Add(29*time.Second), "b", []placement.Work{workAt("p-a-1", 0, 1)}).Added, qt.Equals, 0)
 	qt.Assert(t, f.AddWork(start.Add(31*time.Second), "b", []placement.Work{workAt("p-a-1", 0, 1)}).Added, qt.Equals, 1)
 	restarted := engine("p-a-1")
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -50,6 +50,8 @@
 	Added   int     // prompts that were added to a backlog
 	Ignored int     // prompts at unknown engines, invalid ones, and those beyond a bound
 	AddedMs float64 // work that was added, within the bounds
+	// Distrusted is set if all were ignored because the entry reports more than it can have placed.
+	Distrusted bool
 }
 
 // OnWork sets the function that gets each prompt that is placed while work is shared. It must not block.
@@ -88,7 +90,7 @@
 	accepted := f.senders.spend(now, from, reportedMs(reported), senderShare*1000*float64(f.promptEngines)/float64(f.entries))
 	f.mu.Unlock()
 	if !accepted {
-		return WorkCounts{Ignored: len(reported)}
+		return WorkCounts{Ignored: len(reported), Distrusted: true}
 	}
 	var counts WorkCounts
 	for _, w := range reported {
--- a/internal/workshare/workshare.go
+++ b/internal/workshare/workshare.go
@@ -186,10 +186,13 @@
 	work, err := decode(data, s.maxItems)
 	if err != nil {
 		s.ignored.Inc(1)
-		s.logError(now, from, err)
+		s.logUnused(now, event.WorkUnread, from, err)
 		return
 	}
 	c := s.backlogs.AddWork(now, from, work)
+	if c.Distrusted {
+		s.logUnused(now, event.WorkDistrusted, from, nil)
+	}
 	if c.Added == 0 {
 		s.ignored.Inc(1)
 	}
@@ -197,8 +200,8 @@
 	s.addedMs.Inc(int64(c.AddedMs))
 }
 
-// logError logs a message that cannot be used, at most once per errorLogInterval.
-func (s *Sharer) logError(now time.Time, from string, err error) {
+// logUnused logs that a message is not used, at most once per errorLogInterval.
+func (s *Sharer) logUnused(now time.Time, e event.Event, from string, err error) {
 	s.mu.Lock()
 	due := now.Sub(s.loggedAt) >= errorLogInterval
 	if due {
@@ -206,7 +209,7 @@
 	}
 	s.mu.Unlock()
 	if due {
-		event.WorkUnread.Log(&s.log).Str("entry", from).Err(err).Send()
+		e.Log(&s.log).Str("entry", from).Err(err).Send()
 	}
 }
 
