platform: control calls have connections of their own

Answers to control calls bear no request id, and an answer without one and with a status of 300 or above was taken for the answer to the next request on its connection. A late second copy of a 421 to a poll of an engine's cache thus refused a request that had run.

TestLateAnswersToControlCallsDecideNoRequest failed with one pool for both.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -93,7 +93,8 @@
 	sink         *logging.Sink
 	log          zerolog.Logger
 	store        *platform.Store
-	pool         *upstream.Pool
+	pool         *upstream.Pool // connections of attempts
+	control      *upstream.Pool // connections of control calls
 	gateway      *gateway.Gateway
 	follower     *gateway.Follower
 	caches       *gateway.CachePoller
@@ -115,7 +116,7 @@
 		store: platform.NewStore(platform.StoreOptions{
 			Address: cfg.StoreAddress, Stable: cfg.Bounds.Stable, History: cfg.StoreHistory, Registry: registry,
 		}, log),
-		pool: upstream.New(), observing: make(chan bool, 1),
+		pool: upstream.New(), control: upstream.New(), observing: make(chan bool, 1),
 	}
 	self := cfg.Node + "@" + cfg.Address
 	divider := quota.New(self)
@@ -123,7 +124,7 @@
 		DataCentre: cfg.DataCentre, DrainTime: cfg.Bounds.Drain, Heartbeat: cfg.Heartbeat, Shares: divider,
 		AdmitVersions: true,
 	})
-	dispatcher := platform.NewDispatcher(p.pool, gateway.NewAnnouncements(fleet, p.registry, log))
+	dispatcher := platform.NewDispatcher(p.pool, p.control, gateway.NewAnnouncements(fleet, p.registry, log))
 	crashes := quarantine.New(self)
 	p.quarantine = quarantine.NewWriter(crashes, p.store, log)
 	p.peers = peers.New(self, log)
@@ -174,6 +175,7 @@
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(p.cfg.MemoryMB<<20)))
 	}
 	defer p.pool.Close()
+	defer p.control.Close()
 	callerListener, err := net.Listen("tcp", p.cfg.Ingress)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
@@ -316,7 +318,7 @@
 		now := time.Now()
 		return min(p.follower.SinceLastAnswer(now), now.Sub(p.store.LastAnswer())).Milliseconds()
 	})
-	gauge("upstreams.connections", p.pool.Dials)
+	gauge("upstreams.connections", func() int64 { return p.pool.Dials() + p.control.Dials() })
 	gauge("log.dropped", p.sink.Dropped)
 	gauge("routing.version", func() int64 {
 		if routing := p.gateway.Routing(); routing != nil {
