usage: counters of requests by window, sent between entries and merged by maximum

Clock estimates true time from the clock since boot and the median of what entries measured at their starts. Counter counts the requests of this process. Collector sends changed counters, in two successive messages, to the four observers and the holder of the lease, and answers a new holder's question. Messages are bounded by peer, process and in all.

--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -55,6 +55,10 @@
 	StreamTakenUp       = Event{8056, "streamTakenUp", zerolog.InfoLevel, "a caller takes up a stream that broke off; software is the version at which it must go on, and source where this entry has found it. Without it the request is refused"}
 	PeerUntold          = Event{8057, "peerUntold", zerolog.DebugLevel, "a message to another entry was not sent; streams of this entry have one copy less, or a question one answer less"}
 	PeerUnread          = Event{8058, "peerUnread", zerolog.InfoLevel, "a message of another entry could not be received or decoded; it is ignored"}
+	UsageClockCorrected = Event{8072, "usageClockCorrected", zerolog.InfoLevel, "this process changed its estimate of true time, by which usage is counted, by changeMs: the median of what it and its peers measured at their starts"}
+	UsageMessageIgnored = Event{8073, "usageMessageIgnored", zerolog.DebugLevel, "a message of another entry about usage is malformed or absurd, or exceeds what is kept; what cannot be used of it is ignored"}
+	UsageCountersLost   = Event{8074, "usageCountersLost", zerolog.WarnLevel, "counts of usage were not kept because of too many processes, workspaces or counters, a name that is too long or a window that was dropped; reports may be too low. The line has how many since the last such line"}
+	UsageCountersAsked  = Event{8075, "usageCountersAsked", zerolog.InfoLevel, "this process asked the collecting entries for their counts of usage; missing are those that have not answered completely"}
 	RoleOrdered         = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is ordered to change its role; the line has the reason and the load that the decision was based on"}
 	RoleOrderEnded      = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "the engine accepted or refused an order for a role change, or its answer was lost; in the last case it may still carry out the order, and gets no other for some time"}
 	ReportMissing       = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
@@ -68,4 +72,5 @@
 	EntriesCounted, EntryLapsed, EntryLeft, RosterUnread,
 	StoreEraBegan, StoreEraInvalid, UpstreamsSettled, PresetLost, LimitChanged, LimitMalformed, RegistrationInvalid, LimitReported, StreamWaits, CallerTimedOut,
 	PartQuarantined, PartReleased, QuarantineUnwritten, QuarantineInvalid, StreamsUnwritten, StreamsInvalid, LeavingAnnounced, PauseAsked, PauseMalformed, ObserverChanged, VersionsRecorded, VersionsUnwritten, StreamTakenUp, PeerUntold, PeerUnread,
+	UsageClockCorrected, UsageMessageIgnored, UsageCountersLost, UsageCountersAsked,
 }
