gateway: requests that upstreams began to run are counted once

A stream counts at its first event, which comments before it are not; an answer without events at the time its attempt was sent; an attempt of unknown outcome when it broke, unless the caller had left or the deadline had passed. Nothing sets the workspace of an exchange yet, so nothing is counted.

--- a/internal/answer/reader.go
+++ b/internal/answer/reader.go
@@ -78,6 +78,9 @@
 // EventEnd returns the offset after the last complete event in the bytes of the last Read, or 0 if no event ended in them.
 func (r *Reader) EventEnd() int { return r.eventEnd }
 
+// Events returns the number of complete events so far, without comments and blank lines.
+func (r *Reader) Events() int { return r.events.events }
+
 // SinceEvent returns the number of bytes since the last complete event: those of the next event, and of comments and blank lines.
 func (r *Reader) SinceEvent() int { return r.events.sinceEvent }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -24,14 +24,16 @@
 	out  fighollow.Responder
 	log  zerolog.Logger
 
-	version  uint64
-	route    *fighollow.Route
-	service  string
-	traits   fighollow.ServiceTraits
-	pool     *placement.Pool
-	budget   *retryBudget
-	seed     uint64
-	deadline time.Time
+	version uint64
+	route   *fighollow.Route
+	// workspace is the name of the workspace that the request was resolved to when it arrived; empty for none.
+	workspace string
+	service   string
+	traits    fighollow.ServiceTraits
+	pool      *placement.Pool
+	budget    *retryBudget
+	seed      uint64
+	deadline  time.Time
 
 	attemptsSent int                 // attempts that were sent, including an accepted prefill
 	arrivals     arrivals            // attempts that count against the route's limit and the retry budget
@@ -56,6 +58,7 @@
 	resumeAfter      string // id of the last event that the caller has
 	software         string // version that began the stream, which only the same can go on with; empty if none did
 	isRecorded       bool   // the stream is in the journal
+	counted          bool   // usage has the request
 	status           int
 	firstByte, total time.Duration // from the arrival to the first byte and to the end of the answer
 }
@@ -170,6 +173,7 @@
 	case err != nil:
 		if a.phase != fighollow.RequestPrefill {
 			x.mayHaveRun = true
+			x.recordUsage(time.Now())
 		}
 		x.tried = append(x.tried, a.upstream.ID)
 		x.recordBreak(a, err)
@@ -197,12 +201,23 @@
 	if ctx.Err() != nil {
 		result = placement.Abandoned
 	} else {
+		x.recordUsage(time.Now())
 		x.recordBreak(a, err)
 	}
 	a.end(result, err)
 	return fmt.Errorf("%w: %w", fighollow.ErrUnknownOutcome, err)
 }
 
+// recordUsage records that an upstream began to run the request, or probably did, at a time. Only the first call counts: a request is billed
+// once, whatever becomes of it.
+func (x *exchange) recordUsage(at time.Time) {
+	if x.counted || x.workspace == "" || x.g.opts.Usage == nil {
+		return
+	}
+	x.counted = true
+	x.g.opts.Usage.Begun(at, x.workspace)
+}
+
 // end reports the end of the attempt to the placement and logs it. Calls after the first do nothing.
 func (a *attempt) end(r placement.Result, err error) {
 	if a.ended {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,8 +26,9 @@
 	RetryRatio float64 // extra dispatches allowed per request of a service, over all entries
 	RetrySlack int     // extra dispatches allowed beyond that in each window, over all entries
 	Registry   metrics.Registry
-	Streams    *streams.Journal    // which versions began streams; nil if only the gateway's own answers go on
-	Quarantine *quarantine.Tracker // requests and parts of prompts that crash engines; nil for one that knows only this gateway's
+	Streams    *streams.Journal        // which versions began streams; nil if only the gateway's own answers go on
+	Quarantine *quarantine.Tracker     // requests and parts of prompts that crash engines; nil for one that knows only this gateway's
+	Usage      fighollow.UsageRecorder // counts the requests that upstreams began to run; nil for none
 }
 
 // Gateway serves the requests of callers. It is safe for concurrent use.
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -147,6 +147,9 @@
 		return x.relayUnstreamed(ctx, a)
 	}
 	err := x.relayEvents(a)
+	if err == nil {
+		x.recordUsage(a.placed.SentAt) // a complete stream without events; others are recorded
+	}
 	if err == nil && !x.headerSent {
 		err = x.beginEvents(a) // a complete stream without events
 	}
@@ -166,6 +169,7 @@
 // relayUnstreamed relays an engine's failure, or another answer without events, to the caller. It returns an error if another
 // engine is to be tried.
 func (x *exchange) relayUnstreamed(ctx context.Context, a *attempt) error {
+	x.recordUsage(a.placed.SentAt)
 	if x.headerSent {
 		x.mayHaveRun = true
 		x.tried = append(x.tried, a.upstream.ID)
--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -30,6 +30,7 @@
 	sends    int // attempts that reached an upstream, prefills included
 	prefills int // prefills that an engine accepted
 	runs     int
+	lost     int // attempts at an answer whose connection broke before the upstream ran them
 	refused  int
 	mix      []string // behaviours to draw from; all of them if it is empty
 }
@@ -75,6 +76,9 @@
 		f.refused++
 		return &fighollow.Reply{Status: 503, NotRun: true, Misdirected: behaviour == "misdirected", Body: &fakeBody{Reader: &bytes.Buffer{}}}, nil
 	case "lostBefore":
+		if a.Phase != fighollow.RequestPrefill {
+			f.lost++
+		}
 		return nil, fighollow.ErrUnknownOutcome
 	}
 	if a.Phase == fighollow.RequestPrefill {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -38,6 +38,7 @@
 // relayPlain relays an answer to the caller. It returns false and the reason if the answer is discarded or breaks off.
 func (x *exchange) relayPlain(ctx context.Context, a *attempt) (bool, error) {
 	defer a.reply.Body.Close()
+	x.recordUsage(a.placed.SentAt) // its status line shows that it ran
 	buffered, err := io.ReadAll(io.LimitReader(a.body, maxBufferedAnswer+1))
 	if err != nil {
 		return false, x.recordInterruption(ctx, a, err)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -24,6 +24,9 @@
 	var pending []byte // bytes of an event that is not complete yet
 	for {
 		n, err := a.body.Read(buf)
+		if a.body.Events() > 0 {
+			x.recordUsage(time.Now())
+		}
 		if end := a.body.EventEnd(); end > 0 {
 			if err := x.writeEvents(a, append(pending, buf[:end]...)); err != nil {
 				return err
