usage: windows are dropped 60 s after their end, and new targets are tested

A mutation that sends a restarted collector nothing survived the tests before.

Tests: TestNewTargetsGetAllCounters; internal/usage with -race twice.

--- a/internal/usage/collector.go
+++ b/internal/usage/collector.go
@@ -267,7 +267,7 @@
 func (c *Collector) kept(now time.Time) (first, last int64) {
 	t := c.clock.Now(now)
 	current := windowContaining(t, c.opts.Window)
-	first = windowContaining(t.Add(-countersLifetime), c.opts.Window) - 1 // it ended at most countersLifetime ago, or a window more
+	first = windowContaining(t.Add(-countersLifetime), c.opts.Window) // the one before ended countersLifetime ago
 	return max(first, current-(maxWindows-maxWindowsAhead-1)), current + maxWindowsAhead
 }
 
--- a/internal/usage/collector_test.go
+++ b/internal/usage/collector_test.go
@@ -302,6 +302,44 @@
 	})
 }
 
+// Guards against a collector that lacks what was counted before it was restarted, and against a holder that gets only what is counted after
+// the entries have read that it is one.
+func TestNewTargetsGetAllCounters(t *testing.T) {
+	net := &network{now: epoch, entries: make(map[string]*process)}
+	holder := ""
+	for i := range 8 {
+		net.start(fmt.Sprintf("entry-%d", i), 0, func() string { return holder })
+	}
+	run := func(d time.Duration) {
+		for end := net.now.Add(d); net.now.Before(end); net.now = net.now.Add(minSendInterval) {
+			for _, p := range net.entries {
+				p.collector.Tick(net.now)
+			}
+			for _, d := range net.sent {
+				net.receive(d)
+			}
+			net.sent = nil
+		}
+	}
+	names := net.entries["entry-0"].collector.collectors(net.entries["entry-0"].DataCentres())
+	var others []string
+	for name, p := range net.entries {
+		if !slices.Contains(names, name) {
+			others = append(others, name)
+			p.counter.Begun(net.now, "w")
+		}
+	}
+	run(time.Second)
+	window := windowContaining(epoch, testWindow)
+	restarted := net.start(names[0], 0, func() string { return holder })
+	qt.Assert(t, restarted.collector.Counts(window)["w"], qt.Equals, int64(0))
+	run(clockInterval + 4*minSendInterval)
+	qt.Assert(t, restarted.collector.Counts(window)["w"], qt.Equals, int64(4))
+	holder = others[0]
+	run(minSendInterval)
+	qt.Assert(t, net.entries[holder].collector.Counts(window)["w"], qt.Equals, int64(4))
+}
+
 // Guards against memory that a faulty peer can fill, counts that are absurd or of other processes, and peers that shut out the counters of
 // others; and against a message that makes the receiver fail.
 func TestUnusableMessages(t *testing.T) {
