roles: a version whose engines become fewer keeps two decode engines

The plan of the roles did not look at software versions, so a release could leave an old version with prefill engines only, and no stream that it began went on. While engines of several versions serve, a version at which streams began in the last 30 s has a decode engine if it has two engines, and two if its engines become fewer and it has three: a crash of the last one is noticed too late for a role change. The caller of a stream that is refused for this reason is told to return after half the time of a role change.

--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -35,10 +35,19 @@
 	if errors.Is(err, placement.ErrTooLate) {
 		r.Code = fighollow.CodeTooLate
 	}
-	r.RetryAfterMs = x.retryAfter().Milliseconds()
+	r.RetryAfterMs = (x.retryAfter() + x.roleSwitchWait(err)).Milliseconds()
 	return r
 }
 
+// roleSwitchWait returns how long the caller of a stream that may only go on at one software version waits for an engine of it to become a
+// decode engine, which the holder of the role lease orders when the version has too few; 0 if that is not the reason for the refusal.
+func (x *exchange) roleSwitchWait(err error) time.Duration {
+	if x.software == "" || !errors.Is(err, placement.ErrNoUpstream) || x.traits.Engine == nil || !x.pool.CanServe(x.software) {
+		return 0
+	}
+	return x.traits.Engine.RoleSwitch / 2
+}
+
 const (
 	// retryAfterMin and retryAfterSpread bound the retry delay sent with a refusal. The spread keeps callers that were
 	// refused together from returning together.
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -194,6 +194,18 @@
 	return slices.Sorted(maps.Keys(p.versions))
 }
 
+// CanServe reports whether there is an engine of a software version, in whatever role, that does not leave.
+func (p *Pool) CanServe(version string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, inst := range p.instances {
+		if inst.upstream.Version == version && inst.removedAt.IsZero() && !inst.isLeaving() {
+			return true
+		}
+	}
+	return false
+}
+
 // Admit replaces the software versions whose engines may begin answers; see Options.AdmitVersions.
 func (p *Pool) Admit(versions []string) {
 	p.mu.Lock()
--- a/internal/roles/plan.go
+++ b/internal/roles/plan.go
@@ -75,10 +75,13 @@
 
 	demandSeen bool
 	lastChange time.Time
+	versions   versionKeeper
 }
 
 // NewPlanner returns a planner for a service whose engines have the given traits.
-func NewPlanner(t fighollow.EngineTraits) *Planner { return &Planner{traits: t, weight: 1} }
+func NewPlanner(t fighollow.EngineTraits) *Planner {
+	return &Planner{traits: t, weight: 1, versions: versionKeeper{versions: make(map[string]*versionState)}}
+}
 
 // SetPolicy applies the policy of the preset in force. A higher role change weight makes role changes rarer: it
 // lowers the utilisation at which a role gives up an engine, and a weight above 1 lengthens the pause between changes.
@@ -108,6 +111,9 @@
 		return nil, "tooFewEngines"
 	}
 	p.observe(prefill, decode)
+	if orders := p.restore(now, prefill, decode); len(orders) > 0 {
+		return orders, "versionWithoutDecode"
+	}
 	if !p.demandSeen {
 		return p.planInitial(now, prefill, decode)
 	}
@@ -122,7 +128,7 @@
 	switch {
 	case onPrefill > 1 && afterMove(p.peakDecode, len(decode), n) < ratio*onPrefill:
 		p.lastChange = now
-		return p.selectMoves(decode, prefill, n, 1, fighollow.RolePrefill), "prefillShort"
+		return p.selectMoves(p.spareDecode(now, decode), prefill, n, 1, fighollow.RolePrefill), "prefillShort"
 	case onDecode > 1 && afterMove(p.peakPrefill, len(prefill), n) < ratio*onDecode:
 		p.lastChange = now
 		return p.selectMoves(prefill, decode, n, 1, fighollow.RoleDecode), "decodeShort"
