platform: workspaces in the configuration, bounds of revocation, changes without a wait

tenants and public are decoded by parts: a part of the wrong type is reported by its position and ignored, and the presence of tenants alone makes keys required. Store.Changes asks what has changed without a wait, at the size of the change instead of that of the configuration.

--- a/pkg/fighollow/attempt.go
+++ b/pkg/fighollow/attempt.go
@@ -34,9 +34,11 @@
 	BegunBy string
 	// Credentials are the values of the header that holds the caller's key, one for each time that it was sent. They are never logged.
 	Credentials []string
-	Caller      string    // address of the caller's end of the connection
-	Arrived     time.Time // when the header had been read
-	Deadline    time.Time // when the caller stops waiting
+	// Identity is what the key showed when the header had arrived, before the body was read; nil if no key was needed then.
+	Identity *Identity
+	Caller   string    // address of the caller's end of the connection
+	Arrived  time.Time // when the header had been read
+	Deadline time.Time // when the caller stops waiting
 }
 
 // Identity is on whose behalf an attempt is sent.
--- a/pkg/fighollow/object.go
+++ b/pkg/fighollow/object.go
@@ -89,6 +89,12 @@
 	ListStale(ctx context.Context, kind Kind) ([]Object, error)
 }
 
+// ChangeReader is implemented by an ObjectStore that also reads changes without waiting for them.
+type ChangeReader interface {
+	// Changes is Watch without waiting: if it returns no objects, nothing of the kind had changed when the call was made.
+	Changes(ctx context.Context, kind Kind, after uint64) ([]Object, uint64, error)
+}
+
 // GetStale calls s.GetStale if s is a StaleReader, and s.Get otherwise.
 func GetStale(ctx context.Context, s ObjectStore, kind Kind, name string) (Object, error) {
 	if r, ok := s.(StaleReader); ok {
--- a/pkg/fighollow/routing.go
+++ b/pkg/fighollow/routing.go
@@ -87,6 +87,8 @@
 	// KeysRequired reports that requests for routes that are not public need the key of one of Workspaces, which may be empty.
 	KeysRequired bool
 	Workspaces   []KeyedWorkspace
+	// Problems are the parts of the configuration that could not be decoded and are ignored, for the log. They hold no keys.
+	Problems []string
 }
 
 // Upstream is an engine or an instance of a plain service to which requests are sent directly.
