gateway, platform, streams: keys of workspaces

A request for a route that is not public needs the key of a workspace where the configuration has tenants. The key is checked when the header has arrived, before the body is read, and the workspace stays with the request until it ends. Upstreams get the workspace's name and never the key. Engines' queues, placement and admission use the rank of the workspace's and the route's priority, and the hash of a stream covers the workspace. With strict revocation, an entry asks the store each quarter of revokeMs for changes and refuses keys that were not confirmed.

Test: go test ./platform -run 'Key|Tenant|Workspace|Headers|Settings|Outage|Problems' ./internal/gateway ./internal/streams

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -34,6 +34,7 @@
 	"github.com/fighollow/fighollow/internal/roster"
 	"github.com/fighollow/fighollow/internal/streams"
 	"github.com/fighollow/fighollow/internal/upstream"
+	"github.com/fighollow/fighollow/internal/workspace"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 	"github.com/fighollow/fighollow/platform"
 )
@@ -103,6 +104,7 @@
 	streams      *streams.Journal
 	peers        *peers.Link
 	observing    chan bool // whether this entry observes the reports of all
+	revocation   workspace.Revocation
 	stopping     atomic.Bool
 	wasReady     atomic.Bool // result of the last readiness check
 }
@@ -137,12 +139,14 @@
 		Admit: func(service string, versions []string) { fleet.Pool(service).Admit(versions) },
 		Peers: p.peers,
 	}, p.store, log)
+	p.revocation = workspace.Revocation{Strict: cfg.Bounds.StrictRevocation, Within: cfg.Bounds.Revoke}
 	p.gateway = gateway.New(gateway.Options{
 		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: p.registry, Quarantine: crashes, Streams: p.streams,
+		Revocation: p.revocation,
 	}, fleet, dispatcher, log)
 	decode := gateway.Decoder{Routing: platform.DecodeRouting, Upstream: platform.DecodeUpstream}
 	p.follower = gateway.NewFollower(p.store, decode, p.gateway, fleet, gateway.Freshness{
-		Routing: cfg.Bounds.Config, Upstreams: cfg.Bounds.Drain, Crashes: cfg.Bounds.Stable / crashHops,
+		Routing: routingBound(cfg.Bounds), Upstreams: cfg.Bounds.Drain, Crashes: cfg.Bounds.Stable / crashHops,
 	}, log)
 	p.caches = gateway.NewCachePoller(dispatcher, p.gateway, fleet, log)
 	p.roster = roster.New(roster.Options{
@@ -154,6 +158,14 @@
 	return p
 }
 
+// routingBound returns the time within which a new configuration must take effect, also if it removes a key.
+func routingBound(b platform.Bounds) time.Duration {
+	if b.Revoke > 0 {
+		return min(b.Config, b.Revoke)
+	}
+	return b.Config
+}
+
 // setObserving replaces what was not followed yet. The roster alone calls it.
 func (p *gatewayProcess) setObserving(isObserver bool) {
 	select {
@@ -202,6 +214,7 @@
 	defer cancelBg()
 	var background sync.WaitGroup
 	background.Go(func() { p.follower.Run(bgCtx) })
+	background.Go(func() { p.follower.ConfirmRouting(bgCtx, p.revocation) })
 	background.Go(func() { p.caches.Run(bgCtx) })
 	background.Go(func() { p.roster.Run(bgCtx) })
 	background.Go(func() { p.quarantine.Run(bgCtx) })
@@ -234,7 +247,7 @@
 	event.ProcessStarted.Log(&p.log).Str("http", cfg.Ingress).Str("readiness", cfg.Readiness).Str("store", cfg.StoreAddress).
 		Str("dataCentre", cfg.DataCentre).Str("version", version).Dur("drainMs", b.Drain).Dur("graceMs", b.Grace).
 		Dur("leaseMs", b.Lease).Dur("stableMs", b.Stable).Dur("configMs", b.Config).Dur("heartbeatMs", cfg.Heartbeat).Float64("retryRatio", b.RetryRatio).Int("retrySlack", b.RetrySlack).
-		Bool("fencesChecked", b.RequireFencing).Int("metricsPort", p.metricsPort).Send()
+		Bool("fencesChecked", b.RequireFencing).Bool("strictRevocation", b.StrictRevocation).Dur("revokeMs", b.Revoke).Int("metricsPort", p.metricsPort).Send()
 }
 
 // reloadOnHangup reads the settings again on each SIGHUP. The retry limits take effect at once; all other settings take
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -6,7 +6,7 @@
 var (
 	AttemptPlaced       = Event{8001, "attemptPlaced", zerolog.InfoLevel, "an upstream was chosen for an attempt; the line has the data that the choice was based on. For a stream that goes on, after is the last event that its caller has, and begunBy the request that brought the first one if the caller takes it up"}
 	AttemptEnded        = Event{8002, "attemptEnded", zerolog.InfoLevel, "an attempt ended; result is its outcome and tookMs its duration. For an answer, framing is how its end is marked, bytes its length, lastEvent the last event that was relayed; insideEvent means that its bytes end within an event. For a failure, parts are those of the prompt, the last one the request's own, and fingerprints identify the request whenever it comes again"}
-	RequestEnded        = Event{8003, "requestEnded", zerolog.InfoLevel, "a request ended; the line has the final answer or the reason why there was none"}
+	RequestEnded        = Event{8003, "requestEnded", zerolog.InfoLevel, "a request ended; the line has the final answer or the reason why there was none. If its key was refused, key is the reason and keyFingerprint tells keys apart while this process runs"}
 	RequestRetried      = Event{8004, "requestRetried", zerolog.InfoLevel, "an attempt failed; the line has whether the request is retried, and the reason"}
 	StreamResumed       = Event{8005, "streamResumed", zerolog.InfoLevel, "a stream broke off and is resumed at another engine after the last complete event"}
 	CacheReleased       = Event{8006, "cacheReleased", zerolog.DebugLevel, "the KV cache of a prompt was released because no engine imports it"}
@@ -55,6 +55,9 @@
 	StreamTakenUp       = Event{8056, "streamTakenUp", zerolog.InfoLevel, "a caller takes up a stream that broke off; software is the version at which it must go on, and source where this entry has found it. Without it the request is refused"}
 	PeerUntold          = Event{8057, "peerUntold", zerolog.DebugLevel, "a message to another entry was not sent; streams of this entry have one copy less, or a question one answer less"}
 	PeerUnread          = Event{8058, "peerUnread", zerolog.InfoLevel, "a message of another entry could not be received or decoded; it is ignored"}
+	RoutingProblem      = Event{8059, "routingProblem", zerolog.ErrorLevel, "a part of the routing configuration is not usable and is ignored, the rest is in force. problem is the reason: a key that several workspaces have belongs to none of them; index is that of the workspace in the list, and key that of the key in the workspace's list"}
+	KeysUnconfirmed     = Event{8060, "keysUnconfirmed", zerolog.WarnLevel, "strict revocation is set and the store has not confirmed the configuration in time; requests that need a key are refused until it does"}
+	KeysConfirmed       = Event{8061, "keysConfirmed", zerolog.InfoLevel, "the store has confirmed the configuration again; requests with keys are served"}
 	RoleOrdered         = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is ordered to change its role; the line has the reason and the load that the decision was based on"}
 	RoleOrderEnded      = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "the engine accepted or refused an order for a role change, or its answer was lost; in the last case it may still carry out the order, and gets no other for some time"}
 	ReportMissing       = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
@@ -68,4 +71,5 @@
 	EntriesCounted, EntryLapsed, EntryLeft, RosterUnread,
 	StoreEraBegan, StoreEraInvalid, UpstreamsSettled, PresetLost, LimitChanged, LimitMalformed, RegistrationInvalid, LimitReported, StreamWaits, CallerTimedOut,
 	PartQuarantined, PartReleased, QuarantineUnwritten, QuarantineInvalid, StreamsUnwritten, StreamsInvalid, LeavingAnnounced, PauseAsked, PauseMalformed, ObserverChanged, VersionsRecorded, VersionsUnwritten, StreamTakenUp, PeerUntold, PeerUnread,
+	RoutingProblem, KeysUnconfirmed, KeysConfirmed,
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/placement"
 	"github.com/fighollow/fighollow/internal/quarantine"
+	"github.com/fighollow/fighollow/internal/workspace"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -24,14 +25,17 @@
 	out  fighollow.Responder
 	log  zerolog.Logger
 
-	version  uint64
-	route    *fighollow.Route
-	service  string
-	traits   fighollow.ServiceTraits
-	pool     *placement.Pool
-	budget   *retryBudget
-	seed     uint64
-	deadline time.Time
+	version   uint64
+	route     *fighollow.Route
+	identity  fighollow.Identity // resolved when the request arrived, whatever becomes of the key
+	keyReason workspace.Reason   // why its key was refused
+	rank      int                // 0 is the most urgent
+	service   string
+	traits    fighollow.ServiceTraits
+	pool      *placement.Pool
+	budget    *retryBudget
+	seed      uint64
+	deadline  time.Time
 
 	attemptsSent int                 // attempts that were sent, including an accepted prefill
 	arrivals     arrivals            // attempts that count against the route's limit and the retry budget
@@ -112,7 +116,7 @@
 	}
 	req := &fighollow.Attempt{
 		Call: x.call, Upstream: c.Upstream, Phase: phase, KV: kv, FetchFrom: c.FetchFrom, ResumeAfter: x.resumeAfter,
-		Urgency: q.Urgency, Deadline: x.deadline,
+		Urgency: q.Urgency, Deadline: x.deadline, Identity: x.identity,
 	}
 	line := event.AttemptPlaced.Log(&x.log).Str("upstream", c.Upstream.ID).Int64("started", c.Upstream.StartedMs).Str("software", c.Upstream.Version).
 		Str("dataCentre", c.Upstream.DataCentre).
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -242,7 +242,7 @@
 		}
 		if f.gateway.Apply(r) {
 			event.RoutingApplied.Log(&f.log).Uint64("version", r.Version).Uint64("revision", o.Version).Int("routes", len(r.Routes)).
-				Int("services", len(r.Services)).Send()
+				Int("services", len(r.Services)).Bool("keysRequired", r.KeysRequired).Int("workspaces", len(r.Workspaces)).Send()
 		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/fighollow/fighollow/internal/placement"
 	"github.com/fighollow/fighollow/internal/quarantine"
 	"github.com/fighollow/fighollow/internal/streams"
+	"github.com/fighollow/fighollow/internal/workspace"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -28,6 +29,7 @@
 	Registry   metrics.Registry
 	Streams    *streams.Journal    // which versions began streams; nil if only the gateway's own answers go on
 	Quarantine *quarantine.Tracker // requests and parts of prompts that crash engines; nil for one that knows only this gateway's
+	Revocation workspace.Revocation
 }
 
 // Gateway serves the requests of callers. It is safe for concurrent use.
@@ -41,6 +43,9 @@
 	metrics  *gatewayMetrics
 	shutdown atomic.Pointer[shutdown]
 
+	fingerprints *workspace.Fingerprinter
+	confirmed    atomic.Pointer[time.Time] // when the store last confirmed the configuration
+
 	mu             sync.Mutex
 	entries        int  // number of entries that share the retry budgets
 	entriesCounted bool // entries is a count, not assumedEntries
@@ -54,7 +59,7 @@
 	}
 	return &Gateway{
 		opts: opts, fleet: fleet, dispatch: dispatch, log: log, seed: maphash.MakeSeed(), metrics: newMetrics(opts.Registry),
-		entries: assumedEntries, budgets: make(map[string]*retryBudget),
+		fingerprints: workspace.NewFingerprinter(), entries: assumedEntries, budgets: make(map[string]*retryBudget),
 	}
 }
 
@@ -81,16 +86,27 @@
 
 // Apply puts a configuration in force, unless one with the same or a higher version is. It reports whether it did.
 func (g *Gateway) Apply(r *fighollow.Routing) bool {
+	if !g.isNewer(r) {
+		return false
+	}
+	t := newRouteTable(r) // takes milliseconds, during which requests are served
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if t := g.table.Load(); t != nil && t.routing.Version >= r.Version {
+	if !g.isNewer(r) {
 		return false
 	}
 	g.fleet.Configure(r)
-	g.table.Store(newRouteTable(r))
+	g.table.Store(t)
+	t.logProblems(&g.log)
 	return true
 }
 
+// isNewer reports whether r has a higher version than the configuration in force.
+func (g *Gateway) isNewer(r *fighollow.Routing) bool {
+	t := g.table.Load()
+	return t == nil || t.routing.Version < r.Version
+}
+
 // Routing returns the configuration in force; nil when there is none yet.
 func (g *Gateway) Routing() *fighollow.Routing {
 	if t := g.table.Load(); t != nil {
@@ -167,22 +183,23 @@
 
 // Serve answers a request. ctx is done when the caller has left.
 func (g *Gateway) Serve(ctx context.Context, call *fighollow.Call, out fighollow.Responder) {
-	x := &exchange{g: g, call: call, out: out}
-	x.log = g.log.With().Str("request", call.ID).Logger()
+	x := g.newExchange(call, out)
 	x.finish(x.serve(ctx))
 }
 
+func (g *Gateway) newExchange(call *fighollow.Call, out fighollow.Responder) *exchange {
+	x := &exchange{g: g, call: call, out: out, seed: maphash.String(g.seed, call.ID)}
+	x.log = g.log.With().Str("request", call.ID).Logger()
+	return x
+}
+
 // serve runs the request. The caller must send the refusal that it returns, if any.
 func (x *exchange) serve(ctx context.Context) *fighollow.Refusal {
-	x.seed = maphash.String(x.g.seed, x.call.ID)
 	t := x.g.table.Load()
-	if t == nil {
-		return x.notReadyRefusal()
-	}
-	x.version = t.routing.Version
-	if x.route = t.find(x.call.Host, x.call.Target); x.route == nil {
-		return fighollow.NotRunRefusal(fighollow.CodeRouteNotFound, "no route has this host and path")
+	if refusal := x.identify(t, time.Now()); refusal != nil {
+		return refusal
 	}
+	x.rank = t.keys.Rank(x.identity.Workspace, x.route.Priority)
 	service := pickService(x.route, x.seed)
 	x.pool, x.budget = x.g.fleet.Pool(service), x.g.budget(service)
 	x.arrivals = arrivals{budget: x.budget}
@@ -217,6 +234,7 @@
 	if x.route != nil {
 		line.Str("route", x.route.Name).Str("service", x.service)
 	}
+	x.logKey(line)
 	line.Int64("tookMs", time.Since(x.call.Arrived).Milliseconds())
 	switch {
 	case x.callerLeft:
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -23,10 +23,10 @@
 	}
 }
 
-// slo returns the request's latency target, deadline and priority.
+// slo returns the request's latency target, deadline and rank.
 func (x *exchange) slo() placement.SLO {
 	return placement.SLO{
-		Arrived: x.call.Arrived, Target: x.route.TargetLatency, Deadline: x.deadline, Priority: x.route.Priority, Begun: x.headerSent,
+		Arrived: x.call.Arrived, Target: x.route.TargetLatency, Deadline: x.deadline, Priority: x.rank, Begun: x.headerSent,
 	}
 }
 
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -56,9 +56,9 @@
 	return retryAfterMin + max(0, x.overTarget)/2 + x.limitedFor + time.Duration(x.seed%uint64(retryAfterSpread))
 }
 
-// notReadyRefusal returns the refusal for a request that arrives before the first configuration.
-func (x *exchange) notReadyRefusal() *fighollow.Refusal {
-	r := fighollow.NotRunRefusal(fighollow.CodeNotReady, "no configuration is known yet")
+// notReadyRefusal returns the refusal for a request that arrives before the first configuration, or while its key cannot be trusted.
+func (x *exchange) notReadyRefusal(message string) *fighollow.Refusal {
+	r := fighollow.NotRunRefusal(fighollow.CodeNotReady, message)
 	r.RetryAfterMs = (notReadyRetryMin + time.Duration(x.seed%uint64(notReadyRetrySpread))).Milliseconds()
 	return r
 }
--- a/internal/gateway/table.go
+++ b/internal/gateway/table.go
@@ -5,17 +5,23 @@
 	"slices"
 	"strings"
 
+	"github.com/fighollow/fighollow/internal/workspace"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
-// routeTable looks up the routes of a configuration.
+// routeTable looks up the routes and the keys of a configuration.
 type routeTable struct {
-	routing *fighollow.Routing
-	hosts   map[string][]*fighollow.Route // routes by host, longest path prefix first
+	routing  *fighollow.Routing
+	hosts    map[string][]*fighollow.Route // routes by host, longest path prefix first
+	keys     *workspace.Table              // used if keys are required
+	problems []workspace.Problem
 }
 
 func newRouteTable(r *fighollow.Routing) *routeTable {
-	t := &routeTable{routing: r, hosts: make(map[string][]*fighollow.Route)}
+	t := &routeTable{routing: r, hosts: make(map[string][]*fighollow.Route), keys: &workspace.Table{}}
+	if r.KeysRequired {
+		t.keys, t.problems = workspace.New(r)
+	}
 	for i := range r.Routes {
 		route := &r.Routes[i]
 		t.hosts[route.Host] = append(t.hosts[route.Host], route)
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -14,7 +14,7 @@
 	if x.g.opts.Streams == nil || x.call.BegunBy == "" && x.call.ResumeAfter == "" {
 		return nil
 	}
-	version, err := x.g.opts.Streams.Find(ctx, time.Now(), x.service, x.call.BegunBy)
+	version, err := x.g.opts.Streams.Find(ctx, time.Now(), x.service, x.identity.Workspace, x.call.BegunBy)
 	if err != nil {
 		x.g.metrics.count("streams.unknown")
 		return fmt.Errorf("%w: %w", fighollow.ErrNotRun, err)
@@ -39,13 +39,13 @@
 	x.software = a.upstream.Version
 	if x.g.opts.Streams != nil {
 		x.isRecorded = true
-		x.g.opts.Streams.Begin(time.Now(), x.service, x.streamID(), x.software)
+		x.g.opts.Streams.Begin(time.Now(), x.service, x.identity.Workspace, x.streamID(), x.software)
 	}
 }
 
 // recordEnd records the end of the stream's answer.
 func (x *exchange) recordEnd(whole bool) {
 	if x.isRecorded {
-		x.g.opts.Streams.End(time.Now(), x.service, x.streamID(), whole)
+		x.g.opts.Streams.End(time.Now(), x.service, x.identity.Workspace, x.streamID(), whole)
 	}
 }
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -20,7 +20,7 @@
 	Arrived  time.Time
 	Target   time.Duration // from the arrival to the first event or the whole plain answer; 0 if there is none
 	Deadline time.Time
-	Priority int  // of the route; 0 is the most urgent
+	Priority int  // of the route, or rank by the priorities of workspaces and routes; 0 is the most urgent
 	Begun    bool // part of the answer was sent already: the remainder is delivered however late
 }
 
@@ -120,7 +120,7 @@
 	return p.times.alone.weight >= minFitSamples
 }
 
-// urgency returns the urgency value sent to the engines, which serve lower values first. It orders requests by the route's
+// urgency returns the urgency value sent to the engines, which serve lower values first. It orders requests by their
 // priority and, within a priority, those that can still meet the latency target before those that cannot.
 func urgency(priority int, late bool) int {
 	u := 2 * min(max(priority, 0), maxUrgency/2)
--- a/internal/streams/copies_test.go
+++ b/internal/streams/copies_test.go
@@ -30,17 +30,17 @@
 	var p, none told
 	a, b := f.entryOf("a", old, &p), f.entryOf("b", old, &none)
 	f.store.down = true
-	a.Begin(f.now, service, "s", "v1")
+	a.Begin(f.now, service, "", "s", "v1")
 	qt.Assert(t, p.origins, qt.HasLen, 1)
 	b.Remember(f.now, p.origins[0])
-	version, err := b.Find(context.Background(), f.now, service, "s")
+	version, err := b.Find(context.Background(), f.now, service, "", "s")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, version, qt.Equals, "v1")
 	c := f.entryOf("c", old, &told{known: map[uint64]string{p.origins[0].Stream: "v1"}})
-	version, err = c.Find(context.Background(), f.now, service, "s")
+	version, err = c.Find(context.Background(), f.now, service, "", "s")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, version, qt.Equals, "v1")
-	_, err = b.Find(context.Background(), f.now, service, "t")
+	_, err = b.Find(context.Background(), f.now, service, "", "t")
 	qt.Assert(t, err, qt.ErrorIs, fighollow.ErrUnavailable)
 }
 
@@ -49,9 +49,9 @@
 	f := newFleet("v1")
 	var p told
 	a := f.entryOf("a", old, &p)
-	a.Begin(f.now, service, "long", "v1")
-	a.Begin(f.now, service, "short", "v1")
-	a.End(f.now.Add(time.Second), service, "short", true)
+	a.Begin(f.now, service, "", "long", "v1")
+	a.Begin(f.now, service, "", "short", "v1")
+	a.End(f.now.Add(time.Second), service, "", "short", true)
 	for range 60 {
 		f.step(a, time.Second)
 	}
@@ -91,3 +91,23 @@
 		qt.Check(t, ok, qt.Equals, want, qt.Commentf(fmt.Sprint(stream)))
 	}
 }
+
+// Guards against a stream that another workspace can take up because its callers use the same ids, here or by what peers are told, and
+// against hashes that are not those of entries without workspaces.
+func TestStreamsOfWorkspacesAreTheirOwn(t *testing.T) {
+	f := newFleet("v1", "v2")
+	a := f.entry("a", old)
+	a.Begin(f.now, service, "hule", "s", "v1")
+	a.Begin(f.now, service, "fida", "s", "v2")
+	for workspace, want := range map[string]string{"hule": "v1", "fida": "v2"} {
+		version, err := a.Find(context.Background(), f.now, service, workspace, "s")
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, version, qt.Equals, want)
+	}
+	const hash = 0xaf63ee4c86020b22 // FNV-1a of "s"
+	_, ok := a.Recall(service, hash)
+	qt.Check(t, ok, qt.IsFalse)
+	a.Begin(f.now, service, "", "s", "v3")
+	version, _ := a.Recall(service, hash)
+	qt.Check(t, version, qt.Equals, "v3")
+}
--- a/internal/streams/find.go
+++ b/internal/streams/find.go
@@ -24,8 +24,8 @@
 
 // Find returns the version at which a stream must go on, which is empty if that does not matter. If this entry does not know the stream, it
 // asks its peers, and the store if none of them does. It returns ErrUnknown, or the error of the store.
-func (j *Journal) Find(ctx context.Context, now time.Time, service, id string) (version string, err error) {
-	version, from, err := j.find(ctx, now, newKey(service, id))
+func (j *Journal) Find(ctx context.Context, now time.Time, service, workspace, id string) (version string, err error) {
+	version, from, err := j.find(ctx, now, newKey(service, workspace, id))
 	event.StreamTakenUp.Log(&j.log).Str("service", service).Str("begunBy", id).Str("software", version).Str("source", string(from)).Err(err).Send()
 	return version, err
 }
--- a/internal/streams/journal.go
+++ b/internal/streams/journal.go
@@ -60,15 +60,19 @@
 // ErrUnknown is returned for a stream that no entry has recorded although its service has engines of several versions.
 var ErrUnknown = errors.New("streams: the version that began the stream is not known")
 
-// key identifies a stream: its service, and the hash of the id of the request that brought its first event.
+// key identifies a stream: its service, and the hash of the id of the request that brought its first event and of its workspace.
 type key struct {
 	service string
 	hash    uint64
 }
 
-func newKey(service, id string) key {
+// newKey returns the key of a stream. The workspace is empty if the stream has none; entries that know of none have the same keys.
+func newKey(service, workspace, id string) key {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(id)) // never fails
+	if workspace != "" {
+		_, _ = h.Write([]byte(workspace + "\x00")) // never fails; no header, so no id, holds a zero byte
+	}
+	_, _ = h.Write([]byte(id))
 	return key{service, h.Sum64()}
 }
 
@@ -139,8 +143,9 @@
 }
 
 // Begin records that an answer relays a stream which began with the request of this id at an engine of this version. End must follow.
-func (j *Journal) Begin(now time.Time, service, id, version string) {
-	k := newKey(service, id)
+// Only the same workspace finds the stream; it is empty if keys are not required.
+func (j *Journal) Begin(now time.Time, service, workspace, id, version string) {
+	k := newKey(service, workspace, id)
 	j.begin(now, k, version)
 	j.tell(k, version)
 }
@@ -187,10 +192,10 @@
 }
 
 // End records that the answer has ended; whole means that it was complete.
-func (j *Journal) End(now time.Time, service, id string, whole bool) {
+func (j *Journal) End(now time.Time, service, workspace, id string, whole bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	k := newKey(service, id)
+	k := newKey(service, workspace, id)
 	s, ok := j.streams[k]
 	if !ok {
 		return
--- a/internal/streams/journal_test.go
+++ b/internal/streams/journal_test.go
@@ -167,13 +167,13 @@
 				f.serving = []string{"v1", "v2"}
 			}
 			first := f.entry("a", old)
-			first.Begin(f.now, service, "other", "v2")
+			first.Begin(f.now, service, "", "other", "v2")
 			if test.begun {
-				first.Begin(f.now, service, "s", "v1")
+				first.Begin(f.now, service, "", "s", "v1")
 			}
 			f.step(first, time.Second)
 			f.store.down = test.down
-			version, err := f.entry("b", test.age).Find(ctx, f.now, service, "s")
+			version, err := f.entry("b", test.age).Find(ctx, f.now, service, "", "s")
 			qt.Assert(t, errors.Is(err, test.err), qt.IsTrue, qt.Commentf("%v", err))
 			qt.Assert(t, version, qt.Equals, test.want)
 		})
@@ -184,14 +184,14 @@
 func TestFindAfterARelease(t *testing.T) {
 	f := newFleet("v1", "v2")
 	first := f.entry("a", old)
-	first.Begin(f.now, service, "s", "v1")
+	first.Begin(f.now, service, "", "s", "v1")
 	f.step(first, time.Second)
 	young := f.entry("b", 0)
 	f.serving = []string{"v2"} // as the young process sees it
-	version, err := young.Find(context.Background(), f.now, service, "s")
+	version, err := young.Find(context.Background(), f.now, service, "", "s")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, version, qt.Equals, "v1")
-	_, err = young.Find(context.Background(), f.now, service, "unknown")
+	_, err = young.Find(context.Background(), f.now, service, "", "unknown")
 	qt.Assert(t, err, qt.ErrorIs, streams.ErrUnknown)
 }
 
@@ -199,14 +199,14 @@
 func TestRestartedEntryKeepsItsStreams(t *testing.T) {
 	f := newFleet("v1", "v2")
 	before := f.entry("a", old)
-	before.Begin(f.now, service, "s", "v1")
+	before.Begin(f.now, service, "", "s", "v1")
 	f.step(before, time.Second)
 	after := f.entry("a", 0)
-	after.Begin(f.now, service, "t", "v2")
+	after.Begin(f.now, service, "", "t", "v2")
 	f.step(after, time.Second)
 	f.step(after, time.Second)
 	for id, want := range map[string]string{"s": "v1", "t": "v2"} {
-		version, err := f.entry("b", old).Find(context.Background(), f.now, service, id)
+		version, err := f.entry("b", old).Find(context.Background(), f.now, service, "", id)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, version, qt.Equals, want)
 	}
@@ -216,12 +216,12 @@
 func TestStreamsAreWrittenOnceAnotherVersionComes(t *testing.T) {
 	f := newFleet("v1")
 	j := f.entry("a", old)
-	j.Begin(f.now, service, "s", "v1")
+	j.Begin(f.now, service, "", "s", "v1")
 	f.step(j, time.Second)
 	qt.Assert(t, f.store.objects, qt.HasLen, 0)
 	f.serving = []string{"v1", "v2"}
 	f.step(j, time.Second)
-	version, err := f.entry("b", old).Find(context.Background(), f.now, service, "s")
+	version, err := f.entry("b", old).Find(context.Background(), f.now, service, "", "s")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, version, qt.Equals, "v1")
 }
@@ -235,9 +235,9 @@
 		j := f.entry("a", old)
 		gap := time.Second / time.Duration(perSecond)
 		for i := range int(played / gap) {
-			j.Begin(f.now, service, fmt.Sprint(i), "v1")
+			j.Begin(f.now, service, "", fmt.Sprint(i), "v1")
 			if ended := i - int(life/gap); ended >= 0 {
-				j.End(f.now, service, fmt.Sprint(ended), ended%100 > 0)
+				j.End(f.now, service, "", fmt.Sprint(ended), ended%100 > 0)
 			}
 			f.step(j, gap)
 		}
@@ -256,7 +256,7 @@
 	f.store.objects["gone"] = fighollow.Object{Name: "gone", Version: 1, Value: []byte(`{"models":{"v1":["z-z"]}}`)}
 	f.store.objects["bad"] = fighollow.Object{Name: "bad", Version: 1, Value: []byte(`[`)}
 	j := f.entry("a", 0)
-	_, err := j.Find(context.Background(), f.now, service, "s")
+	_, err := j.Find(context.Background(), f.now, service, "", "s")
 	qt.Assert(t, err, qt.ErrorIs, streams.ErrUnknown)
 	for range 4 {
 		f.step(j, time.Minute)
--- a/internal/streams/model_test.go
+++ b/internal/streams/model_test.go
@@ -148,7 +148,7 @@
 	}
 	m.begun++
 	s := modelStream{id: fmt.Sprint("stream-", m.begun), version: rapid.SampledFrom(usable).Draw(t, "version"), at: time.Now(), entry: e}
-	e.Begin(time.Now(), service, s.id, s.version)
+	e.Begin(time.Now(), service, "", s.id, s.version)
 	m.streams = append(m.streams, s)
 }
 
@@ -159,7 +159,7 @@
 		return
 	}
 	s := rapid.SampledFrom(m.streams).Draw(t, "stream")
-	version, err := e.Find(context.Background(), time.Now(), service, s.id)
+	version, err := e.Find(context.Background(), time.Now(), service, "", s.id)
 	if err != nil {
 		return
 	}
--- a/internal/streams/versions_test.go
+++ b/internal/streams/versions_test.go
@@ -59,7 +59,7 @@
 	f.serving = []string{"v2"}
 	f.step(j, time.Second)
 	f.step(j, time.Minute)
-	_, err := f.entry("b", old).Find(context.Background(), f.now, service, "s")
+	_, err := f.entry("b", old).Find(context.Background(), f.now, service, "", "s")
 	qt.Assert(t, err, qt.ErrorIs, streams.ErrUnknown)
 	f.missed = []string{"v1"} // an upstream that has come back
 	f.step(j, time.Minute+time.Second)
@@ -69,7 +69,7 @@
 	qt.Assert(t, f.listed(), qt.Equals, `{"versions":["v1","v2"]}`)
 	f.step(j, 2*time.Minute+time.Second)
 	qt.Assert(t, f.listed(), qt.Equals, `{"versions":["v2"]}`)
-	version, err := f.entry("b", old).Find(context.Background(), f.now, service, "s")
+	version, err := f.entry("b", old).Find(context.Background(), f.now, service, "", "s")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, version, qt.Equals, "v2")
 	f.serving = []string{"v1", "v2"}
@@ -89,7 +89,7 @@
 	f.step(j, time.Second)
 	qt.Assert(t, f.listed(), qt.Equals, `{"versions":["v1","v2"]}`)
 	f.store.versions[service] = fighollow.Object{Name: service, Version: fighollow.NewVersion(f.store.era, 90), Value: []byte(`{"versions":7}`)}
-	_, err := f.entry("b", old).Find(context.Background(), f.now, service, "s")
+	_, err := f.entry("b", old).Find(context.Background(), f.now, service, "", "s")
 	qt.Assert(t, err, qt.ErrorIs, fighollow.ErrInvalid)
 	f.step(f.entry("c", 0), time.Second)
 	qt.Assert(t, f.listed(), qt.Equals, `{"versions":["v1","v2"]}`)
@@ -102,7 +102,7 @@
 	find := func(n int) {
 		var wg sync.WaitGroup
 		for i := range n {
-			wg.Go(func() { _, _ = j.Find(context.Background(), time.Now(), service, fmt.Sprint(i)) })
+			wg.Go(func() { _, _ = j.Find(context.Background(), time.Now(), service, "", fmt.Sprint(i)) })
 		}
 		wg.Wait()
 	}
