--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -189,10 +189,14 @@
 
 func (g *Gateway) newExchange(call *fighollow.Call, out fighollow.Responder) *exchange {
 	x := &exchange{g: g, call: call, out: out, seed: maphash.String(g.seed, call.ID)}
-	x.log = g.log.With().Str("request", call.ID).Logger()
+	x.log = g.log.With().Str("request", call.ID[:min(len(call.ID), maxLoggedID)]).Logger()
 	return x
 }
 
+// maxLoggedID is the number of bytes of a request's id that are logged. A request without a key is refused, and logged, before the size of
+// its header is checked, which may be 1 MB.
+const maxLoggedID = 1 << 10
+
 // serve runs the request. The caller must send the refusal that it returns, if any.
 func (x *exchange) serve(ctx context.Context) *fighollow.Refusal {
 	t := x.g.table.Load()
--- a/internal/gateway/identity.go
+++ b/internal/gateway/identity.go
@@ -24,7 +24,8 @@
 		x.finish(refusal)
 		return false
 	}
-	call.Identity = &x.identity
+	identity := x.identity // without the rest of x
+	call.Identity = &identity
 	return true
 }
 
