--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/placement"
 	"github.com/fighollow/fighollow/internal/quarantine"
+	"github.com/fighollow/fighollow/internal/workspace"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -24,10 +25,11 @@
 	out  fighollow.Responder
 	log  zerolog.Logger
 
-	version uint64
-	route   *fighollow.Route
-	// workspace is the name of the workspace that the request was resolved to when it arrived; empty for none.
-	workspace string
+	version   uint64
+	route     *fighollow.Route
+	identity  fighollow.Identity // resolved when the request arrived, whatever becomes of the key
+	keyReason workspace.Reason   // why its key was refused
+	rank      int                // 0 is the most urgent
 	service   string
 	traits    fighollow.ServiceTraits
 	pool      *placement.Pool
@@ -115,7 +117,7 @@
 	}
 	req := &fighollow.Attempt{
 		Call: x.call, Upstream: c.Upstream, Phase: phase, KV: kv, FetchFrom: c.FetchFrom, ResumeAfter: x.resumeAfter,
-		Urgency: q.Urgency, Deadline: x.deadline,
+		Urgency: q.Urgency, Deadline: x.deadline, Identity: x.identity,
 	}
 	line := event.AttemptPlaced.Log(&x.log).Str("upstream", c.Upstream.ID).Int64("started", c.Upstream.StartedMs).Str("software", c.Upstream.Version).
 		Str("dataCentre", c.Upstream.DataCentre).
@@ -211,11 +213,11 @@
 // recordUsage records that an upstream began to run the request, or probably did, at a time. Only the first call counts: a request is billed
 // once, whatever becomes of it.
 func (x *exchange) recordUsage(at time.Time) {
-	if x.counted || x.workspace == "" || x.g.opts.Usage == nil {
+	if x.counted || x.identity.Workspace == "" || x.g.opts.Usage == nil {
 		return
 	}
 	x.counted = true
-	x.g.opts.Usage.Begun(at, x.workspace)
+	x.g.opts.Usage.Begun(at, x.identity.Workspace)
 }
 
 // end reports the end of the attempt to the placement and logs it. Calls after the first do nothing.
