lease: the lease is a package of its own and can be released

Orders to engines and usage reports are performed under one lease object, by two goroutines. internal/lease has the state of internal/roles and the calls of the store; roles keeps its calls, events and timing. An entry that stops can release the lease, so that another one acquires it at once. Release is not called yet.

TestHolderStopsInANewEra moves from roles.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/fighollow/fighollow/internal/callerconn"
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/gateway"
+	"github.com/fighollow/fighollow/internal/lease"
 	"github.com/fighollow/fighollow/internal/logging"
 	"github.com/fighollow/fighollow/internal/peers"
 	"github.com/fighollow/fighollow/internal/placement"
@@ -98,6 +99,7 @@
 	follower     *gateway.Follower
 	caches       *gateway.CachePoller
 	roster       *roster.Roster
+	lease        *lease.Holder
 	planner      *roles.Runner
 	quarantine   *quarantine.Writer
 	streams      *streams.Journal
@@ -149,7 +151,8 @@
 		Self: self, DataCentre: cfg.DataCentre, Claims: fleet.LimitClaims, Divider: divider,
 		OnObserver: p.setObserving, Address: p.peers.Address, OnPeers: p.peers.SetPeers,
 	}, p.store, p.gateway.SetEntries, log)
-	p.planner = roles.New(roles.Options{Self: self, LeaseDuration: cfg.Bounds.Lease}, p.store, dispatcher,
+	p.lease = lease.New(lease.Options{Self: self, Duration: cfg.Bounds.Lease}, p.store, log)
+	p.planner = roles.New(roles.Options{Self: self}, p.lease, p.store, dispatcher,
 		p.gateway.Routing, fleet.Upstreams, log)
 	return p
 }
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -55,6 +55,7 @@
 	StreamTakenUp       = Event{8056, "streamTakenUp", zerolog.InfoLevel, "a caller takes up a stream that broke off; software is the version at which it must go on, and source where this entry has found it. Without it the request is refused"}
 	PeerUntold          = Event{8057, "peerUntold", zerolog.DebugLevel, "a message to another entry was not sent; streams of this entry have one copy less, or a question one answer less"}
 	PeerUnread          = Event{8058, "peerUnread", zerolog.InfoLevel, "a message of another entry could not be received or decoded; it is ignored"}
+	RoleLeaseReleased   = Event{8064, "roleLeaseReleased", zerolog.InfoLevel, "this process stops and released the role lease after its last act, so that another one can acquire it at once; with an error, the others wait until it has expired"}
 	RoleOrdered         = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is ordered to change its role; the line has the reason and the load that the decision was based on"}
 	RoleOrderEnded      = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "the engine accepted or refused an order for a role change, or its answer was lost; in the last case it may still carry out the order, and gets no other for some time"}
 	ReportMissing       = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
@@ -68,4 +69,5 @@
 	EntriesCounted, EntryLapsed, EntryLeft, RosterUnread,
 	StoreEraBegan, StoreEraInvalid, UpstreamsSettled, PresetLost, LimitChanged, LimitMalformed, RegistrationInvalid, LimitReported, StreamWaits, CallerTimedOut,
 	PartQuarantined, PartReleased, QuarantineUnwritten, QuarantineInvalid, StreamsUnwritten, StreamsInvalid, LeavingAnnounced, PauseAsked, PauseMalformed, ObserverChanged, VersionsRecorded, VersionsUnwritten, StreamTakenUp, PeerUntold, PeerUnread,
+	RoleLeaseReleased,
 }
--- a/internal/roles/choice.go
+++ b/internal/roles/choice.go
@@ -17,8 +17,11 @@
 	choiceLost          // the object is that of a copy made before the newest choice
 )
 
-// heard records that the holder of the lease applied a choice when it wrote the lease.
-func (c *choice) heard(era uint64, chosenMs int64) {
+// ChosenMs implements lease.Choice.
+func (c *choice) ChosenMs() int64 { return c.chosenMs }
+
+// Heard implements lease.Choice: the holder of the lease applied a choice when it wrote the lease.
+func (c *choice) Heard(era uint64, chosenMs int64) {
 	if chosenMs > c.chosenMs && era >= c.era {
 		c.era, c.chosenMs = era, chosenMs
 	}
--- a/internal/roles/choice_test.go
+++ b/internal/roles/choice_test.go
@@ -20,25 +20,9 @@
 	qt.Assert(t, c.read(fighollow.NewVersion(4, 7), 1500), qt.Equals, choiceTaken)
 
 	next := choice{} // a new holder that only heard of the choice
-	next.heard(1, 2000)
+	next.Heard(1, 2000)
 	qt.Assert(t, next.read(fighollow.NewVersion(2, 5), 1000), qt.Equals, choiceLost)
 	same := choice{}
-	same.heard(1, 2000)
+	same.Heard(1, 2000)
 	qt.Assert(t, same.read(fighollow.NewVersion(1, 9), 1900), qt.Equals, choiceTaken)
 }
-
-// Guards against orders by a holder that has seen the store's return.
-func TestHolderStopsInANewEra(t *testing.T) {
-	l := lease{self: "a", duration: leaseTime}
-	l.recordWrite(0, fighollow.NewVersion(1, 5))
-	fence, ok := l.fence(1, 1)
-	qt.Assert(t, ok, qt.IsTrue)
-	_, ok = l.fence(1, 2)
-	qt.Assert(t, ok, qt.IsFalse)
-	l.markLost()
-	l.observe(1, 2, fighollow.NewVersion(2, 3), "b", 1)
-	qt.Assert(t, l.canAcquire(1), qt.IsTrue, qt.Commentf("nobody else can have acquired the lease meanwhile"))
-	l.recordWrite(1, fighollow.NewVersion(2, 4))
-	next, ok := l.fence(2, 2)
-	qt.Assert(t, ok && next > fence, qt.IsTrue)
-}
--- a/internal/roles/runner.go
+++ b/internal/roles/runner.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sys/unix"
 
 	"github.com/fighollow/fighollow/internal/event"
+	"github.com/fighollow/fighollow/internal/lease"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -36,6 +36,8 @@
 	reportTimeout = 500 * time.Millisecond
 	// orderTimeout bounds one order. An order may arrive until it expires, so it is well below the lease duration.
 	orderTimeout = 700 * time.Millisecond
+	// releaseTimeout bounds the release of the lease: the longest act, then one write.
+	releaseTimeout = 2500 * time.Millisecond
 	// unknownOutcomePause is how long no further order is sent to an engine after an order with an unknown outcome, which
 	// may still be carried out.
 	unknownOutcomePause = 13 * time.Second
@@ -43,11 +45,14 @@
 
 // Options configures a Runner.
 type Options struct {
-	Self          string        // name of this entry in the lease and in orders
-	LeaseDuration time.Duration // the shortest pause between orders of two holders
+	Self    string // name of this entry in orders
+	Release bool   // release the lease when Run ends
+	// Others returns when the other parts of the process that act under the lease have stopped acting, which they do when the context of
+	// Run is done; nil for none. It is called only with Release.
+	Others func()
 }
 
-// Runner competes for the lease on behalf of one entry and manages the engines' roles while it holds the lease.
+// Runner renews or competes for the lease on behalf of one entry and manages the engines' roles while it holds the lease.
 type Runner struct {
 	opts        Options
 	store       fighollow.ObjectStore
@@ -55,7 +60,7 @@
 	routing     func() *fighollow.Routing
 	engines     func(service string) []fighollow.Upstream
 	log         zerolog.Logger
-	lease       lease
+	lease       *lease.Holder
 	planners    map[string]*Planner
 	pausedUntil map[string]time.Time // by engine whose last order had an unknown outcome
 	ordered     map[string]lastOrder // last order sent, by engine
@@ -79,31 +84,35 @@
 	at   time.Time // zero if the engine refused it
 }
 
-// New returns a Runner. routing returns the current routing, or nil before the first one is known; engines returns the
+// New returns a Runner, which alone drives the lease. routing returns the current routing, or nil before the first one is known; engines returns the
 // current engines of a service in a slice that the Runner may reorder.
-func New(opts Options, store fighollow.ObjectStore, control fighollow.EngineControl, routing func() *fighollow.Routing,
+func New(opts Options, holder *lease.Holder, store fighollow.ObjectStore, control fighollow.EngineControl, routing func() *fighollow.Routing,
 	engines func(service string) []fighollow.Upstream, log zerolog.Logger,
 ) *Runner {
 	return &Runner{
 		opts: opts, store: store, control: control, routing: routing, engines: engines, log: log,
-		lease:    lease{self: opts.Self, duration: opts.LeaseDuration},
+		lease:    holder,
 		planners: make(map[string]*Planner), pausedUntil: make(map[string]time.Time),
 		ordered: make(map[string]lastOrder), reports: make(map[string]report),
 	}
 }
 
-// bootTime returns the time since boot. Unlike the clock of time.Since, it includes the time in which the machine was
-// suspended.
-func bootTime() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		return time.Duration(time.Now().UnixNano()) // unreachable: every supported kernel has this clock
+// Run acquires and renews the lease, and sends orders to engines while it holds the lease, until ctx is done. Then it releases the
+// lease, if that is enabled.
+func (r *Runner) Run(ctx context.Context) {
+	r.run(ctx)
+	if !r.opts.Release {
+		return
+	}
+	if r.opts.Others != nil {
+		r.opts.Others()
 	}
-	return time.Duration(ts.Nano())
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	r.lease.Release(ctx, &r.preset)
 }
 
-// Run acquires and renews the lease, and sends orders to engines while it holds the lease, until ctx is done.
-func (r *Runner) Run(ctx context.Context) {
+func (r *Runner) run(ctx context.Context) {
 	interval := time.Duration(rand.Int64N(int64(holderInterval / 4)))
 	for {
 		select {
@@ -123,82 +132,9 @@
 	}
 }
 
-// leaseRecord is the stored value of the lease.
-type leaseRecord struct {
-	Holder string `json:"holder"`
-	Round  uint64 `json:"round"`         // differs in each write, so that every renewal changes the object
-	Era    uint64 `json:"era,omitempty"` // of the store when the holder wrote this; an older copy names an earlier one
-	// ChosenMs is when the preset that the holder applies was chosen, in Unix milliseconds; 0 if it knows none.
-	ChosenMs int64 `json:"chosenMs,omitempty"`
-}
-
 // acquireOrRenew renews the lease, or tries to acquire it if this entry does not hold it. It reports whether this
 // entry may now send orders.
-func (r *Runner) acquireOrRenew(ctx context.Context) bool {
-	if r.lease.term != 0 && fighollow.StoreEra(r.store) != r.lease.era {
-		r.lease.markLost()
-		event.RoleLeaseLost.Log(&r.log).Str("reason", "newEra").Uint64("era", fighollow.StoreEra(r.store)).Send()
-	}
-	if r.lease.term == 0 {
-		if !r.readLease(ctx) || !r.lease.canAcquire(bootTime()) {
-			return false
-		}
-	}
-	sent := bootTime()
-	value, err := json.Marshal(leaseRecord{Holder: r.opts.Self, Round: uint64(sent), Era: r.lease.era, ChosenMs: r.preset.chosenMs})
-	if err != nil {
-		panic(err) // strings and numbers always encode
-	}
-	o := fighollow.Object{Kind: fighollow.KindRoleLease, Name: fighollow.RoleLeaseName, Value: value}
-	wasHolder := r.lease.term != 0
-	version, err := r.store.Put(ctx, o, r.lease.version)
-	switch {
-	case err == nil:
-		r.lease.recordWrite(sent, version)
-		if !wasHolder {
-			event.RoleLeaseTaken.Log(&r.log).Uint64("term", r.lease.term).Send()
-		}
-	case errors.Is(err, fighollow.ErrConflict), errors.Is(err, fighollow.ErrNotFound):
-		r.lease.markLost()
-		if wasHolder {
-			event.RoleLeaseLost.Log(&r.log).Err(err).Send()
-		}
-		return false
-	case errors.Is(err, fighollow.ErrUnknownOutcome):
-		// The version to expect in the next write is unknown until the lease is read again.
-		r.lease.markLost()
-		event.RoleLeaseLost.Log(&r.log).Err(err).Send()
-		return false
-	default:
-		// Nothing was written. The lease stays valid until it expires.
-		event.RoleLeaseUnread.Log(&r.log).Err(err).Send()
-	}
-	_, ok := r.lease.fence(bootTime(), fighollow.StoreEra(r.store))
-	return ok
-}
-
-// readLease reads the lease from the store. It reports false if the store is unavailable.
-func (r *Runner) readLease(ctx context.Context) bool {
-	// A stale read only delays an acquisition, because the write is conditional on the version read.
-	o, err := fighollow.GetStale(ctx, r.store, fighollow.KindRoleLease, fighollow.RoleLeaseName)
-	now := bootTime()
-	if errors.Is(err, fighollow.ErrNotFound) {
-		r.lease.observe(now, fighollow.StoreEra(r.store), 0, "", 0)
-		return true
-	}
-	if err != nil {
-		event.RoleLeaseUnread.Log(&r.log).Err(err).Send()
-		return false
-	}
-	var v leaseRecord
-	if err := json.Unmarshal(o.Value, &v); err != nil {
-		event.RoleLeaseUnread.Log(&r.log).Err(err).Send()
-		v.Holder = "" // another entry acquires the lease once it has not changed for long enough
-	}
-	r.lease.observe(now, fighollow.VersionEra(o.Version), o.Version, v.Holder, v.Era)
-	r.preset.heard(fighollow.VersionEra(o.Version), v.ChosenMs)
-	return true
-}
+func (r *Runner) acquireOrRenew(ctx context.Context) bool { return r.lease.Step(ctx, &r.preset) }
 
 // readPreset applies the policy of the preset in force. It keeps the current policy if the object cannot be read, its version is
 // not newer, or the store came back with an older choice.
@@ -319,7 +255,7 @@
 		if time.Now().Before(r.pausedUntil[u.ID]) {
 			continue
 		}
-		fence, ok := r.lease.fence(bootTime()+orderTimeout, fighollow.StoreEra(r.store))
+		fence, ok := r.lease.Fence(orderTimeout)
 		if !ok {
 			return
 		}
--- a/internal/roles/runner_test.go
+++ b/internal/roles/runner_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"github.com/fighollow/fighollow/internal/lease"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -91,7 +92,8 @@
 		ups = append(ups, u)
 	}
 	routing := &fighollow.Routing{Services: map[string]fighollow.ServiceTraits{"m": {Name: "m", Engine: &traits}}}
-	r := New(Options{Self: "n1", LeaseDuration: 3 * time.Second}, store, control, func() *fighollow.Routing { return routing },
+	holder := lease.New(lease.Options{Self: "n1", Duration: 3 * time.Second}, store, zerolog.Nop())
+	r := New(Options{Self: "n1"}, holder, store, control, func() *fighollow.Routing { return routing },
 		func(string) []fighollow.Upstream { return append([]fighollow.Upstream(nil), ups...) }, zerolog.Nop())
 	return r, store, control
 }
@@ -121,7 +123,9 @@
 	qt.Assert(t, r.acquireOrRenew(context.Background()), qt.IsFalse)
 	// The write took effect, so the next read returns this entry as the holder.
 	qt.Assert(t, r.acquireOrRenew(context.Background()), qt.IsTrue)
-	qt.Assert(t, r.lease.term, qt.Equals, uint64(3))
+	fence, ok := r.lease.Fence(0)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, fence, qt.Equals, uint64(3))
 }
 
 // Guards against polling that costs an entry more than it may spend in a large fleet.
@@ -157,7 +161,7 @@
 // unreadable preset.
 func TestPolicyOfThePresetInForce(t *testing.T) {
 	store := &fakeStore{}
-	r := New(Options{Self: "n1", LeaseDuration: time.Second}, store, nil, nil, nil, zerolog.Nop())
+	r := New(Options{Self: "n1"}, nil, store, nil, nil, nil, zerolog.Nop())
 	ctx := context.Background()
 	putInForce := func(version uint64, value string) {
 		store.inForce = fighollow.Object{Version: version, Value: json.RawMessage(value)}
