--- a/pkg/fighollow/routing.go
+++ b/pkg/fighollow/routing.go
@@ -60,6 +60,8 @@
 	// MaxConnections is the maximum number of connections that each upstream accepts from all entries together; 0 means
 	// no limit.
 	MaxConnections int
+	// Scales reports that the configuration asks for a number of upstreams that follows the load. This is not supported.
+	Scales bool
 }
 
 // IngressLimits bound the size and duration of callers' requests. For a zero field the process's own default applies.
