usage: reports are frozen in the store, then sent by the holder of the lease

A report is sent only after its counts were written to the store and the write was acknowledged or read back, so that the next holder repeats them exactly.

--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -56,6 +56,13 @@
 	PeerUntold          = Event{8057, "peerUntold", zerolog.DebugLevel, "a message to another entry was not sent; streams of this entry have one copy less, or a question one answer less"}
 	PeerUnread          = Event{8058, "peerUnread", zerolog.InfoLevel, "a message of another entry could not be received or decoded; it is ignored"}
 	RoleLeaseReleased   = Event{8064, "roleLeaseReleased", zerolog.InfoLevel, "this process stops and released the role lease after its last act, so that another one can acquire it at once; with an error, the others wait until it has expired"}
+	UsageFrozen         = Event{8065, "usageFrozen", zerolog.InfoLevel, "the report of a window's usage was written to the store; its counts no longer change, and it is sent next"}
+	UsageAccepted       = Event{8066, "usageAccepted", zerolog.InfoLevel, "the platform accepted the report of a window's usage; ageMs is the time since the end of the window"}
+	UsageRepeated       = Event{8067, "usageRepeated", zerolog.InfoLevel, "the report of a window's usage is sent again without a change, because the last call failed (lastError) or another process may have sent it"}
+	UsageGivenUp        = Event{8068, "usageGivenUp", zerolog.ErrorLevel, "the usage of the windows from first to last is not reported: it was refused for good, it is too old, or other counts may have been reported that the store has lost"}
+	UsageUnstored       = Event{8069, "usageUnstored", zerolog.WarnLevel, "the usage reports could not be read from the store, decoded or written; it is tried again, and until then no further window is reported"}
+	UsageRead           = Event{8070, "usageRead", zerolog.InfoLevel, "the holder of the role lease has read which windows were reported, and the reports that it has to repeat"}
+	DutyUnsupported     = Event{8071, "dutyUnsupported", zerolog.ErrorLevel, "the platform requires a duty that this process does not perform; the line has the reason"}
 	RoleOrdered         = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is ordered to change its role; the line has the reason and the load that the decision was based on"}
 	RoleOrderEnded      = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "the engine accepted or refused an order for a role change, or its answer was lost; in the last case it may still carry out the order, and gets no other for some time"}
 	ReportMissing       = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
@@ -69,5 +76,5 @@
 	EntriesCounted, EntryLapsed, EntryLeft, RosterUnread,
 	StoreEraBegan, StoreEraInvalid, UpstreamsSettled, PresetLost, LimitChanged, LimitMalformed, RegistrationInvalid, LimitReported, StreamWaits, CallerTimedOut,
 	PartQuarantined, PartReleased, QuarantineUnwritten, QuarantineInvalid, StreamsUnwritten, StreamsInvalid, LeavingAnnounced, PauseAsked, PauseMalformed, ObserverChanged, VersionsRecorded, VersionsUnwritten, StreamTakenUp, PeerUntold, PeerUnread,
-	RoleLeaseReleased,
+	RoleLeaseReleased, UsageFrozen, UsageAccepted, UsageRepeated, UsageGivenUp, UsageUnstored, UsageRead, DutyUnsupported,
 }
