gateway: usage reports and the release of the lease behind the setting

Without the duty in the settings nothing is started and the lease is never released. Duties that are required and not performed are logged once.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -35,6 +35,7 @@
 	"github.com/fighollow/fighollow/internal/roster"
 	"github.com/fighollow/fighollow/internal/streams"
 	"github.com/fighollow/fighollow/internal/upstream"
+	"github.com/fighollow/fighollow/internal/usage"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 	"github.com/fighollow/fighollow/platform"
 )
@@ -101,6 +102,8 @@
 	roster       *roster.Roster
 	lease        *lease.Holder
 	planner      *roles.Runner
+	reporter     *usage.Reporter // nil if usage is not reported
+	reporterDone chan struct{}   // closed when reporter has sent its last call
 	quarantine   *quarantine.Writer
 	streams      *streams.Journal
 	peers        *peers.Link
@@ -117,7 +120,7 @@
 		store: platform.NewStore(platform.StoreOptions{
 			Address: cfg.StoreAddress, Stable: cfg.Bounds.Stable, History: cfg.StoreHistory, Registry: registry,
 		}, log),
-		pool: upstream.New(), observing: make(chan bool, 1),
+		pool: upstream.New(), observing: make(chan bool, 1), reporterDone: make(chan struct{}),
 	}
 	self := cfg.Node + "@" + cfg.Address
 	divider := quota.New(self)
@@ -152,7 +155,11 @@
 		OnObserver: p.setObserving, Address: p.peers.Address, OnPeers: p.peers.SetPeers,
 	}, p.store, p.gateway.SetEntries, log)
 	p.lease = lease.New(lease.Options{Self: self, Duration: cfg.Bounds.Lease}, p.store, log)
-	p.planner = roles.New(roles.Options{Self: self}, p.lease, p.store, dispatcher,
+	reports := reportsUsage(&cfg)
+	if reports {
+		p.reporter = p.newReporter()
+	}
+	p.planner = roles.New(roles.Options{Self: self, Release: reports, Others: func() { <-p.reporterDone }}, p.lease, p.store, dispatcher,
 		p.gateway.Routing, fleet.Upstreams, log)
 	return p
 }
@@ -215,8 +222,12 @@
 		p.follower.FollowWhile(bgCtx, fighollow.KindCrashReports, p.observing, p.quarantine.ApplyReports, p.quarantine.StopObserving)
 	})
 	background.Go(func() { p.reloadOnHangup(bgCtx, hangups) })
-	// ctx ends at the start of the stop: a stopping entry sends no more orders, and another entry takes over the lease.
+	// ctx ends at the start of the stop: a stopping entry sends no more orders and reports, and another entry takes over the lease.
 	background.Go(func() { p.planner.Run(ctx) })
+	if p.reporter != nil {
+		background.Go(func() { p.runReporter(ctx) })
+	}
+	background.Go(func() { p.logDuties(bgCtx) })
 	p.logStart()
 	select {
 	case <-ctx.Done():
@@ -234,7 +245,11 @@
 // logStart logs the settings in effect.
 func (p *gatewayProcess) logStart() {
 	cfg, b := &p.cfg, &p.cfg.Bounds
-	event.ProcessStarted.Log(&p.log).Str("http", cfg.Ingress).Str("readiness", cfg.Readiness).Str("store", cfg.StoreAddress).
+	line := event.ProcessStarted.Log(&p.log)
+	if p.reporter != nil {
+		line.Str("cloud", cfg.Cloud.Address).Dur("reportWindowMs", b.ReportWindow).Float64("dutyPerS", cfg.Cloud.CallsPS)
+	}
+	line.Str("http", cfg.Ingress).Str("readiness", cfg.Readiness).Str("store", cfg.StoreAddress).
 		Str("dataCentre", cfg.DataCentre).Str("version", version).Dur("drainMs", b.Drain).Dur("graceMs", b.Grace).
 		Dur("leaseMs", b.Lease).Dur("stableMs", b.Stable).Dur("configMs", b.Config).Dur("heartbeatMs", cfg.Heartbeat).Float64("retryRatio", b.RetryRatio).Int("retrySlack", b.RetrySlack).
 		Bool("fencesChecked", b.RequireFencing).Int("metricsPort", p.metricsPort).Send()
@@ -319,6 +334,9 @@
 		now := time.Now()
 		return min(p.follower.SinceLastAnswer(now), now.Sub(p.store.LastAnswer())).Milliseconds()
 	})
+	if p.reporter != nil {
+		gauge("usage.oldestMs", p.reporter.OldestMs)
+	}
 	gauge("upstreams.connections", p.pool.Dials)
 	gauge("log.dropped", p.sink.Dropped)
 	gauge("routing.version", func() int64 {
