--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/fighollow/fighollow/internal/callerconn"
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/gateway"
+	"github.com/fighollow/fighollow/internal/lease"
 	"github.com/fighollow/fighollow/internal/logging"
 	"github.com/fighollow/fighollow/internal/peers"
 	"github.com/fighollow/fighollow/internal/placement"
@@ -100,7 +101,10 @@
 	follower     *gateway.Follower
 	caches       *gateway.CachePoller
 	roster       *roster.Roster
+	lease        *lease.Holder
 	planner      *roles.Runner
+	usage        *usageParts   // nil if usage is not reported
+	reporterDone chan struct{} // closed when the reporter has sent its last call
 	quarantine   *quarantine.Writer
 	streams      *streams.Journal
 	peers        *peers.Link
@@ -118,7 +122,7 @@
 		store: platform.NewStore(platform.StoreOptions{
 			Address: cfg.StoreAddress, Stable: cfg.Bounds.Stable, History: cfg.StoreHistory, Registry: registry,
 		}, log),
-		pool: upstream.New(), control: upstream.New(), observing: make(chan bool, 1),
+		pool: upstream.New(), control: upstream.New(), observing: make(chan bool, 1), reporterDone: make(chan struct{}),
 	}
 	self := cfg.Node + "@" + cfg.Address
 	divider := quota.New(self)
@@ -140,10 +144,16 @@
 		Admit: func(service string, versions []string) { fleet.Pool(service).Admit(versions) },
 		Peers: p.peers,
 	}, p.store, log)
+	p.lease = lease.New(lease.Options{Self: self, Duration: cfg.Bounds.Lease}, p.store, log)
+	var recorder fighollow.UsageRecorder
+	if reportsUsage(&cfg) {
+		p.usage = p.newUsage(self)
+		recorder = p.usage.counter
+	}
 	p.revocation = workspace.Revocation{Strict: cfg.Bounds.StrictRevocation, Within: cfg.Bounds.Revoke}
 	p.gateway = gateway.New(gateway.Options{
 		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: p.registry, Quarantine: crashes, Streams: p.streams,
-		Revocation: p.revocation,
+		Revocation: p.revocation, Usage: recorder,
 	}, fleet, dispatcher, log)
 	decode := gateway.Decoder{Routing: platform.DecodeRouting, Upstream: platform.DecodeUpstream}
 	p.follower = gateway.NewFollower(p.store, decode, p.gateway, fleet, gateway.Freshness{
@@ -154,7 +164,7 @@
 		Self: self, DataCentre: cfg.DataCentre, Claims: fleet.LimitClaims, Divider: divider,
 		OnObserver: p.setObserving, Address: p.peers.Address, OnPeers: p.peers.SetPeers,
 	}, p.store, p.gateway.SetEntries, log)
-	p.planner = roles.New(roles.Options{Self: self, LeaseDuration: cfg.Bounds.Lease}, p.store, dispatcher,
+	p.planner = roles.New(roles.Options{Self: self, Release: p.usage != nil, Others: func() { <-p.reporterDone }}, p.lease, p.store, dispatcher,
 		p.gateway.Routing, fleet.Upstreams, log)
 	return p
 }
@@ -227,8 +237,13 @@
 		p.follower.FollowWhile(bgCtx, fighollow.KindCrashReports, p.observing, p.quarantine.ApplyReports, p.quarantine.StopObserving)
 	})
 	background.Go(func() { p.reloadOnHangup(bgCtx, hangups) })
-	// ctx ends at the start of the stop: a stopping entry sends no more orders, and another entry takes over the lease.
+	// ctx ends at the start of the stop: a stopping entry sends no more orders and reports, and another entry takes over the lease.
 	background.Go(func() { p.planner.Run(ctx) })
+	if p.usage != nil {
+		background.Go(func() { p.runReporter(ctx) })
+	}
+	background.Go(func() { p.logDuties(bgCtx) })
+	stopCollector := p.startCollector()
 	p.logStart()
 	select {
 	case <-ctx.Done():
@@ -236,6 +251,7 @@
 	case err = <-serverErrs:
 		cancel()
 	}
+	stopCollector()
 	cancelBg()
 	background.Wait()
 	err = errors.Join(err, readinessServer.Close())
@@ -246,7 +262,11 @@
 // logStart logs the settings in effect.
 func (p *gatewayProcess) logStart() {
 	cfg, b := &p.cfg, &p.cfg.Bounds
-	event.ProcessStarted.Log(&p.log).Str("http", cfg.Ingress).Str("readiness", cfg.Readiness).Str("store", cfg.StoreAddress).
+	line := event.ProcessStarted.Log(&p.log)
+	if p.usage != nil {
+		line.Str("cloud", cfg.Cloud.Address).Dur("reportWindowMs", b.ReportWindow).Float64("dutyPerS", cfg.Cloud.CallsPS)
+	}
+	line.Str("http", cfg.Ingress).Str("readiness", cfg.Readiness).Str("store", cfg.StoreAddress).
 		Str("dataCentre", cfg.DataCentre).Str("version", version).Dur("drainMs", b.Drain).Dur("graceMs", b.Grace).
 		Dur("leaseMs", b.Lease).Dur("stableMs", b.Stable).Dur("configMs", b.Config).Dur("heartbeatMs", cfg.Heartbeat).Float64("retryRatio", b.RetryRatio).Int("retrySlack", b.RetrySlack).
 		Bool("fencesChecked", b.RequireFencing).Bool("strictRevocation", b.StrictRevocation).Dur("revokeMs", b.Revoke).Int("metricsPort", p.metricsPort).Send()
@@ -331,6 +351,9 @@
 		now := time.Now()
 		return min(p.follower.SinceLastAnswer(now), now.Sub(p.store.LastAnswer())).Milliseconds()
 	})
+	if p.usage != nil {
+		gauge("usage.oldestMs", p.usage.reporter.OldestMs)
+	}
 	gauge("upstreams.connections", func() int64 { return p.pool.Dials() + p.control.Dials() })
 	gauge("log.dropped", p.sink.Dropped)
 	gauge("routing.version", func() int64 {
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -58,6 +58,14 @@
 	RoutingProblem      = Event{8059, "routingProblem", zerolog.ErrorLevel, "a part of the routing configuration is not usable and is ignored, the rest is in force. problem is the reason: a key that several workspaces have belongs to none of them; index is that of the workspace in the list, and key that of the key in the workspace's list"}
 	KeysUnconfirmed     = Event{8060, "keysUnconfirmed", zerolog.WarnLevel, "strict revocation is set and the store has not confirmed the configuration in time; requests that need a key are refused until it does"}
 	KeysConfirmed       = Event{8061, "keysConfirmed", zerolog.InfoLevel, "the store has confirmed the configuration again; requests with keys are served"}
+	RoleLeaseReleased   = Event{8064, "roleLeaseReleased", zerolog.InfoLevel, "this process stops and released the role lease after its last act, so that another one can acquire it at once; with an error, the others wait until it has expired"}
+	UsageFrozen         = Event{8065, "usageFrozen", zerolog.InfoLevel, "the report of a window's usage was written to the store; its counts no longer change, and it is sent next"}
+	UsageAccepted       = Event{8066, "usageAccepted", zerolog.InfoLevel, "the platform accepted the report of a window's usage; ageMs is the time since the end of the window"}
+	UsageRepeated       = Event{8067, "usageRepeated", zerolog.InfoLevel, "the report of a window's usage is sent again without a change, because the last call failed (lastError) or another process may have sent it"}
+	UsageGivenUp        = Event{8068, "usageGivenUp", zerolog.ErrorLevel, "the usage of the windows from first to last is not reported: it was refused for good, it is too old, or other counts may have been reported that the store has lost"}
+	UsageUnstored       = Event{8069, "usageUnstored", zerolog.WarnLevel, "the usage reports could not be read from the store, decoded or written; it is tried again, and until then no further window is reported"}
+	UsageRead           = Event{8070, "usageRead", zerolog.InfoLevel, "the holder of the role lease has read which windows were reported, and the reports that it has to repeat"}
+	DutyUnsupported     = Event{8071, "dutyUnsupported", zerolog.ErrorLevel, "the platform requires a duty that this process does not perform; the line has the reason"}
 	UsageClockCorrected = Event{8072, "usageClockCorrected", zerolog.InfoLevel, "this process changed its estimate of true time, by which usage is counted, by changeMs: the median of what it and its peers measured at their starts"}
 	UsageMessageIgnored = Event{8073, "usageMessageIgnored", zerolog.DebugLevel, "a message of another entry about usage is malformed or absurd, or exceeds what is kept; what cannot be used of it is ignored"}
 	UsageCountersLost   = Event{8074, "usageCountersLost", zerolog.WarnLevel, "counts of usage were not kept because of too many processes, workspaces or counters, a name that is too long or a window that was dropped; reports may be too low. The line has how many since the last such line"}
@@ -76,5 +84,6 @@
 	StoreEraBegan, StoreEraInvalid, UpstreamsSettled, PresetLost, LimitChanged, LimitMalformed, RegistrationInvalid, LimitReported, StreamWaits, CallerTimedOut,
 	PartQuarantined, PartReleased, QuarantineUnwritten, QuarantineInvalid, StreamsUnwritten, StreamsInvalid, LeavingAnnounced, PauseAsked, PauseMalformed, ObserverChanged, VersionsRecorded, VersionsUnwritten, StreamTakenUp, PeerUntold, PeerUnread,
 	RoutingProblem, KeysUnconfirmed, KeysConfirmed,
+	RoleLeaseReleased, UsageFrozen, UsageAccepted, UsageRepeated, UsageGivenUp, UsageUnstored, UsageRead, DutyUnsupported,
 	UsageClockCorrected, UsageMessageIgnored, UsageCountersLost, UsageCountersAsked,
 }
