soak: workspaces with keys, usage reports and their oracle

The oracle judges keys, the workspace that upstreams get, holders and their fencing tokens, and the reports against what upstreams began.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -6,12 +6,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -25,6 +27,17 @@
 // errFindings is returned if a promise was broken.
 var errFindings = errors.New("a promise was broken")
 
+// Values of the flag workspaces.
+const (
+	workspacesDrawn = "drawn"
+	workspacesOn    = "on"
+	workspacesOff   = "off"
+)
+
+func hasWorkspaces(which string, seed uint64) bool {
+	return which == workspacesOn || which == workspacesDrawn && soak.HasWorkspaces(seed)
+}
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -39,11 +52,20 @@
 			&cli.IntFlag{Name: "processes", Value: 12, Usage: "about so many processes in a run"},
 			&cli.IntFlag{Name: "parallel", Value: 1, Usage: "`NUMBER` of runs at once"},
 			&cli.BoolFlag{Name: "crash-part", Usage: "add a part of prompts that crashes engines to each run"},
+			&cli.StringFlag{
+				Name: "workspaces", Value: workspacesOff, Usage: "`WHICH` runs have keys and usage reports: drawn, on or off",
+				Validator: func(value string) error {
+					if !slices.Contains([]string{workspacesDrawn, workspacesOn, workspacesOff}, value) {
+						return fmt.Errorf("%q is not drawn, on or off", value)
+					}
+					return nil
+				},
+			},
 			&cli.StringFlag{Name: "gateway", Usage: "`FILE` of the fighollow program; built if empty"},
 			&cli.StringFlag{Name: "report", Usage: "`DIRECTORY` for records and logs; a temporary one if empty"},
 		},
 		Action:   runSeeds,
-		Commands: []*cli.Command{storeCommand(), upstreamCommand(), callersCommand()},
+		Commands: []*cli.Command{storeCommand(), usageCommand(), upstreamCommand(), callersCommand()},
 	}
 	if err := cmd.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
@@ -85,7 +107,7 @@
 			seed := first + uint64(i)
 			rep, err := soak.Run(ctx, soak.Options{
 				Seed: seed, Duration: c.Duration("duration"), Processes: c.Int("processes"), Gateway: gateway, Self: self, CrashPart: c.Bool("crash-part"),
-				Dir: filepath.Join(dir, fmt.Sprintf("seed%d", seed)),
+				Dir: filepath.Join(dir, fmt.Sprintf("seed%d", seed)), Workspaces: hasWorkspaces(c.String("workspaces"), seed),
 			})
 			mu.Lock()
 			defer mu.Unlock()
@@ -126,7 +148,7 @@
 	}
 	for i, f := range r.Findings {
 		if i == 10 {
-			fmt.Printf("   and %d more\n", len(r.Findings)-i)
+			fmt.Printf("   and %d more; of all, %s\n", len(r.Findings)-i, countByRule(r.Findings))
 			break
 		}
 		fmt.Println("  ", f)
@@ -135,10 +157,26 @@
 	if r.Plan.CrashPart {
 		fmt.Print(" --crash-part")
 	}
+	if r.Plan.Workspaces {
+		fmt.Print(" --workspaces on")
+	}
 	fmt.Println()
 	return errFindings
 }
 
+// countByRule returns the numbers of findings of each rule.
+func countByRule(findings []soak.Finding) string {
+	numbers := make(map[string]int)
+	for _, f := range findings {
+		numbers[f.Rule]++
+	}
+	var out []string
+	for _, rule := range slices.Sorted(maps.Keys(numbers)) {
+		out = append(out, fmt.Sprintf("%s %d", rule, numbers[rule]))
+	}
+	return strings.Join(out, ", ")
+}
+
 func recordsFlag() cli.Flag {
 	return &cli.StringFlag{Name: "records", Required: true, Usage: "`FILE` for what it sees"}
 }
@@ -154,6 +192,21 @@
 	}
 }
 
+func usageCommand() *cli.Command {
+	return &cli.Command{
+		Name: "usage", Usage: "run the stand-in of the platform's API for usage reports", Hidden: true,
+		Flags: []cli.Flag{&cli.StringFlag{Name: "listen", Required: true}, recordsFlag()},
+		Action: func(_ context.Context, c *cli.Command) error {
+			rec, err := soak.NewRecorder(c.String("records"))
+			if err != nil {
+				return err
+			}
+			s := &http.Server{Addr: c.String("listen"), Handler: soak.NewUsageServer(rec), ReadHeaderTimeout: 10 * time.Second}
+			return s.ListenAndServe()
+		},
+	}
+}
+
 func upstreamCommand() *cli.Command {
 	return &cli.Command{
 		Name: "upstream", Usage: "run the stand-in of an engine or a plain service", Hidden: true,
@@ -181,7 +234,7 @@
 		Name: "callers", Usage: "run callers", Hidden: true,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "name", Required: true}, &cli.Uint64Flag{Name: "seed"}, &cli.IntFlag{Name: "workers", Value: 1},
-			&cli.IntFlag{Name: "resting"}, &cli.BoolFlag{Name: "rude"}, &cli.BoolFlag{Name: "crash-part"},
+			&cli.IntFlag{Name: "resting"}, &cli.BoolFlag{Name: "rude"}, &cli.BoolFlag{Name: "crash-part"}, &cli.BoolFlag{Name: "workspaces"},
 			&cli.StringSliceFlag{Name: "entry", Usage: "`NAME=INGRESS=READINESS`"}, recordsFlag(),
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -191,7 +244,7 @@
 			}
 			callers := &soak.Callers{
 				Name: c.String("name"), Workers: c.Int("workers"), Resting: c.Int("resting"), Seed: c.Uint64("seed"), Rude: c.Bool("rude"),
-				CrashPart: c.Bool("crash-part"), Recorder: rec,
+				CrashPart: c.Bool("crash-part"), Workspaces: c.Bool("workspaces"), Recorder: rec,
 			}
 			for _, e := range c.StringSlice("entry") {
 				parts := strings.Split(e, "=")
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -31,7 +31,9 @@
 	Rude    bool // some callers cut their requests, read slowly, speak HTTP/1.0 or rest for as long as the idle timeout
 	// CrashPart lets some streams have a part that can crash engines.
 	CrashPart bool
-	Recorder  *Recorder
+	// Workspaces lets requests have keys, or lack them, and some go to public routes.
+	Workspaces bool
+	Recorder   *Recorder
 
 	mu     sync.Mutex
 	misses []int // consecutive failed readiness checks of each entry
@@ -44,7 +46,10 @@
 	wg.Go(func() { c.checkReadiness(ctx) })
 	for i := range c.Workers + c.Resting {
 		wg.Go(func() {
-			w := &worker{c: c, name: fmt.Sprintf("%s-%d", c.Name, i), rnd: rand.New(rand.NewPCG(c.Seed, uint64(i))), prompts: rand.New(rand.NewPCG(c.Seed, uint64(i)<<32+1))}
+			w := &worker{
+				c: c, name: fmt.Sprintf("%s-%d", c.Name, i), rnd: rand.New(rand.NewPCG(c.Seed, uint64(i))),
+				prompts: rand.New(rand.NewPCG(c.Seed, uint64(i)<<32+1)), keys: rand.New(rand.NewPCG(c.Seed, uint64(i)<<32+2)),
+			}
 			for ctx.Err() == nil {
 				w.request()
 				sleep(ctx, w.rest(i))
@@ -102,6 +107,7 @@
 	n    int
 	// prompts draws the prompts, so that the other draws do not depend on CrashPart.
 	prompts *rand.Rand
+	keys    *rand.Rand // draws the credentials, for the same reason
 	nc      net.Conn
 	br      *bufio.Reader
 	to      string // name of the entry at the other end of nc
@@ -134,6 +140,13 @@
 	w.n++
 	id := fmt.Sprintf("%s-%d", w.name, w.n)
 	route := soakRoutes[w.rnd.IntN(len(soakRoutes))]
+	var who credentials
+	if w.c.Workspaces {
+		who = drawCredentials(w.keys)
+		if w.keys.IntN(8) == 0 {
+			route = []string{routeOpen, routeOpenStream}[w.keys.IntN(2)]
+		}
+	}
 	got := Record{Kind: KindGot, Request: id, Route: route}
 	if w.nc == nil {
 		entry := w.c.pick(w.rnd)
@@ -153,8 +166,8 @@
 	if !isStream(route) {
 		prompt = ""
 	}
-	text, proto, cut := w.message(id, route, prompt)
-	w.c.Recorder.Add(Record{Kind: KindSent, Request: id, Route: route, NotSent: cut, Part: partOf(prompt)})
+	text, proto, cut := w.message(id, route, prompt, who)
+	w.c.Recorder.Add(Record{Kind: KindSent, Request: id, Route: route, NotSent: cut, Part: partOf(prompt), Key: who.key, Text: who.form})
 	// The caller waits longer than its deadline, to see what the entry does at it.
 	_ = w.nc.SetDeadline(time.Now().Add(requestDeadline + time.Second))
 	_, err := io.WriteString(w.nc, text)
@@ -175,7 +188,7 @@
 }
 
 // message returns a request as it is sent. cut reports that its end is left out.
-func (w *worker) message(id, route, prompt string) (text, proto string, cut bool) {
+func (w *worker) message(id, route, prompt string, who credentials) (text, proto string, cut bool) {
 	proto = "HTTP/1.1"
 	if w.c.Rude && w.rnd.IntN(10) == 0 {
 		proto = "HTTP/1.0"
@@ -186,6 +199,7 @@
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s /%s/x %s\r\nHost: %s\r\nRequest-Id: %s\r\nRequest-Deadline-Ms: %d\r\n", method, route, proto, soakHost, id, requestDeadline.Milliseconds())
+	b.WriteString(who.header)
 	if prompt != "" {
 		fmt.Fprintf(&b, "Model: m\r\nToken-Usage: 1460,80\r\nPrompt-Prefix: %s\r\n", prompt)
 	}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -19,6 +19,12 @@
 	if err := r.startStore(); err != nil {
 		return err
 	}
+	if r.plan.Workspaces {
+		r.usage = freeAddress()
+		if err := r.standin(usageName, "usage", "--listen", r.usage); err != nil {
+			return err
+		}
+	}
 	for _, name := range r.topology.upstreams() {
 		if err := r.startUpstream(name); err != nil {
 			return err
@@ -124,6 +130,25 @@
 address = %q
 `
 
+// usageName is the name of the usage API's process.
+const usageName = "usage"
+
+// usageSettings and usageBounds are added to the settings of an entry where usage reports are due.
+const (
+	usageSettings = `[cloud]
+address = %q
+duties = ["usage_report","autoscale"]
+dutyPerS = %.1f
+`
+	usageBounds = `[bounds]
+reportWindowS = %d
+usageTolerance = %g
+usageLateS = %d
+strictRevocation = false
+revokeMs = %d
+`
+)
+
 func (r *run) startEntry(name string) error {
 	front, ready := freeAddress(), freeAddress()
 	store, err := r.link("store-"+name, r.store)
@@ -135,6 +160,10 @@
 	}
 	r.readiness[name] = ready
 	settings := fmt.Sprintf(entrySettings, name, front, ready, memoryMB, drainMs, graceS, configMs, stableMs, leaseMs, retryRatio, retrySlack, store)
+	if r.plan.Workspaces {
+		settings += fmt.Sprintf(usageSettings, r.usage, dutyPerS)
+		settings = strings.Replace(settings, "[bounds]\n", fmt.Sprintf(usageBounds, reportS, usageShare, usageLateS, revokeMs), 1)
+	}
 	file := filepath.Join(r.opts.Dir, name+".toml")
 	if err := os.WriteFile(file, []byte(settings), 0o644); err != nil {
 		return fmt.Errorf("soak: %w", err)
@@ -150,6 +179,9 @@
 	if r.plan.CrashPart {
 		args = append(args, "--crash-part")
 	}
+	if r.plan.Workspaces {
+		args = append(args, "--workspaces")
+	}
 	for _, e := range r.topology.entries() {
 		args = append(args, "--entry", e+"="+r.ingress[e]+"="+r.readiness[e])
 	}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -55,6 +56,18 @@
 			r.tellCrashPart(f.Target)
 		}
 		r.tellCrashPart("")
+	case FaultKeys:
+		interval := slowKeyInterval
+		if f.Mode == keysQuick {
+			interval = quickKeyInterval
+		}
+		for end := time.Now().Add(f.For); ctx.Err() == nil && time.Now().Before(end); sleep(ctx, interval) {
+			r.changeKeys()
+		}
+	case FaultUsage:
+		r.usageMode(f.Mode)
+		sleep(ctx, f.For)
+		r.usageMode(usageUp)
 	case FaultStore:
 		r.storeMode(f.Mode)
 		sleep(ctx, min(f.For, 2*time.Second))
@@ -102,6 +115,9 @@
 	handlerTime  = 250 * time.Millisecond
 	growInterval = 150 * time.Millisecond
 	grownRoutes  = 1400
+	// Pauses between two changes of the keys.
+	quickKeyInterval = 60 * time.Millisecond
+	slowKeyInterval  = 700 * time.Millisecond
 )
 
 // grow writes configurations with many routes more and without them in turn.
@@ -115,6 +131,17 @@
 	_ = r.configure(0)
 }
 
+// usageMode sets the mode of the usage API.
+func (r *run) usageMode(mode string) {
+	client := &http.Client{Timeout: time.Second}
+	resp, err := client.Post("http://"+r.usage+"/mode/"+mode, "", http.NoBody)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soak: the usage API's mode:", err)
+		return
+	}
+	resp.Body.Close()
+}
+
 // limit has an upstream name a request limit, or none if it is 0. It has no effect on one that does not run.
 func (r *run) limit(upstream string, perSecond float64) {
 	client := &http.Client{Timeout: time.Second}
@@ -147,6 +174,9 @@
 		p.signal(syscall.SIGCONT)
 	}
 	r.storeMode(storeUp)
+	if r.usage != "" {
+		r.usageMode(usageUp)
+	}
 	for range 20 {
 		if r.configure(0) == nil {
 			break
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -10,6 +10,12 @@
 	"time"
 )
 
+// Texts of records of configurations.
+const (
+	configBegin = "begin"
+	configEnd   = "acknowledged"
+)
+
 // idleTimeout is the operator's limit for connections without a request.
 const idleTimeout = 1500 * time.Millisecond
 
@@ -18,11 +24,18 @@
 func (r *run) configure(more int) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.write(r.version+1, more)
+	return r.write(max(r.version, r.attempted)+1, more, r.keys)
+}
+
+// changeKeys writes a configuration with one drawn change of the keys.
+func (r *run) changeKeys() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.write(max(r.version, r.attempted)+1, r.more, r.keys.change(r.keyDraws)) // the store may be away; the keys then stay
 }
 
 // write writes a version of the configuration. r.mu must be held.
-func (r *run) write(version, more int) error {
+func (r *run) write(version, more int, keys keyring) error {
 	var routes []map[string]any
 	add := func(name, kind, service string) {
 		route := map[string]any{
@@ -37,13 +50,20 @@
 	add(routeAny, "idempotent", "plain")
 	add(routeStream, "streaming", "models")
 	add(routeResume, "streaming", "models")
+	if r.plan.Workspaces {
+		add(routeOpen, "idempotent", "plain")
+		add(routeOpenStream, "streaming", "models")
+		for _, route := range routes[len(routes)-2:] {
+			route["public"] = true
+		}
+	}
 	for i := 1; i <= version; i++ {
 		add(fmt.Sprintf("extra%d", i), "idempotent", "plain")
 	}
 	for i := range more {
 		add(fmt.Sprintf("more%d", i), "idempotent", "plain")
 	}
-	object := map[string]any{"metadata": map[string]any{"name": "main"}, "spec": map[string]any{
+	spec := map[string]any{
 		"version": version, "routes": routes, "services": []any{
 			map[string]any{"name": "plain", "maxConnections": 200},
 			map[string]any{"name": "models", "maxConnections": 200, "engine": map[string]any{
@@ -51,7 +71,13 @@
 			}},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": idleTimeout.Milliseconds()},
-	}}
+	}
+	if r.plan.Workspaces {
+		spec["tenants"] = keys.tenants()
+		r.attempted = version
+		r.recorder.Add(Record{Kind: KindConfig, Text: configBegin, Number: int64(version), Keys: keys.valid()})
+	}
+	object := map[string]any{"metadata": map[string]any{"name": "main"}, "spec": spec}
 	status, err := r.callStore(http.MethodPut, "/api/objects/config/main", object)
 	if err == nil && status == http.StatusNotFound {
 		status, err = r.callStore(http.MethodPost, "/api/objects/config", object)
@@ -60,7 +86,10 @@
 		err = fmt.Errorf("soak: configuration %d: status %d", version, status)
 	}
 	if err == nil {
-		r.version, r.more = version, more
+		r.version, r.more, r.keys = version, more, keys
+		if r.plan.Workspaces {
+			r.recorder.Add(Record{Kind: KindConfig, Text: configEnd, Number: int64(version)})
+		}
 	}
 	return err
 }
@@ -94,5 +123,15 @@
 func (r *run) rewrite() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_ = r.write(r.version, r.more) // the operator writes again at the end
+	if !r.plan.Workspaces {
+		_ = r.write(r.version, r.more, nil) // the operator writes again at the end
+		return
+	}
+	// Each write of a configuration with keys has a version of its own, so that the oracle can tell which is in force.
+	for range 20 {
+		if r.write(max(r.version, r.attempted)+1, r.more, r.keys) == nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -27,6 +27,8 @@
 	FaultOneWay   FaultKind = "oneWay"    // a link's connections pass nothing towards the caller any more
 	FaultLimit    FaultKind = "limit"     // an upstream names a request limit in its answers
 	FaultCrash    FaultKind = "crashPart" // each engine that begins an answer on a part of a prompt crashes
+	FaultKeys     FaultKind = "keys"      // configurations with keys added, rotated, moved and removed, in series
+	FaultUsage    FaultKind = "usage"     // the usage API is slow, down, busy, or loses or delays its answers
 	FaultStore    FaultKind = "store"     // the store is silent, down, without its history, or comes back from a copy
 )
 
@@ -39,7 +41,7 @@
 // disturbs reports whether a fault of this kind keeps a process or a link from working as usual.
 func (k FaultKind) disturbs() bool {
 	switch k {
-	case FaultConfig, FaultGrow, FaultHangup, FaultLimit:
+	case FaultConfig, FaultGrow, FaultHangup, FaultLimit, FaultKeys, FaultUsage:
 		return false
 	}
 	return true
@@ -59,7 +61,7 @@
 	Target string        // name of the process or link; empty for the configuration
 	For    time.Duration // how long it lasts
 	Bytes  int           // of FaultTruncate
-	Mode   string        // of FaultStore
+	Mode   string        // of FaultStore, FaultUsage and FaultKeys
 	Limit  float64       // of FaultLimit, in requests a second
 }
 
@@ -104,7 +106,52 @@
 	Prefill int
 	// CrashPart reports that some requests have a part that crashes engines for a time.
 	CrashPart bool
-	Faults    []Fault
+	// Workspaces reports that the configuration has workspaces with keys, and that the platform wants usage reports.
+	Workspaces bool
+	Faults     []Fault
+}
+
+// Modes of FaultKeys.
+const (
+	keysQuick = "quick" // a change each quickKeyInterval
+	keysSlow  = "slow"  // a change each slowKeyInterval
+)
+
+// HasWorkspaces reports whether the plan of a seed has workspaces where that is drawn.
+func HasWorkspaces(seed uint64) bool { return rand.New(rand.NewPCG(seed, 3)).IntN(2) == 0 }
+
+// AddWorkspaces adds workspaces with keys, series of changes of the keys, also during faults of the store, and faults of the usage
+// API. They are drawn apart from the other faults, which stay the same. The usage API has no faults in calm runs, in which each
+// report is judged.
+func (p *Plan) AddWorkspaces(duration time.Duration) {
+	r := rand.New(rand.NewPCG(p.Seed, 4))
+	p.Workspaces = true
+	var added []Fault
+	draw := func(kind FaultKind, target string, modes ...string) {
+		added = append(added, Fault{
+			At: time.Duration(r.Int64N(int64(duration * 3 / 4))), Kind: kind, Target: target, Mode: modes[r.IntN(len(modes))],
+			For: time.Duration(r.Int64N(int64(duration/4))) + 50*time.Millisecond,
+		})
+	}
+	for range 2 + r.IntN(3) {
+		draw(FaultKeys, "", keysQuick, keysSlow)
+	}
+	for _, f := range p.Faults {
+		if f.Kind == FaultStore {
+			added = append(added, Fault{At: f.At, Kind: FaultKeys, Mode: keysQuick, For: f.For})
+		}
+	}
+	reports := 1 + r.IntN(3)
+	if p.Planned {
+		reports = r.IntN(2)
+	}
+	for range reports {
+		if !p.Calm {
+			draw(FaultUsage, usageName, usageModes...)
+		}
+	}
+	p.Faults = append(p.Faults, added...)
+	sort.SliceStable(p.Faults, func(i, j int) bool { return p.Faults[i].At < p.Faults[j].At })
 }
 
 // AddCrashPart adds a fault of a part of prompts that crashes engines, drawn apart from the others, which stay the same except
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -28,6 +28,11 @@
 	KindCrash  RecordKind = "crash"  // a part of a prompt crashed an engine
 	KindFault  RecordKind = "fault"  // the soak injected a fault, or ended one
 	KindFinal  RecordKind = "final"  // state of an entry at the end of the run
+	KindBegin  RecordKind = "begin"  // an upstream began the answer to a stream that has a workspace
+	KindConfig RecordKind = "config" // the operator began to write a configuration with keys, or the store acknowledged it
+	KindUsage  RecordKind = "usage"  // the usage API read a report
+	KindLeak   RecordKind = "leak"   // a key was found where none may be
+	KindClosed RecordKind = "closed" // the end of the run, until which reports are judged
 )
 
 // Record is one observation. Which fields are set depends on its kind.
@@ -50,8 +55,15 @@
 	Part     string     `json:"part,omitempty"`   // sent, arrive, crash: the part of the prompt that can crash engines
 	Fault    FaultKind  `json:"fault,omitempty"`  // fault: its kind; empty if the record is of no single fault
 	Limit    float64    `json:"limit,omitempty"`  // limit: requests a second; 0 if it ended
-	Number   int64      `json:"number,omitempty"` // final: resident memory in KiB
+	Number   int64      `json:"number,omitempty"` // final: resident memory in KiB; config: the version; usage: the window
 	Files    int        `json:"files,omitempty"`  // final: open file descriptors
+	// Key is the one usable key of a sent request. Of others, Text says how they lack one.
+	Key    string `json:"key,omitempty"`
+	Tenant string `json:"tenant,omitempty"` // arrive: the workspaces that the entry names, separated by commas
+	// KeySeen reports a key in the header of a request that arrived.
+	KeySeen bool              `json:"keySeen,omitempty"`
+	Keys    map[string]string `json:"keys,omitempty"`   // config: the workspace of each valid key; only in the record of the beginning
+	Counts  map[string]int64  `json:"counts,omitempty"` // usage: by workspace; Number is the window
 }
 
 // At returns the time of the record.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -17,8 +19,10 @@
 	Processes int           // about so many
 	Gateway   string        // path of the fighollow program
 	CrashPart bool          // add the fault of a part of prompts that crashes engines
-	Self      string        // path of the soak program, which also is each stand-in
-	Dir       string        // for records and logs
+	// Workspaces adds workspaces with keys, and usage reports.
+	Workspaces bool
+	Self       string // path of the soak program, which also is each stand-in
+	Dir        string // for records and logs
 }
 
 // Report is the result of a run.
@@ -52,8 +56,15 @@
 	limitSlack   = 5
 	countedCrash = 5
 	lateRequests = 3
+	reportS      = 2
+	usageLateS   = 6
+	revokeMs     = 4000
+	usageShare   = 0.05
+	dutyPerS     = 50.0
 	tailTime     = 4 * time.Second // of traffic after the recovery
-	workers      = 6               // of each process of callers
+	// keySlack is added to configMs where the oracle judges keys: several runs share the machine.
+	keySlack = time.Second
+	workers  = 6 // of each process of callers
 	// restingWorkers is the number of workers of each process of callers that rest long between two requests.
 	restingWorkers = 24
 	faultyShare    = 0.05 // of the answers
@@ -65,6 +76,8 @@
 		BudgetSlack: retrySlack, Recovery: recoveryS * time.Second, LossSlack: lossSlackMs * time.Millisecond, MemoryKiB: memoryMB << 10,
 		Files: maxFiles, PlannedOnly: p.Planned && !p.CrashPart, LimitWindow: limitWindowS * time.Second, LimitFactor: limitFactor, LimitSlack: limitSlack,
 		Stable: stableMs * time.Millisecond, CountedCrash: countedCrash, LateRequests: lateRequests,
+		Workspaces: p.Workspaces, Config: configMs*time.Millisecond + keySlack, Grace: graceS * time.Second,
+		Window: reportS * time.Second, UsageTolerance: usageShare, UsageLate: usageLateS * time.Second,
 	}
 }
 
@@ -75,6 +88,7 @@
 	topology  Topology
 	recorder  *Recorder
 	store     string // address
+	usage     string // address of the usage API; empty for none
 	processes map[string]*process
 	links     map[string]*Proxy
 	readiness map[string]string
@@ -84,6 +98,11 @@
 	mu      sync.Mutex
 	version int // of the configuration
 	more    int // routes of that version that the next one need not have
+	// attempted is the newest version that was written, perhaps without an acknowledgement. Only runs with workspaces count it: their
+	// versions differ in more than the routes that are added to the one before.
+	attempted int
+	keys      keyring // of that version
+	keyDraws  *rand.Rand
 }
 
 // Run plays the plan of a seed and judges what was seen.
@@ -96,6 +115,10 @@
 	if opts.CrashPart {
 		r.plan.AddCrashPart()
 	}
+	if opts.Workspaces {
+		r.plan.AddWorkspaces(opts.Duration)
+		r.keys, r.keyDraws = make(keyring), rand.New(rand.NewPCG(opts.Seed, 5))
+	}
 	if err := os.MkdirAll(filepath.Dir(opts.Dir), 0o755); err != nil {
 		return nil, fmt.Errorf("soak: %w", err)
 	}
@@ -119,6 +142,11 @@
 		return nil, fmt.Errorf("soak: %w", ctx.Err())
 	}
 	r.inspect()
+	if r.plan.Workspaces {
+		r.findKeys()
+		sleep(ctx, usageLateS*time.Second+lossSlackMs*time.Millisecond) // until the last reports are due
+		r.recorder.Add(Record{Kind: KindClosed})
+	}
 	return r.report()
 }
 
@@ -135,7 +163,12 @@
 		req.Host = soakHost
 		req.Header.Set("Request-Id", "final-"+name)
 		req.Header.Set("Request-Deadline-Ms", "3000")
-		r.recorder.Add(Record{Kind: KindSent, Request: "final-" + name, Route: routeAny})
+		sent := Record{Kind: KindSent, Request: "final-" + name, Route: routeAny}
+		if r.plan.Workspaces {
+			sent.Key = steadyKey(soakWorkspaces[0])
+			req.Header.Set("X-Api-Key", sent.Key)
+		}
+		r.recorder.Add(sent)
 		resp, err := client.Do(req)
 		switch {
 		case err != nil:
@@ -151,6 +184,19 @@
 	}
 }
 
+// findKeys looks for keys in the logs of the entries.
+func (r *run) findKeys() {
+	for _, name := range r.topology.entries() {
+		data, err := os.ReadFile(r.processes[name].log)
+		if err != nil {
+			r.recorder.Add(Record{Kind: KindLeak, Instance: name, Text: "the log cannot be read: " + err.Error()})
+		}
+		if bytes.Contains(data, []byte(keyPrefix)) {
+			r.recorder.Add(Record{Kind: KindLeak, Instance: name, Text: "a key in the log"})
+		}
+	}
+}
+
 func (r *run) report() (*Report, error) {
 	rep := &Report{Seed: r.opts.Seed, Plan: r.plan, Processes: len(r.processes), Dir: r.opts.Dir}
 	files, err := filepath.Glob(filepath.Join(r.opts.Dir, "*.records"))
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -19,6 +19,9 @@
 	routeStream = "stream" // must not be repeated
 	routeResume = "resume" // may be resumed
 	soakHost    = "callers.example"
+	// Routes of runs with workspaces that need no key.
+	routeOpen       = "open"       // plain, may be repeated
+	routeOpenStream = "openstream" // must not be repeated
 )
 
 var soakRoutes = []string{routeOnce, routeAny, routeStream, routeResume}
@@ -50,7 +53,11 @@
 	return ""
 }
 
-func isStream(route string) bool { return route == routeStream || route == routeResume }
+func isStream(route string) bool {
+	return route == routeStream || route == routeResume || route == routeOpenStream
+}
+
+func isPublic(route string) bool { return route == routeOpen || route == routeOpenStream }
 
 // routeOf returns the route of a target.
 func routeOf(target string) string { return strings.SplitN(strings.TrimPrefix(target, "/"), "/", 2)[0] }
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -297,6 +297,7 @@
 	instance, prompt := u.instance(), r.Header.Get("Prompt-Prefix")
 	u.Recorder.Add(Record{
 		Kind: KindArrive, Request: id, Route: route, Instance: instance, Prefill: prefill, Accepted: prefill && status == 0, Part: partOf(prompt),
+		Tenant: strings.Join(r.Header.Values("Tenant"), ","), KeySeen: hasKey(r.Header),
 	})
 	u.nameLimit(w.Header())
 	if status != 0 {
@@ -321,6 +322,9 @@
 		u.crash(id, part)
 		panic(http.ErrAbortHandler)
 	}
+	if isStream(route) && r.Header.Get("Tenant") != "" {
+		u.Recorder.Add(Record{Kind: KindBegin, Request: id, Route: route, Instance: instance})
+	}
 	header := http.Header{"Request-Id": {id}, "Server-Signature": {"sig-" + instance}}
 	u.nameLimit(header)
 	body := expectedBody(route, id)
@@ -345,6 +349,16 @@
 	}
 }
 
+// hasKey reports whether a header has a caller's key, in whichever field.
+func hasKey(h http.Header) bool {
+	for name, values := range h {
+		if name == "X-Api-Key" || strings.Contains(strings.Join(values, ","), keyPrefix) {
+			return true
+		}
+	}
+	return false
+}
+
 func (u *Upstream) crashesOn(part string) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
