soak: windows before the first lease are not judged

In a store of era 1, the first holder of the lease gives up the windows that ended before it acquired the lease. Reports are judged from three lease durations after the first request on.

Test: TestOracleJudgesReports.

--- a/internal/soak/oracle_usage.go
+++ b/internal/soak/oracle_usage.go
@@ -178,7 +178,7 @@
 	for _, r := range records {
 		switch {
 		case r.Kind == KindSent && begin.IsZero():
-			begin = r.At().Add(rules.Stable)
+			begin = r.At().Add(handoverLeases * rules.Lease) // the lease is acquired for the first time
 		case r.Kind == KindClosed:
 			end = r.At()
 		case r.Kind == KindUsage && r.Text != "":
