--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -53,7 +53,7 @@
 			&cli.IntFlag{Name: "parallel", Value: 1, Usage: "`NUMBER` of runs at once"},
 			&cli.BoolFlag{Name: "crash-part", Usage: "add a part of prompts that crashes engines to each run"},
 			&cli.StringFlag{
-				Name: "workspaces", Value: workspacesOff, Usage: "`WHICH` runs have keys and usage reports: drawn, on or off",
+				Name: "workspaces", Value: workspacesDrawn, Usage: "`WHICH` runs have keys and usage reports: drawn, on or off",
 				Validator: func(value string) error {
 					if !slices.Contains([]string{workspacesDrawn, workspacesOn, workspacesOff}, value) {
 						return fmt.Errorf("%q is not drawn, on or off", value)
