--- /dev/null
+++ b/internal/faults/gateway_test.go
@@ -0,0 +1,368 @@
+package faults_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fighollow/fighollow/platform/standin"
+)
+
+// gatewaySettings is the platform's settings file of an entry, with windows of usageWindow.
+const gatewaySettings = `node = %q
+ip = "127.0.0.1"
+zone = "a"
+[listen]
+front = %q
+ready = %q
+[limits]
+memoryMb = 284
+[bounds]
+drainMs = 1000
+graceS = 4
+configMs = 2000
+revokeMs = 4000
+strictRevocation = false
+stableWindowMs = 3000
+leaseMs = 3000
+retryBudgetRatio = 0.2
+budgetSlack = 10
+reportWindowS = 2
+usageTolerance = 0.05
+usageLateS = 6
+[provider]
+address = %q
+[cloud]
+address = %q
+duties = ["usage_report","autoscale"]
+dutyPerS = 50.0
+`
+
+const (
+	usageKind   = "fighollow-usage-reports" // of the store
+	usageWindow = 2 * time.Second
+	gatewayHost = "callers.example"
+)
+
+// gatewayFleet is a store, a plain service, the address of the usage API, at which nothing listens at first, and entries.
+type gatewayFleet struct {
+	ctx      context.Context
+	t        *testing.T
+	dir      string
+	store    *standin.Store
+	usage    string
+	entries  []*process
+	ingress  []string
+	mu       sync.Mutex
+	arrived  []http.Header // of the requests at the service
+	frozen   [][]byte      // last acknowledged write of usage reports by each entry
+	requests int
+}
+
+func newGatewayFleet(t *testing.T, entries int, tenants ...object) *gatewayFleet {
+	ctx, cancel := context.WithTimeout(context.Background(), cellLimit)
+	f := &gatewayFleet{ctx: ctx, t: t, dir: t.TempDir(), store: standin.NewStore(), usage: freeAddr(t), frozen: make([][]byte, entries)}
+	t.Cleanup(cancel)
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		f.arrived = append(f.arrived, r.Header.Clone())
+		f.mu.Unlock()
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Server-Signature", "sig-plain1")
+	}))
+	t.Cleanup(service.Close)
+	f.configure(1, tenants...)
+	f.store.Put("servers", "plain1", object{
+		"service": "plain", "address": service.Listener.Addr().String(), "zone": "a", "version": "v1", "slots": 16, "state": "ready", "sequence": 0,
+		"coldRemainingMs": 0, "born": time.Now().UnixMilli(),
+	})
+	for i := range entries {
+		f.startEntry(i)
+	}
+	return f
+}
+
+// configure writes a configuration with workspaces.
+func (f *gatewayFleet) configure(version int, tenants ...object) {
+	f.store.Put("config", "main", object{
+		"version": version, "tenants": tenants,
+		"routes":   []object{{"name": "any", "host": gatewayHost, "pathPrefix": "/any/", "kind": "idempotent", "timeoutMs": 2500, "service": "plain", "maxAttempts": 2}},
+		"services": []object{{"name": "plain", "maxConnections": 200}},
+		"limits":   object{"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 20000},
+	})
+}
+
+// startEntry starts an entry and waits until it is ready.
+func (f *gatewayFleet) startEntry(i int) {
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.serveStore(i, w, r) }))
+	f.t.Cleanup(func() {
+		front.CloseClientConnections()
+		front.Close()
+	})
+	name, ingress, ready := fmt.Sprintf("entry-%d", i+1), freeAddr(f.t), freeAddr(f.t)
+	file := filepath.Join(f.dir, name+".toml")
+	settings := fmt.Sprintf(gatewaySettings, name, ingress, ready, front.Listener.Addr(), f.usage)
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	p := &process{name: name, args: []string{"fighollow", "gateway", "--settings", file}, log: filepath.Join(f.dir, name+".log")}
+	p.start(f.t)
+	f.t.Cleanup(func() {
+		if !p.ended() {
+			p.kill()
+		}
+		if f.t.Failed() {
+			f.t.Logf("log of %s:\n%s", p.name, p.tail())
+		}
+	})
+	f.entries, f.ingress = append(f.entries, p), append(f.ingress, ingress)
+	until(f.ctx, f.t, name+" is ready", func() bool { return get("http://"+ready+"/api/readyz", nil) })
+}
+
+// serveStore passes a call of an entry on to the store and keeps the acknowledged writes of usage reports.
+func (f *gatewayFleet) serveStore(i int, w http.ResponseWriter, r *http.Request) {
+	if !strings.Contains(r.URL.Path, usageKind) || r.Method != http.MethodPut && r.Method != http.MethodPost {
+		f.store.ServeHTTP(w, r)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the entry has left
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	res := httptest.NewRecorder()
+	f.store.ServeHTTP(res, r)
+	if res.Code < http.StatusMultipleChoices {
+		f.mu.Lock()
+		f.frozen[i] = body
+		f.mu.Unlock()
+	}
+	maps.Copy(w.Header(), res.Header())
+	w.WriteHeader(res.Code)
+	_, _ = w.Write(res.Body.Bytes()) // the entry may have left
+}
+
+// gatewayCaller is one connection to an entry.
+type gatewayCaller struct {
+	f  *gatewayFleet
+	nc net.Conn
+	br *bufio.Reader
+}
+
+func (f *gatewayFleet) dial(entry int) (*gatewayCaller, error) {
+	nc, err := net.Dial("tcp", f.ingress[entry])
+	if err != nil {
+		return nil, err
+	}
+	return &gatewayCaller{f, nc, bufio.NewReader(nc)}, nil
+}
+
+// ask sends a request on the connection and returns the status, or 0 if the connection has ended.
+func (c *gatewayCaller) ask(key string) int {
+	c.f.mu.Lock()
+	c.f.requests++
+	n := c.f.requests
+	c.f.mu.Unlock()
+	_ = c.nc.SetDeadline(time.Now().Add(4 * time.Second)) // fails only on a closed connection
+	if _, err := fmt.Fprintf(c.nc, "GET /any/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: q%d\r\nRequest-Deadline-Ms: 3000\r\nX-Api-Key: %s\r\n\r\n", gatewayHost, n, key); err != nil {
+		return 0
+	}
+	res, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		return 0
+	}
+	defer res.Body.Close()
+	if _, err := io.Copy(io.Discard, res.Body); err != nil || res.Close {
+		return 0
+	}
+	return res.StatusCode
+}
+
+// Guards against a removed key that stays in force on connections which were open before its removal.
+func TestRemovedKeyIsRefusedOnAnOpenConnection(t *testing.T) {
+	t.Parallel()
+	f := newGatewayFleet(t, 1, object{"name": "north", "apiKeys": []string{"key-old", "key-new"}})
+	open, err := f.dial(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer open.nc.Close()
+	until(f.ctx, t, "a request with the key is answered", func() bool { return open.ask("key-old") == http.StatusOK })
+	f.configure(2, object{"name": "north", "apiKeys": []string{"key-new"}})
+	removed := time.Now()
+	other, err := f.dial(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.nc.Close()
+	until(f.ctx, t, "the key is refused on another connection", func() bool { return other.ask("key-old") == http.StatusUnauthorized })
+	if d := time.Since(removed); d > 3*time.Second {
+		t.Errorf("the key was refused %v after its removal", d)
+	}
+	f.mu.Lock()
+	before := len(f.arrived)
+	f.mu.Unlock()
+	if got := open.ask("key-old"); got != http.StatusUnauthorized {
+		t.Errorf("removed key on the open connection: status %d", got)
+	}
+	if got := open.ask("key-new"); got != http.StatusOK {
+		t.Errorf("other key on the open connection: status %d", got)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n := len(f.arrived) - before; n != 1 {
+		t.Errorf("%d requests reached the service, and one of two had a valid key", n)
+	}
+	for _, h := range f.arrived {
+		if h.Get("Tenant") != "north" || h.Get("X-Api-Key") != "" {
+			t.Fatalf("the service got workspace %q and key %q", h.Get("Tenant"), h.Get("X-Api-Key"))
+		}
+	}
+}
+
+// usageReport is one report as the usage API got it.
+type usageReport struct {
+	Window int64            `json:"window"`
+	Counts map[string]int64 `json:"counts"`
+	holder string
+	fence  string
+}
+
+// frozenReports finds the reports in a stored object, whatever their fields are called: an object with a window near a time, and one
+// with only numbers by the names of workspaces.
+func frozenReports(v any, now time.Time, workspaces ...string) map[int64]map[string]int64 {
+	out := make(map[int64]map[string]int64)
+	switch v := v.(type) {
+	case []any:
+		for _, e := range v {
+			maps.Copy(out, frozenReports(e, now, workspaces...))
+		}
+	case map[string]any:
+		var window int64
+		near := now.UnixNano() / int64(usageWindow)
+		var counts map[string]int64
+		for _, field := range v {
+			if n, ok := field.(float64); ok && max(int64(n)-near, near-int64(n)) < 100 {
+				window = int64(n)
+			}
+			if c := countsOf(field, workspaces); len(c) > 0 {
+				counts = c
+			}
+			maps.Copy(out, frozenReports(field, now, workspaces...))
+		}
+		if window != 0 && counts != nil {
+			out[window] = counts
+		}
+	}
+	return out
+}
+
+func countsOf(v any, workspaces []string) map[string]int64 {
+	fields, _ := v.(map[string]any)
+	out := make(map[string]int64)
+	for _, w := range workspaces {
+		if n, ok := fields[w].(float64); ok {
+			out[w] = int64(n)
+		}
+	}
+	if len(out) != len(fields) {
+		return nil
+	}
+	return out
+}
+
+// Guards against a report that differs from the one which an earlier holder of the lease froze, and perhaps sent, before it was killed.
+func TestFrozenReportIsRepeatedByTheNextHolder(t *testing.T) {
+	t.Parallel()
+	f := newGatewayFleet(t, 2, object{"name": "north", "apiKeys": []string{"key-north"}}, object{"name": "south", "apiKeys": []string{"key-south"}})
+	// Requests with both keys reach both entries until the test ends.
+	ctx, stop := context.WithCancel(f.ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	for i := range 4 {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				c, err := f.dial(i % 2)
+				for err == nil && ctx.Err() == nil && c.ask([]string{"key-north", "key-south"}[i/2]) != 0 {
+					wait(ctx.Done(), 20*time.Millisecond)
+				}
+				if err == nil {
+					c.nc.Close()
+				}
+				wait(ctx.Done(), 50*time.Millisecond)
+			}
+		})
+	}
+	// The usage API is down: what an entry freezes is not sent before it is killed.
+	holder, frozen := 0, map[int64]map[string]int64{}
+	read := func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for i, body := range f.frozen {
+			var v any
+			if json.Unmarshal(body, &v) == nil {
+				if reports := frozenReports(v, time.Now(), "north", "south"); len(reports) > 0 {
+					holder, frozen = i, reports
+				}
+			}
+		}
+	}
+	until(f.ctx, t, "a report is frozen", func() bool { read(); return len(frozen) > 0 })
+	f.entries[holder].kill()
+	read() // what was written until the end
+
+	var mu sync.Mutex
+	var reports []usageReport
+	l, err := net.Listen("tcp", f.usage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	api := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		report := usageReport{holder: r.Header.Get("Lease-Holder"), fence: r.Header.Get("Fencing-Token")}
+		if err := json.NewDecoder(r.Body).Decode(&report); err != nil {
+			t.Errorf("usage report: %v", err)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		reports = append(reports, report)
+	})}
+	go func() { _ = api.Serve(l) }()
+	defer func() { _ = api.Close() }()
+	until(f.ctx, t, fmt.Sprintf("the other entry reports %v", frozen), func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		seen := make(map[int64]bool)
+		for _, r := range reports {
+			if seen[r.Window] = true; frozen[r.Window] != nil && !maps.Equal(r.Counts, frozen[r.Window]) {
+				t.Fatalf("window %d: %v is reported and %v was frozen", r.Window, r.Counts, frozen[r.Window])
+			}
+		}
+		for window := range frozen {
+			if !seen[window] {
+				return false
+			}
+		}
+		return true
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	for _, r := range reports {
+		if r.holder != f.entries[1-holder].name || r.fence == "" {
+			t.Errorf("report of %q with fence %q, and %s holds the lease", r.holder, r.fence, f.entries[1-holder].name)
+		}
+	}
+}
