--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/fighollow/fighollow/internal/callerconn"
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/gateway"
+	"github.com/fighollow/fighollow/internal/lease"
 	"github.com/fighollow/fighollow/internal/logging"
 	"github.com/fighollow/fighollow/internal/peers"
 	"github.com/fighollow/fighollow/internal/placement"
@@ -35,6 +36,7 @@
 	"github.com/fighollow/fighollow/internal/streams"
 	"github.com/fighollow/fighollow/internal/upstream"
 	"github.com/fighollow/fighollow/internal/workshare"
+	"github.com/fighollow/fighollow/internal/workspace"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 	"github.com/fighollow/fighollow/platform"
 )
@@ -94,17 +96,22 @@
 	sink         *logging.Sink
 	log          zerolog.Logger
 	store        *platform.Store
-	pool         *upstream.Pool
+	pool         *upstream.Pool // connections of attempts
+	control      *upstream.Pool // connections of control calls
 	gateway      *gateway.Gateway
 	follower     *gateway.Follower
 	caches       *gateway.CachePoller
 	roster       *roster.Roster
+	lease        *lease.Holder
 	planner      *roles.Runner
+	usage        *usageParts   // nil if usage is not reported
+	reporterDone chan struct{} // closed when the reporter has sent its last call
 	quarantine   *quarantine.Writer
 	streams      *streams.Journal
 	peers        *peers.Link
 	work         *workshare.Sharer
 	observing    chan bool // whether this entry observes the reports of all
+	revocation   workspace.Revocation
 	stopping     atomic.Bool
 	wasReady     atomic.Bool // result of the last readiness check
 }
@@ -117,7 +124,7 @@
 		store: platform.NewStore(platform.StoreOptions{
 			Address: cfg.StoreAddress, Stable: cfg.Bounds.Stable, History: cfg.StoreHistory, Registry: registry,
 		}, log),
-		pool: upstream.New(), observing: make(chan bool, 1),
+		pool: upstream.New(), control: upstream.New(), observing: make(chan bool, 1), reporterDone: make(chan struct{}),
 	}
 	self := cfg.Node + "@" + cfg.Address
 	divider := quota.New(self)
@@ -125,7 +132,7 @@
 		DataCentre: cfg.DataCentre, DrainTime: cfg.Bounds.Drain, Heartbeat: cfg.Heartbeat, Shares: divider,
 		AdmitVersions: true,
 	})
-	dispatcher := platform.NewDispatcher(p.pool, gateway.NewAnnouncements(fleet, p.registry, log))
+	dispatcher := platform.NewDispatcher(p.pool, p.control, gateway.NewAnnouncements(fleet, p.registry, log))
 	crashes := quarantine.New(self)
 	p.quarantine = quarantine.NewWriter(crashes, p.store, log)
 	p.peers = peers.New(self, log)
@@ -145,19 +152,27 @@
 		Admit: func(service string, versions []string) { fleet.Pool(service).Admit(versions) },
 		Peers: p.peers,
 	}, p.store, log)
+	p.lease = lease.New(lease.Options{Self: self, Duration: cfg.Bounds.Lease}, p.store, log)
+	var recorder fighollow.UsageRecorder
+	if reportsUsage(&cfg) {
+		p.usage = p.newUsage(self)
+		recorder = p.usage.counter
+	}
+	p.revocation = workspace.Revocation{Strict: cfg.Bounds.StrictRevocation, Within: cfg.Bounds.Revoke}
 	p.gateway = gateway.New(gateway.Options{
 		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: p.registry, Quarantine: crashes, Streams: p.streams,
+		Revocation: p.revocation, Usage: recorder,
 	}, fleet, dispatcher, log)
 	decode := gateway.Decoder{Routing: platform.DecodeRouting, Upstream: platform.DecodeUpstream}
 	p.follower = gateway.NewFollower(p.store, decode, p.gateway, fleet, gateway.Freshness{
-		Routing: cfg.Bounds.Config, Upstreams: cfg.Bounds.Drain, Crashes: cfg.Bounds.Stable / crashHops,
+		Routing: routingBound(cfg.Bounds), Upstreams: cfg.Bounds.Drain, Crashes: cfg.Bounds.Stable / crashHops,
 	}, log)
 	p.caches = gateway.NewCachePoller(dispatcher, p.gateway, fleet, log)
 	p.roster = roster.New(roster.Options{
 		Self: self, DataCentre: cfg.DataCentre, Claims: fleet.LimitClaims, Divider: divider,
 		OnObserver: p.setObserving, Address: p.peers.Address, OnPeers: p.setPeers,
 	}, p.store, p.gateway.SetEntries, log)
-	p.planner = roles.New(roles.Options{Self: self, LeaseDuration: cfg.Bounds.Lease}, p.store, dispatcher,
+	p.planner = roles.New(roles.Options{Self: self, Release: p.usage != nil, Others: func() { <-p.reporterDone }}, p.lease, p.store, dispatcher,
 		p.gateway.Routing, fleet.Upstreams, log)
 	return p
 }
@@ -168,6 +183,14 @@
 	p.work.SetPeers(known)
 }
 
+// routingBound returns the time within which a new configuration must take effect, also if it removes a key.
+func routingBound(b platform.Bounds) time.Duration {
+	if b.Revoke > 0 {
+		return min(b.Config, b.Revoke)
+	}
+	return b.Config
+}
+
 // setObserving replaces what was not followed yet. The roster alone calls it.
 func (p *gatewayProcess) setObserving(isObserver bool) {
 	select {
@@ -188,6 +211,7 @@
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(p.cfg.MemoryMB<<20)))
 	}
 	defer p.pool.Close()
+	defer p.control.Close()
 	callerListener, err := net.Listen("tcp", p.cfg.Ingress)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
@@ -216,6 +240,7 @@
 	defer cancelBg()
 	var background sync.WaitGroup
 	background.Go(func() { p.follower.Run(bgCtx) })
+	background.Go(func() { p.follower.ConfirmRouting(bgCtx, p.revocation) })
 	background.Go(func() { p.caches.Run(bgCtx) })
 	background.Go(func() { p.roster.Run(bgCtx) })
 	background.Go(func() { p.quarantine.Run(bgCtx) })
@@ -227,8 +252,13 @@
 		p.follower.FollowWhile(bgCtx, fighollow.KindCrashReports, p.observing, p.quarantine.ApplyReports, p.quarantine.StopObserving)
 	})
 	background.Go(func() { p.reloadOnHangup(bgCtx, hangups) })
-	// ctx ends at the start of the stop: a stopping entry sends no more orders, and another entry takes over the lease.
+	// ctx ends at the start of the stop: a stopping entry sends no more orders and reports, and another entry takes over the lease.
 	background.Go(func() { p.planner.Run(ctx) })
+	if p.usage != nil {
+		background.Go(func() { p.runReporter(ctx) })
+	}
+	background.Go(func() { p.logDuties(bgCtx) })
+	stopCollector := p.startCollector()
 	p.logStart()
 	select {
 	case <-ctx.Done():
@@ -236,6 +266,7 @@
 	case err = <-serverErrs:
 		cancel()
 	}
+	stopCollector()
 	cancelBg()
 	background.Wait()
 	err = errors.Join(err, readinessServer.Close())
@@ -246,10 +277,14 @@
 // logStart logs the settings in effect.
 func (p *gatewayProcess) logStart() {
 	cfg, b := &p.cfg, &p.cfg.Bounds
-	event.ProcessStarted.Log(&p.log).Str("http", cfg.Ingress).Str("readiness", cfg.Readiness).Str("store", cfg.StoreAddress).
+	line := event.ProcessStarted.Log(&p.log)
+	if p.usage != nil {
+		line.Str("cloud", cfg.Cloud.Address).Dur("reportWindowMs", b.ReportWindow).Float64("dutyPerS", cfg.Cloud.CallsPS)
+	}
+	line.Str("http", cfg.Ingress).Str("readiness", cfg.Readiness).Str("store", cfg.StoreAddress).
 		Str("dataCentre", cfg.DataCentre).Str("version", version).Dur("drainMs", b.Drain).Dur("graceMs", b.Grace).
 		Dur("leaseMs", b.Lease).Dur("stableMs", b.Stable).Dur("configMs", b.Config).Dur("heartbeatMs", cfg.Heartbeat).Float64("retryRatio", b.RetryRatio).Int("retrySlack", b.RetrySlack).
-		Bool("fencesChecked", b.RequireFencing).Int("metricsPort", p.metricsPort).Send()
+		Bool("fencesChecked", b.RequireFencing).Bool("strictRevocation", b.StrictRevocation).Dur("revokeMs", b.Revoke).Int("metricsPort", p.metricsPort).Send()
 }
 
 // reloadOnHangup reads the settings again on each SIGHUP. The retry limits take effect at once; all other settings take
@@ -331,7 +366,10 @@
 		now := time.Now()
 		return min(p.follower.SinceLastAnswer(now), now.Sub(p.store.LastAnswer())).Milliseconds()
 	})
-	gauge("upstreams.connections", p.pool.Dials)
+	if p.usage != nil {
+		gauge("usage.oldestMs", p.usage.reporter.OldestMs)
+	}
+	gauge("upstreams.connections", func() int64 { return p.pool.Dials() + p.control.Dials() })
 	gauge("log.dropped", p.sink.Dropped)
 	gauge("routing.version", func() int64 {
 		if routing := p.gateway.Routing(); routing != nil {
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -6,7 +6,7 @@
 var (
 	AttemptPlaced       = Event{8001, "attemptPlaced", zerolog.InfoLevel, "an upstream was chosen for an attempt; the line has the data that the choice was based on. For a stream that goes on, after is the last event that its caller has, and begunBy the request that brought the first one if the caller takes it up"}
 	AttemptEnded        = Event{8002, "attemptEnded", zerolog.InfoLevel, "an attempt ended; result is its outcome and tookMs its duration. For an answer, framing is how its end is marked, bytes its length, lastEvent the last event that was relayed; insideEvent means that its bytes end within an event. For a failure, parts are those of the prompt, the last one the request's own, and fingerprints identify the request whenever it comes again"}
-	RequestEnded        = Event{8003, "requestEnded", zerolog.InfoLevel, "a request ended; the line has the final answer or the reason why there was none"}
+	RequestEnded        = Event{8003, "requestEnded", zerolog.InfoLevel, "a request ended; the line has the final answer or the reason why there was none. If its key was refused, key is the reason and keyFingerprint tells keys apart while this process runs"}
 	RequestRetried      = Event{8004, "requestRetried", zerolog.InfoLevel, "an attempt failed; the line has whether the request is retried, and the reason"}
 	StreamResumed       = Event{8005, "streamResumed", zerolog.InfoLevel, "a stream broke off and is resumed at another engine after the last complete event"}
 	CacheReleased       = Event{8006, "cacheReleased", zerolog.DebugLevel, "the KV cache of a prompt was released because no engine imports it"}
@@ -55,6 +55,21 @@
 	StreamTakenUp       = Event{8056, "streamTakenUp", zerolog.InfoLevel, "a caller takes up a stream that broke off; software is the version at which it must go on, and source where this entry has found it. Without it the request is refused"}
 	PeerUntold          = Event{8057, "peerUntold", zerolog.DebugLevel, "a message to another entry was not sent; streams of this entry have one copy less, or a question one answer less"}
 	PeerUnread          = Event{8058, "peerUnread", zerolog.InfoLevel, "a message of another entry could not be received or decoded; it is ignored"}
+	RoutingProblem      = Event{8059, "routingProblem", zerolog.ErrorLevel, "a part of the routing configuration is not usable and is ignored, the rest is in force. problem is the reason: a key that several workspaces have belongs to none of them; index is that of the workspace in the list, and key that of the key in the workspace's list"}
+	KeysUnconfirmed     = Event{8060, "keysUnconfirmed", zerolog.WarnLevel, "strict revocation is set and the store has not confirmed the configuration in time; requests that need a key are refused until it does"}
+	KeysConfirmed       = Event{8061, "keysConfirmed", zerolog.InfoLevel, "the store has confirmed the configuration again; requests with keys are served"}
+	RoleLeaseReleased   = Event{8064, "roleLeaseReleased", zerolog.InfoLevel, "this process stops and released the role lease after its last act, so that another one can acquire it at once; with an error, the others wait until it has expired"}
+	UsageFrozen         = Event{8065, "usageFrozen", zerolog.InfoLevel, "the report of a window's usage was written to the store; its counts no longer change, and it is sent next"}
+	UsageAccepted       = Event{8066, "usageAccepted", zerolog.InfoLevel, "the platform accepted the report of a window's usage; ageMs is the time since the end of the window"}
+	UsageRepeated       = Event{8067, "usageRepeated", zerolog.InfoLevel, "the report of a window's usage is sent again without a change, because the last call failed (lastError) or another process may have sent it"}
+	UsageGivenUp        = Event{8068, "usageGivenUp", zerolog.ErrorLevel, "the usage of the windows from first to last is not reported: it was refused for good, it is too old, or other counts may have been reported that the store has lost"}
+	UsageUnstored       = Event{8069, "usageUnstored", zerolog.WarnLevel, "the usage reports could not be read from the store, decoded or written; it is tried again, and until then no further window is reported"}
+	UsageRead           = Event{8070, "usageRead", zerolog.InfoLevel, "the holder of the role lease has read which windows were reported, and the reports that it has to repeat"}
+	DutyUnsupported     = Event{8071, "dutyUnsupported", zerolog.ErrorLevel, "the platform requires a duty that this process does not perform; the line has the reason"}
+	UsageClockCorrected = Event{8072, "usageClockCorrected", zerolog.InfoLevel, "this process changed its estimate of true time, by which usage is counted, by changeMs: the median of what it and its peers measured at their starts"}
+	UsageMessageIgnored = Event{8073, "usageMessageIgnored", zerolog.DebugLevel, "a message of another entry about usage is malformed or absurd, or exceeds what is kept; what cannot be used of it is ignored"}
+	UsageCountersLost   = Event{8074, "usageCountersLost", zerolog.WarnLevel, "counts of usage were not kept because of too many processes, workspaces or counters, a name that is too long or a window that was dropped; reports may be too low. The line has how many since the last such line"}
+	UsageCountersAsked  = Event{8075, "usageCountersAsked", zerolog.InfoLevel, "this process asked the collecting entries for their counts of usage; missing are those that have not answered completely"}
 	WorkUnread          = Event{8078, "workUnread", zerolog.InfoLevel, "a message of another entry about the prompts that it placed could not be decoded and is ignored; engines' backlogs are underestimated by these. Logged at most every 10 s"}
 	WorkShared          = Event{8079, "workShared", zerolog.InfoLevel, "the entries of the deployment begin or cease to tell each other which prompts they place, because of their number"}
 	WorkDistrusted      = Event{8080, "workDistrusted", zerolog.WarnLevel, "another entry reports more work than it can have placed; its reports are ignored for 30 s. Logged at most every 10 s; check the log and the clock of that entry"}
@@ -70,5 +85,9 @@
 	PolicyApplied, PolicyUnread,
 	EntriesCounted, EntryLapsed, EntryLeft, RosterUnread,
 	StoreEraBegan, StoreEraInvalid, UpstreamsSettled, PresetLost, LimitChanged, LimitMalformed, RegistrationInvalid, LimitReported, StreamWaits, CallerTimedOut,
-	PartQuarantined, PartReleased, QuarantineUnwritten, QuarantineInvalid, StreamsUnwritten, StreamsInvalid, LeavingAnnounced, PauseAsked, PauseMalformed, ObserverChanged, VersionsRecorded, VersionsUnwritten, StreamTakenUp, PeerUntold, PeerUnread, WorkUnread, WorkShared, WorkDistrusted,
+	PartQuarantined, PartReleased, QuarantineUnwritten, QuarantineInvalid, StreamsUnwritten, StreamsInvalid, LeavingAnnounced, PauseAsked, PauseMalformed, ObserverChanged, VersionsRecorded, VersionsUnwritten, StreamTakenUp, PeerUntold, PeerUnread,
+	RoutingProblem, KeysUnconfirmed, KeysConfirmed,
+	RoleLeaseReleased, UsageFrozen, UsageAccepted, UsageRepeated, UsageGivenUp, UsageUnstored, UsageRead, DutyUnsupported,
+	UsageClockCorrected, UsageMessageIgnored, UsageCountersLost, UsageCountersAsked,
+	WorkUnread, WorkShared, WorkDistrusted,
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/placement"
 	"github.com/fighollow/fighollow/internal/quarantine"
+	"github.com/fighollow/fighollow/internal/workspace"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -24,14 +25,17 @@
 	out  fighollow.Responder
 	log  zerolog.Logger
 
-	version  uint64
-	route    *fighollow.Route
-	service  string
-	traits   fighollow.ServiceTraits
-	pool     *placement.Pool
-	budget   *retryBudget
-	seed     uint64
-	deadline time.Time
+	version   uint64
+	route     *fighollow.Route
+	identity  fighollow.Identity // resolved when the request arrived, whatever becomes of the key
+	keyReason workspace.Reason   // why its key was refused
+	rank      int                // 0 is the most urgent
+	service   string
+	traits    fighollow.ServiceTraits
+	pool      *placement.Pool
+	budget    *retryBudget
+	seed      uint64
+	deadline  time.Time
 
 	attemptsSent int                 // attempts that were sent, including an accepted prefill
 	arrivals     arrivals            // attempts that count against the route's limit and the retry budget
@@ -56,6 +60,7 @@
 	resumeAfter      string // id of the last event that the caller has
 	software         string // version that began the stream, which only the same can go on with; empty if none did
 	isRecorded       bool   // the stream is in the journal
+	counted          bool   // usage has the request
 	status           int
 	firstByte, total time.Duration // from the arrival to the first byte and to the end of the answer
 }
@@ -112,7 +117,7 @@
 	}
 	req := &fighollow.Attempt{
 		Call: x.call, Upstream: c.Upstream, Phase: phase, KV: kv, FetchFrom: c.FetchFrom, ResumeAfter: x.resumeAfter,
-		Urgency: q.Urgency, Deadline: x.deadline,
+		Urgency: q.Urgency, Deadline: x.deadline, Identity: x.identity,
 	}
 	line := event.AttemptPlaced.Log(&x.log).Str("upstream", c.Upstream.ID).Int64("started", c.Upstream.StartedMs).Str("software", c.Upstream.Version).
 		Str("dataCentre", c.Upstream.DataCentre).
@@ -170,6 +175,7 @@
 	case err != nil:
 		if a.phase != fighollow.RequestPrefill {
 			x.mayHaveRun = true
+			x.recordUsage(time.Now())
 		}
 		x.tried = append(x.tried, a.upstream.ID)
 		x.recordBreak(a, err)
@@ -197,12 +203,23 @@
 	if ctx.Err() != nil {
 		result = placement.Abandoned
 	} else {
+		x.recordUsage(time.Now())
 		x.recordBreak(a, err)
 	}
 	a.end(result, err)
 	return fmt.Errorf("%w: %w", fighollow.ErrUnknownOutcome, err)
 }
 
+// recordUsage records that an upstream began to run the request, or probably did, at a time. Only the first call counts: a request is billed
+// once, whatever becomes of it.
+func (x *exchange) recordUsage(at time.Time) {
+	if x.counted || x.identity.Workspace == "" || x.g.opts.Usage == nil {
+		return
+	}
+	x.counted = true
+	x.g.opts.Usage.Begun(at, x.identity.Workspace)
+}
+
 // end reports the end of the attempt to the placement and logs it. Calls after the first do nothing.
 func (a *attempt) end(r placement.Result, err error) {
 	if a.ended {
