--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -64,11 +64,8 @@
 
 // beginPrompt adds the computation of a prompt to the work of its engine.
 func (p *Pool) beginPrompt(inst *instance, a *Attempt, c Choice, q Query) {
-	a.PrefillTokens = float64(max(0, q.PromptTokens-c.Cached-c.Fetched))
-	a.workMs, a.backlog, a.computing = p.times.occupiedMs(a.PrefillTokens), inst.prefills > 0, true
-	if q.Phase == fighollow.RequestWhole {
-		a.workMs = p.times.wholeMs(a.PrefillTokens)
-	}
+	a.PrefillTokens = computedTokens(q, &c)
+	a.workMs, a.backlog, a.computing = p.workMs(q, &c), inst.prefills > 0, true
 	inst.pending[q.Urgency] += a.workMs
 	inst.prefills++
 	if q.Phase == fighollow.RequestPrefill {
@@ -76,6 +73,19 @@
 	}
 }
 
+// computedTokens returns how many tokens of the prompt the chosen engine computes.
+func computedTokens(q Query, c *Choice) float64 {
+	return float64(max(0, q.PromptTokens-c.Cached-c.Fetched))
+}
+
+// workMs returns the expected time for which the prompt occupies an engine of average speed. p.mu must be held.
+func (p *Pool) workMs(q Query, c *Choice) float64 {
+	if q.Phase == fighollow.RequestWhole {
+		return p.times.wholeMs(computedTokens(q, c))
+	}
+	return p.times.occupiedMs(computedTokens(q, c))
+}
+
 // endPrompt removes the computation of a prompt from the work of its engine. Calls after the first do nothing.
 func (inst *instance) endPrompt(a *Attempt) {
 	if !a.computing {
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -58,6 +58,7 @@
 		}
 		expected += duration(decode.CostMs)
 	}
+	c.OverTarget = expected - slo.Target
 	if expected > slo.Target {
 		q.Urgency = urgency(slo.Priority, true)
 	}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -70,6 +70,7 @@
 type Choice struct {
 	Upstream  fighollow.Upstream
 	CostMs    float64 // expected time until the result in milliseconds, with what the attempt costs others
+	WorkMs    float64 // expected time for which the prompt occupies an engine of average speed, in milliseconds; 0 for a decode
 	Cached    int     // prompt tokens that the engine is expected to hold
 	FetchFrom string  // address of an engine that holds more of the prompt; empty if there is none
 	Fetched   int     // prompt tokens to fetch from it, beyond Cached
@@ -78,6 +79,10 @@
 	Limited   bool    // the upstream has a request limit
 	Share     float64 // this entry's share of that limit, in requests a second
 	Trial     bool    // set by Place: the first attempts after a pause of the upstream
+	// WaitMs is how much longer the prompt takes than at an idle engine of average speed, in milliseconds; 0 for a decode.
+	WaitMs float64
+	// OverTarget is by how much the answer is expected to miss the latency target, or less than 0; 0 if there is none. Place sets it.
+	OverTarget time.Duration
 	// passed are the upstreams that request limits exclude although they cost less, or all that they exclude if none is chosen.
 	passed []*instance
 }
@@ -389,7 +394,10 @@
 	switch q.Phase {
 	case fighollow.RequestPrefill:
 		c.PendingMs = inst.workAheadMs(q.Urgency)
-		c.CostMs = inst.speed.slowness(now)*(c.PendingMs+p.times.aloneMs(p.prefillCostTokens(now, inst, q, loc, &c))) + p.transferMs(c.Fetched)
+		ms := p.times.aloneMs(p.prefillCostTokens(now, inst, q, loc, &c))
+		occupied := inst.speed.slowness(now) * (c.PendingMs + ms)
+		c.CostMs = occupied + p.transferMs(c.Fetched)
+		c.WorkMs, c.WaitMs = p.workMs(q, &c), occupied-ms
 	case fighollow.RequestDecode:
 		c.CostMs = runningCost*p.firstEvent.ms()*float64(inst.running) + inst.latency.estimate(now)
 	default:
@@ -399,7 +407,9 @@
 		}
 		c.PendingMs = inst.workAheadMs(q.Urgency)
 		ms := p.times.wholeMs(p.prefillCostTokens(now, inst, q, loc, &c))
-		c.CostMs = inst.speed.slowness(now)*(c.PendingMs+ms) + interruptionCost*ms*float64(inst.running*p.entries) +
+		occupied := inst.speed.slowness(now) * (c.PendingMs + ms)
+		c.WorkMs, c.WaitMs = p.workMs(q, &c), occupied-ms
+		c.CostMs = occupied + interruptionCost*ms*float64(inst.running*p.entries) +
 			runningCost*p.firstEvent.ms()*float64(inst.running) + inst.latency.estimate(now)
 	}
 	if inst.upstream.DataCentre != p.dataCentre {
