--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -59,6 +59,10 @@
 	UsageMessageIgnored = Event{8073, "usageMessageIgnored", zerolog.DebugLevel, "a message of another entry about usage is malformed or absurd, or exceeds what is kept; what cannot be used of it is ignored"}
 	UsageCountersLost   = Event{8074, "usageCountersLost", zerolog.WarnLevel, "counts of usage were not kept because of too many processes, workspaces or counters, a name that is too long or a window that was dropped; reports may be too low. The line has how many since the last such line"}
 	UsageCountersAsked  = Event{8075, "usageCountersAsked", zerolog.InfoLevel, "this process asked the collecting entries for their counts of usage; missing are those that have not answered completely"}
+	ScarcityBegan       = Event{8082, "scarcityBegan", zerolog.InfoLevel, "requests for a service are refused as too late, or far beyond their target: its engine time is divided among workspaces. The line has the fair rate in milliseconds of engine time a second, how many workspaces offer more, the least share that is admitted of what they offer, and the entry by whose rates it is divided"}
+	ScarcityEnded       = Event{8083, "scarcityEnded", zerolog.InfoLevel, "engine time of a service is no longer divided among workspaces; the line has how long that lasted and how many requests this entry refused meanwhile"}
+	SharesRefused       = Event{8084, "sharesRefused", zerolog.InfoLevel, "a service is still scarce; the line has how many requests this entry has refused since that began, and the figures of scarcityBegan as they are now"}
+	ShareMessageIgnored = Event{8085, "shareMessageIgnored", zerolog.DebugLevel, "a message of another entry about shares is malformed or absurd; it is ignored"}
 	RoleOrdered         = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is ordered to change its role; the line has the reason and the load that the decision was based on"}
 	RoleOrderEnded      = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "the engine accepted or refused an order for a role change, or its answer was lost; in the last case it may still carry out the order, and gets no other for some time"}
 	ReportMissing       = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
@@ -73,4 +77,5 @@
 	StoreEraBegan, StoreEraInvalid, UpstreamsSettled, PresetLost, LimitChanged, LimitMalformed, RegistrationInvalid, LimitReported, StreamWaits, CallerTimedOut,
 	PartQuarantined, PartReleased, QuarantineUnwritten, QuarantineInvalid, StreamsUnwritten, StreamsInvalid, LeavingAnnounced, PauseAsked, PauseMalformed, ObserverChanged, VersionsRecorded, VersionsUnwritten, StreamTakenUp, PeerUntold, PeerUnread,
 	UsageClockCorrected, UsageMessageIgnored, UsageCountersLost, UsageCountersAsked,
+	ScarcityBegan, ScarcityEnded, SharesRefused, ShareMessageIgnored,
 }
