gateway: requests beyond their workspace's share are refused before a prompt is computed

Asked where a request of a workspace for a service with engines is placed for the first time, if the configuration requires keys.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/fighollow/fighollow/internal/admin"
 	"github.com/fighollow/fighollow/internal/callerconn"
 	"github.com/fighollow/fighollow/internal/event"
+	"github.com/fighollow/fighollow/internal/fairshare"
 	"github.com/fighollow/fighollow/internal/gateway"
 	"github.com/fighollow/fighollow/internal/logging"
 	"github.com/fighollow/fighollow/internal/peers"
@@ -103,6 +104,7 @@
 	quarantine   *quarantine.Writer
 	streams      *streams.Journal
 	peers        *peers.Link
+	shares       *fairshare.Policy
 	observing    chan bool // whether this entry observes the reports of all
 	stopping     atomic.Bool
 	wasReady     atomic.Bool // result of the last readiness check
@@ -128,6 +130,10 @@
 	crashes := quarantine.New(self)
 	p.quarantine = quarantine.NewWriter(crashes, p.store, log)
 	p.peers = peers.New(self, log)
+	p.shares = fairshare.New(time.Now(), fairshare.Options{
+		Self: self, DataCentre: cfg.DataCentre, Workspaces: p.workspaces,
+		Services: func() []string { return p.gateway.EngineServices() }, Registry: p.registry,
+	}, p.peers, log)
 	p.streams = streams.New(streams.Options{
 		Self: self, Started: time.Now(), Entries: func() int { return p.gateway.Entries() },
 		Services: func() []string { return p.gateway.EngineServices() },
@@ -140,6 +146,7 @@
 	}, p.store, log)
 	p.gateway = gateway.New(gateway.Options{
 		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: p.registry, Quarantine: crashes, Streams: p.streams,
+		Shares: p.shares,
 	}, fleet, dispatcher, log)
 	decode := gateway.Decoder{Routing: platform.DecodeRouting, Upstream: platform.DecodeUpstream}
 	p.follower = gateway.NewFollower(p.store, decode, p.gateway, fleet, gateway.Freshness{
@@ -155,6 +162,19 @@
 	return p
 }
 
+// workspaces returns the names of the workspaces of the configuration in force; nil if it requires no keys.
+func (p *gatewayProcess) workspaces() []string {
+	r := p.gateway.Routing()
+	if r == nil || !r.KeysRequired {
+		return nil
+	}
+	out := make([]string, 0, len(r.Workspaces))
+	for i := range r.Workspaces {
+		out = append(out, r.Workspaces[i].Name)
+	}
+	return out
+}
+
 // setObserving replaces what was not followed yet. The roster alone calls it.
 func (p *gatewayProcess) setObserving(isObserver bool) {
 	select {
@@ -209,6 +229,7 @@
 	background.Go(func() { p.quarantine.Run(bgCtx) })
 	background.Go(func() { p.streams.Run(bgCtx) })
 	background.Go(func() { p.peers.Run(bgCtx, p.streams) })
+	background.Go(func() { p.shares.Run(bgCtx) })
 	background.Go(func() { p.follower.Follow(bgCtx, fighollow.KindQuarantine, p.quarantine.Apply) })
 	background.Go(func() {
 		p.follower.FollowWhile(bgCtx, fighollow.KindCrashReports, p.observing, p.quarantine.ApplyReports, p.quarantine.StopObserving)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -27,13 +27,14 @@
 	version uint64
 	route   *fighollow.Route
 	// workspace is the name of the workspace that the request was resolved to when it arrived; empty for none.
-	workspace string
-	service   string
-	traits    fighollow.ServiceTraits
-	pool      *placement.Pool
-	budget    *retryBudget
-	seed      uint64
-	deadline  time.Time
+	workspace    string
+	keysRequired bool // the configuration has workspaces
+	service      string
+	traits       fighollow.ServiceTraits
+	pool         *placement.Pool
+	budget       *retryBudget
+	seed         uint64
+	deadline     time.Time
 
 	attemptsSent int                 // attempts that were sent, including an accepted prefill
 	arrivals     arrivals            // attempts that count against the route's limit and the retry budget
@@ -46,6 +47,8 @@
 	refused      int                 // attempts that upstreams refused
 	overTarget   time.Duration       // by how much a request that was refused as too late would have missed its latency target
 	permitWait   time.Duration       // for which a stream that broke off has waited for a permit
+	shareDecided bool                // the request was counted for its workspace's share
+	shareDelay   time.Duration       // after which a request beyond its workspace's share may be sent again
 	limitedFor   time.Duration       // time until a request that upstreams' limits or pauses exclude can be placed
 	subject      *quarantine.Request // what the request is recognised by
 	isProbe      bool                // the request, or a part of its prompt, is in quarantine, and it shows whether that still crashes engines
@@ -314,6 +317,8 @@
 		return false, "quarantined"
 	case errors.Is(err, errBudgetExhausted):
 		return false, "noBudget"
+	case errors.Is(err, errOverShare):
+		return false, "overShare"
 	case errors.Is(err, placement.ErrTooLate):
 		return false, "tooLate"
 	case x.unreachable >= maxUnreachable, x.unsent >= maxUnsent:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	Streams    *streams.Journal        // which versions began streams; nil if only the gateway's own answers go on
 	Quarantine *quarantine.Tracker     // requests and parts of prompts that crash engines; nil for one that knows only this gateway's
 	Usage      fighollow.UsageRecorder // counts the requests that upstreams began to run; nil for none
+	Shares     fighollow.SharePolicy   // divides scarce engine time among workspaces; nil for none
 }
 
 // Gateway serves the requests of callers. It is safe for concurrent use.
@@ -180,7 +181,7 @@
 	if t == nil {
 		return x.notReadyRefusal()
 	}
-	x.version = t.routing.Version
+	x.version, x.keysRequired = t.routing.Version, t.routing.KeysRequired
 	if x.route = t.find(x.call.Host, x.call.Target); x.route == nil {
 		return fighollow.NotRunRefusal(fighollow.CodeRouteNotFound, "no route has this host and path")
 	}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -12,6 +12,7 @@
 var (
 	errAttemptsExhausted = errors.New("gateway: the route allows no further attempt")
 	errBudgetExhausted   = errors.New("gateway: the budget of repeats is used up")
+	errOverShare         = errors.New("gateway: the workspace asks for more than its share of the engines")
 )
 
 // query returns the placement query for the next attempt.
@@ -50,5 +51,29 @@
 		x.limitedFor = delay
 		x.g.metrics.count("pauses.exhausted")
 	}
+	if (err == nil || errors.Is(err, placement.ErrTooLate)) && !x.withinShare(now, &c, err != nil) {
+		x.pool.Withdraw(c.Upstream.ID)
+		return c, q, errOverShare
+	}
 	return c, q, err
 }
+
+// withinShare reports whether the request is within its workspace's share of the service's engines. That is decided when the request is
+// placed for the first time; refused reports that placement refused it then as too late. Streams that callers take up have been decided on.
+func (x *exchange) withinShare(now time.Time, c *placement.Choice, refused bool) bool {
+	if x.shareDecided || x.g.opts.Shares == nil || !x.keysRequired || x.workspace == "" || x.traits.Engine == nil || x.call.ResumeAfter != "" {
+		return true
+	}
+	x.shareDecided = true
+	target := x.route.TargetLatency
+	r := fighollow.ShareRequest{
+		Service: x.service, Workspace: x.workspace, ID: x.call.ID, Rank: x.route.Priority,
+		Work: time.Duration(c.WorkMs * float64(time.Millisecond)), Late: refused || c.OverTarget > target, Refused: refused,
+	}
+	if target > 0 {
+		r.Wait = max(0, c.WaitMs*float64(time.Millisecond)/float64(target))
+	}
+	d := x.g.opts.Shares.Decide(now, r)
+	x.shareDelay = d.RetryAfter
+	return d.Admitted
+}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -36,6 +36,9 @@
 		r.Code = fighollow.CodeTooLate
 	}
 	r.RetryAfterMs = x.retryAfter().Milliseconds()
+	if errors.Is(err, errOverShare) {
+		r.RetryAfterMs = x.shareDelay.Milliseconds()
+	}
 	return r
 }
 
