--- a/internal/fairshare/load_test.go
+++ b/internal/fairshare/load_test.go
@@ -204,24 +204,25 @@
 		shares  bool
 		load    float64 // relative to the capacity
 		disturb func(f *fleet)
+		small   int // workspaces that send a fifth; the columns of the others have only these
 	}
 	isLiar := func(d datagram) bool { return fmt.Sprintf("entry-%02d", d.from) == "entry-11" }
 	variants := []variant{
-		{"first come, first served; all entries", false, false, 2, nil},
-		{"shares; all entries", false, true, 2, nil},
-		{"first come, first served; one entry", true, false, 2, nil},
-		{"shares; one entry", true, true, 2, nil},
-		{"shares; messages take 3 s", false, true, 2, func(f *fleet) { f.delay = 3 * time.Second }},
-		{"shares; messages take 6 s", false, true, 2, func(f *fleet) { f.delay = 6 * time.Second }},
+		{"first come, first served; all entries", false, false, 2, nil, 0},
+		{"shares; all entries", false, true, 2, nil, 0},
+		{"first come, first served; one entry", true, false, 2, nil, 0},
+		{"shares; one entry", true, true, 2, nil, 0},
+		{"shares; messages take 3 s", false, true, 2, func(f *fleet) { f.delay = 3 * time.Second }, 0},
+		{"shares; messages take 6 s", false, true, 2, func(f *fleet) { f.delay = 6 * time.Second }, 0},
 		{"shares; a third of the messages is lost", false, true, 2, func(f *fleet) {
 			f.lost = func(datagram) bool { return f.random.IntN(3) == 0 }
-		}},
-		{"shares; no message arrives", false, true, 2, func(f *fleet) { f.lost = func(datagram) bool { return true } }},
+		}, 0},
+		{"shares; no message arrives", false, true, 2, func(f *fleet) { f.lost = func(datagram) bool { return true } }, 0},
 		{"shares; first collector fails", false, true, 2, func(f *fleet) {
 			f.lost = func(d datagram) bool {
 				return f.now.Sub(epoch) > 20*time.Second && (d.from == f.names[first] || d.to == f.names[first])
 			}
-		}},
+		}, 0},
 		{"shares; an entry reports 1,000 s a second of each", false, true, 2, func(f *fleet) {
 			f.forge = func(d datagram, m *message) {
 				if !isLiar(d) || m.Kind != kindReport || len(m.Services) == 0 {
@@ -233,7 +234,7 @@
 					s.Workspaces = append(s.Workspaces, workspaceMessage{Name: w, Offered: maxTenths, Ranks: []byte{255}})
 				}
 			}
-		}},
+		}, 0},
 		{"shares; the collector says that nobody has a share", false, true, 2, func(f *fleet) {
 			f.forge = func(d datagram, m *message) {
 				if fmt.Sprintf("entry-%02d", d.from) != first || m.Kind != kindSummary {
@@ -243,9 +244,11 @@
 					m.Services[i].State, m.Services[i].Fair, m.Services[i].Floor, m.Services[i].Workspaces = stateScarce, 0, 0, nil
 				}
 			}
-		}},
-		{"first come, first served; not scarce", false, false, 0.8, nil},
-		{"shares; not scarce", false, true, 0.8, nil},
+		}, 0},
+		{"first come, first served; 40 that send a fifth", false, false, 2, nil, 40},
+		{"shares; 40 that send a fifth", false, true, 2, nil, 40},
+		{"first come, first served; not scarce", false, false, 0.8, nil, 0},
+		{"shares; not scarce", false, true, 0.8, nil, 0},
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "%-52s %7s %24s %7s %24s %7s %10s\n", "", "heavy", "others admitted", "all", "others' on-time share", "engines", "datagrams")
@@ -257,7 +260,10 @@
 		}
 		demand := make([]float64, workspaces)
 		for w := range demand {
-			demand[w] = v.load * capacity / sum
+			demand[w] = v.load * capacity / (sum - 0.8*float64(v.small))
+			if w >= workspaces-v.small {
+				demand[w] /= 5
+			}
 		}
 		demand[heavy] *= 10
 		const length = 45 * time.Second
@@ -271,7 +277,7 @@
 		least, most := 1.0, 0.0
 		for w, o := range got {
 			all.offered, all.admitted = all.offered+o.offered, all.admitted+o.admitted
-			if w != heavy {
+			if w != heavy && (v.small == 0 || w >= workspaces-v.small) {
 				others.offered, others.admitted, others.onTime = others.offered+o.offered, others.admitted+o.admitted, others.onTime+o.onTime
 				least, most = min(least, o.admitted/o.offered), max(most, o.admitted/o.offered)
 			}
--- a/internal/placement/place_test.go
+++ b/internal/placement/place_test.go
@@ -42,7 +42,7 @@
 		return c, q
 	}
 	for i := range 20 {
-		c, q := place(uint64(100+i))
+		c, q := place(uint64(100 + i))
 		a := p.Begin(now, c, q)
 		now = now.Add(time.Duration(computedTokens(q, &c)) * time.Second / 40_000)
 		p.End(now, a, Answered)
@@ -54,7 +54,7 @@
 	qt.Assert(t, c.OverTarget < 0, qt.IsTrue)
 	for i := range 4 {
 		p.Begin(now, c, q)
-		c, q = place(uint64(3+i))
+		c, q = place(uint64(3 + i))
 	}
 	qt.Assert(t, c.WorkMs > 80 && c.WorkMs < 120, qt.IsTrue, qt.Commentf("%v ms", c.WorkMs))
 	// Two of the four prompts can meet the target, so that the engine does them first.
