--- a/internal/fairshare/fair.go
+++ b/internal/fairshare/fair.go
@@ -116,9 +116,10 @@
 	saturated        = 0.9
 	// maxCapacityShare bounds the capacity from above, relative to the offered rate.
 	maxCapacityShare = 1.1
-	// endShare is the capacity relative to the offered rate at which scarcity ends, if nothing was late for calmTime.
+	// endShare is the capacity relative to the offered rate at which scarcity ends, if it was so for calmTime, in which nothing is refused,
+	// and nothing was late meanwhile.
 	endShare = 1.02
-	calmTime = 4 * time.Second
+	calmTime = 6 * time.Second
 )
 
 // totals are rates over all workspaces, in milliseconds of engine time a second. crowded is the offered rate weighted by how long requests
@@ -135,7 +136,7 @@
 	admitted float64   // average admitted rate
 	crowded  float64   // mean wait relative to the latency target, at most 1
 	updated  time.Time
-	lateAt   time.Time // when requests were last late
+	refusing time.Time // when requests were last late, or the capacity did not suffice for all
 }
 
 // update takes measured rates into account.
@@ -145,9 +146,6 @@
 	keep := math.Exp2(-float64(elapsed) / float64(admittedHalfLife))
 	e.admitted = keep*e.admitted + (1-keep)*t.admitted
 	late := t.late > 0 && t.late >= beginLateShare*t.offered
-	if late {
-		e.lateAt = now
-	}
 	switch {
 	case e.scarce:
 		e.crowded = 0
@@ -159,11 +157,15 @@
 			e.capacity = min(e.capacity, e.admitted)
 		}
 		e.capacity = min(max(e.capacity, minCapacityShare*e.admitted), maxCapacityShare*t.offered)
-		if e.capacity >= endShare*t.offered && now.Sub(e.lateAt) >= calmTime {
+		if late || e.divided() < endShare*t.offered {
+			e.refusing = now
+		}
+		if now.Sub(e.refusing) >= calmTime {
 			e.scarce = false
 		}
 	case late:
-		e.scarce, e.since, e.capacity, e.admitted, e.crowded = true, now, t.admitted, t.admitted, 0
+		e.scarce, e.since, e.refusing = true, now, now
+		e.capacity, e.admitted, e.crowded = t.admitted, t.admitted, 0
 	}
 }
 
--- a/internal/fairshare/policy.go
+++ b/internal/fairshare/policy.go
@@ -276,8 +276,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.forget(now, dataCentres)
-	services, collectors := *p.services.Load(), p.collectors(dataCentres)
-	involved := len(known.workspaces) > 0 && p.involved(now, services, collectors)
+	services := *p.services.Load()
+	var collectors []string
+	involved := false
+	if len(p.reports)+len(p.summaries) > 0 || anyLate(now, services) {
+		collectors = p.collectors(dataCentres)
+		involved = len(known.workspaces) > 0 && (anyLate(now, services) || p.hearsOfScarcity(collectors))
+	}
 	if !involved && len(p.reports) == 0 {
 		for _, s := range services {
 			s.own = estimator{}
@@ -341,13 +346,18 @@
 	maps.DeleteFunc(p.summaries, func(name string, s *summary) bool { return gone(name) || !s.current.fresh(now) })
 }
 
-// involved reports whether this entry has seen or heard of scarcity lately.
-func (p *Policy) involved(now time.Time, services map[string]*service, collectors []string) bool {
+// anyLate reports whether a request of this entry was late within reportTime.
+func anyLate(now time.Time, services map[string]*service) bool {
 	for _, s := range services {
 		if s.delayed.within(now, reportTime) {
 			return true
 		}
 	}
+	return false
+}
+
+// hearsOfScarcity reports whether a collector says that a service is scarce or that requests are late.
+func (p *Policy) hearsOfScarcity(collectors []string) bool {
 	for _, name := range collectors {
 		s := p.summaries[name]
 		if s == nil {
--- a/internal/fairshare/policy_test.go
+++ b/internal/fairshare/policy_test.go
@@ -1,14 +1,18 @@
 package fairshare
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
+	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/peers"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
@@ -205,3 +209,22 @@
 		p.Decide(epoch, fighollow.ShareRequest{Service: "hule", Workspace: f.workspaces[i%workspaces], ID: ids[i%1024], Work: time.Millisecond, Late: true, Wait: 1})
 	}
 }
+
+// Guards against scarcity that begins and ends again and again where the demand is close to what the engines can do.
+func TestScarcityDoesNotFlap(t *testing.T) {
+	for _, load := range []float64{0.95, 1, 1.1} {
+		f := newFleet(5, 10, 20)
+		var log bytes.Buffer
+		for _, e := range f.entries {
+			e.policy.log = zerolog.New(&log)
+		}
+		demand := make([]float64, len(f.workspaces))
+		for w := range demand {
+			demand[w] = load * 10_000 / float64(len(demand))
+		}
+		f.play(time.Minute, demand, func(int) int { return f.random.IntN(5) }, true)
+		began := strings.Count(log.String(), event.ScarcityBegan.Name) / len(f.entries)
+		qt.Assert(t, began <= 1, qt.IsTrue, qt.Commentf("began %d times in a minute at load %v", began, load))
+		t.Logf("load %v: began %d times at each entry", load, began)
+	}
+}
