--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -24,10 +24,10 @@
 	}
 }
 
-// slo returns the request's latency target, deadline and priority.
+// slo returns the request's latency target, deadline and rank.
 func (x *exchange) slo() placement.SLO {
 	return placement.SLO{
-		Arrived: x.call.Arrived, Target: x.route.TargetLatency, Deadline: x.deadline, Priority: x.route.Priority, Begun: x.headerSent,
+		Arrived: x.call.Arrived, Target: x.route.TargetLatency, Deadline: x.deadline, Priority: x.rank, Begun: x.headerSent,
 	}
 }
 
@@ -61,13 +61,13 @@
 // withinShare reports whether the request is within its workspace's share of the service's engines. That is decided when the request is
 // placed for the first time; refused reports that placement refused it then as too late. Streams that callers take up have been decided on.
 func (x *exchange) withinShare(now time.Time, c *placement.Choice, refused bool) bool {
-	if x.shareDecided || x.g.opts.Shares == nil || !x.keysRequired || x.workspace == "" || x.traits.Engine == nil || x.call.ResumeAfter != "" {
+	if x.shareDecided || x.g.opts.Shares == nil || !x.identity.Checked || x.identity.Workspace == "" || x.traits.Engine == nil || x.call.ResumeAfter != "" {
 		return true
 	}
 	x.shareDecided = true
 	target := x.route.TargetLatency
 	r := fighollow.ShareRequest{
-		Service: x.service, Workspace: x.workspace, ID: x.call.ID, Rank: x.route.Priority,
+		Service: x.service, Workspace: x.identity.Workspace, ID: x.call.ID, Rank: x.rank,
 		Work: time.Duration(c.WorkMs * float64(time.Millisecond)), Late: refused || c.OverTarget > target, Refused: refused,
 	}
 	if target > 0 {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -35,13 +35,22 @@
 	if errors.Is(err, placement.ErrTooLate) {
 		r.Code = fighollow.CodeTooLate
 	}
-	r.RetryAfterMs = x.retryAfter().Milliseconds()
+	r.RetryAfterMs = (x.retryAfter() + x.roleSwitchWait(err)).Milliseconds()
 	if errors.Is(err, errOverShare) {
 		r.RetryAfterMs = x.shareDelay.Milliseconds()
 	}
 	return r
 }
 
+// roleSwitchWait returns how long the caller of a stream that may only go on at one software version waits for an engine of it to become a
+// decode engine, which the holder of the role lease orders when the version has too few; 0 if that is not the reason for the refusal.
+func (x *exchange) roleSwitchWait(err error) time.Duration {
+	if x.software == "" || !errors.Is(err, placement.ErrNoUpstream) || x.traits.Engine == nil || !x.pool.CanServe(x.software) {
+		return 0
+	}
+	return x.traits.Engine.RoleSwitch / 2
+}
+
 const (
 	// retryAfterMin and retryAfterSpread bound the retry delay sent with a refusal. The spread keeps callers that were
 	// refused together from returning together.
@@ -59,9 +68,9 @@
 	return retryAfterMin + max(0, x.overTarget)/2 + x.limitedFor + time.Duration(x.seed%uint64(retryAfterSpread))
 }
 
-// notReadyRefusal returns the refusal for a request that arrives before the first configuration.
-func (x *exchange) notReadyRefusal() *fighollow.Refusal {
-	r := fighollow.NotRunRefusal(fighollow.CodeNotReady, "no configuration is known yet")
+// notReadyRefusal returns the refusal for a request that arrives before the first configuration, or while its key cannot be trusted.
+func (x *exchange) notReadyRefusal(message string) *fighollow.Refusal {
+	r := fighollow.NotRunRefusal(fighollow.CodeNotReady, message)
 	r.RetryAfterMs = (notReadyRetryMin + time.Duration(x.seed%uint64(notReadyRetrySpread))).Milliseconds()
 	return r
 }
--- a/internal/usage/collector_test.go
+++ b/internal/usage/collector_test.go
@@ -19,7 +19,7 @@
 	"github.com/fighollow/fighollow/internal/peers"
 )
 
-const testWindow = 5 * time.Second
+const collectedWindow = 5 * time.Second
 
 // datagram is a message on its way.
 type datagram struct {
@@ -75,8 +75,8 @@
 // start starts an entry, or starts it again.
 func (n *network) start(name string, off time.Duration, holder func() string) *process {
 	p := &process{net: n, name: name, clock: NewClock((&testClocks{now: &n.now, off: off}).read), registry: metrics.NewRegistry()}
-	p.counter = NewCounter(testWindow, p.clock)
-	opts := CollectorOptions{Self: name, DataCentre: "dc", Window: testWindow, Holder: holder, Registry: p.registry}
+	p.counter = NewCounter(collectedWindow, p.clock)
+	opts := CollectorOptions{Self: name, DataCentre: "dc", Window: collectedWindow, Holder: holder, Registry: p.registry}
 	p.collector = NewCollector(opts, p.clock, p.counter, p, zerolog.Nop())
 	n.entries[name] = p
 	return p
@@ -141,7 +141,7 @@
 				p := net.entries[rapid.SampledFrom(names).Draw(t, "entry")]
 				name := rapid.SampledFrom([]string{"fida11", "hule930", "x"}).Draw(t, "workspace")
 				now, _ := p.clock.read()
-				truth[p].fresh[counterKey{windowContaining(p.clock.Now(now), testWindow), name}]++
+				truth[p].fresh[counterKey{windowContaining(p.clock.Now(now), collectedWindow), name}]++
 				p.counter.Begun(now, name)
 			},
 			"tick": func(t *rapid.T) {
@@ -251,7 +251,7 @@
 			}
 		}
 		var names []string
-		window := windowContaining(time.Now(), testWindow)
+		window := windowContaining(time.Now(), collectedWindow)
 		want := make(map[string]int64)
 		begun := func(name, workspace string) {
 			net.entries[name].counter.Begun(time.Now(), workspace)
@@ -263,8 +263,8 @@
 			p := &process{net: net, name: name, registry: metrics.NewRegistry()}
 			start := time.Now()
 			p.clock = NewClock(func() (time.Time, time.Duration) { return time.Now(), time.Since(start) })
-			p.counter = NewCounter(testWindow, p.clock)
-			p.collector = NewCollector(CollectorOptions{Self: name, DataCentre: "dc", Window: testWindow}, p.clock, p.counter, p, zerolog.Nop())
+			p.counter = NewCounter(collectedWindow, p.clock)
+			p.collector = NewCollector(CollectorOptions{Self: name, DataCentre: "dc", Window: collectedWindow}, p.clock, p.counter, p, zerolog.Nop())
 			net.entries[name] = p
 		}
 		collectors := net.entries[names[0]].collector.collectors(net.entries[names[0]].DataCentres())
@@ -330,7 +330,7 @@
 		}
 	}
 	run(time.Second)
-	window := windowContaining(epoch, testWindow)
+	window := windowContaining(epoch, collectedWindow)
 	restarted := net.start(names[0], 0, func() string { return holder })
 	qt.Assert(t, restarted.collector.Counts(window)["w"], qt.Equals, int64(0))
 	run(clockInterval + 4*minSendInterval)
@@ -345,7 +345,7 @@
 func TestUnusableMessages(t *testing.T) {
 	net := &network{now: epoch, entries: make(map[string]*process)}
 	p := net.start("entry-0", 0, nil)
-	window := windowContaining(epoch, testWindow)
+	window := windowContaining(epoch, collectedWindow)
 	groups := func(g ...group) *message { return &message{Kind: kindCounts, Incarnation: 7, Groups: g} }
 	of := func(window int64, workspace string, n int64) *message {
 		return groups(group{Window: window, Counts: []count{{Workspace: workspace, N: n}}})
@@ -389,7 +389,7 @@
 	qt.Check(t, p.collector.Counts(window)["own"], qt.Equals, int64(1))
 
 	// All is dropped a minute after its windows.
-	net.now = net.now.Add(countersLifetime + 5*testWindow)
+	net.now = net.now.Add(countersLifetime + 5*collectedWindow)
 	p.collector.Tick(net.now)
 	m := p.collector.counts
 	qt.Check(t, []int{len(m.windows), len(m.incarnations), len(m.workspaces), m.counters}, qt.DeepEquals, []int{0, 0, 0, 0})
@@ -479,7 +479,7 @@
 
 // BenchmarkBegun measures what a request costs.
 func BenchmarkBegun(b *testing.B) {
-	c := NewCounter(testWindow, NewClock(ReadClocks))
+	c := NewCounter(collectedWindow, NewClock(ReadClocks))
 	names := make([]string, 300)
 	for i := range names {
 		names[i] = fmt.Sprintf("hule%d", i)
@@ -499,7 +499,7 @@
 	p := net.start("entry-0", 0, nil)
 	var all [][]byte
 	for i := range 350 {
-		g := group{Window: windowContaining(epoch, testWindow)}
+		g := group{Window: windowContaining(epoch, collectedWindow)}
 		for j := range 17 {
 			g.Counts = append(g.Counts, count{Workspace: fmt.Sprintf("hule%d", (i+j*13)%270), N: int64(i + j + 1)})
 		}
--- a/pkg/fighollow/routing.go
+++ b/pkg/fighollow/routing.go
@@ -60,6 +60,8 @@
 	// MaxConnections is the maximum number of connections that each upstream accepts from all entries together; 0 means
 	// no limit.
 	MaxConnections int
+	// Scales reports that the configuration asks for a number of upstreams that follows the load. This is not supported.
+	Scales bool
 }
 
 // IngressLimits bound the size and duration of callers' requests. For a zero field the process's own default applies.
@@ -87,6 +89,8 @@
 	// KeysRequired reports that requests for routes that are not public need the key of one of Workspaces, which may be empty.
 	KeysRequired bool
 	Workspaces   []KeyedWorkspace
+	// Problems are the parts of the configuration that could not be decoded and are ignored, for the log. They hold no keys.
+	Problems []string
 }
 
 // Upstream is an engine or an instance of a plain service to which requests are sent directly.
