--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/fighollow/fighollow/internal/admin"
 	"github.com/fighollow/fighollow/internal/callerconn"
 	"github.com/fighollow/fighollow/internal/event"
+	"github.com/fighollow/fighollow/internal/fairshare"
 	"github.com/fighollow/fighollow/internal/gateway"
 	"github.com/fighollow/fighollow/internal/lease"
 	"github.com/fighollow/fighollow/internal/logging"
@@ -67,6 +68,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Sources: cli.EnvVars(platform.SettingsVariable), Required: true, Usage: "settings `FILE` of the platform"},
 			&cli.StringFlag{Name: "log", Value: "info", Usage: "log `LEVEL`: debug, info, warn or error"},
+			&cli.BoolFlag{Name: "share-work", Usage: "tell the other entries which prompts are placed, and use what they tell; experimental"},
 			&cli.IntFlag{Name: "metrics-port", Usage: "`PORT` of the metrics server; 0: none"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
@@ -82,16 +84,23 @@
 			sink := logging.New(os.Stdout, logging.Options{})
 			defer func() { _ = sink.Close() }() // a failure of the log's own output cannot be reported
 			log := zerolog.New(sink).Level(level).With().Timestamp().Str("process", cfg.Node).Logger()
-			return newGatewayProcess(cmd.String("settings"), cfg, cmd.Int("metrics-port"), sink, log).run(ctx)
+			flags := gatewayFlags{settingsFile: cmd.String("settings"), metricsPort: cmd.Int("metrics-port"), shareWork: cmd.Bool("share-work")}
+			return newGatewayProcess(flags, cfg, sink, log).run(ctx)
 		},
 	}
 }
 
+// gatewayFlags are the flags of the command line.
+type gatewayFlags struct {
+	settingsFile string
+	metricsPort  int  // of the metrics server; 0 for none
+	shareWork    bool // see placement.Options.ShareWork
+}
+
 // gatewayProcess holds the parts of a gateway process.
 type gatewayProcess struct {
-	settingsFile string
+	flags        gatewayFlags
 	cfg          platform.Settings
-	metricsPort  int
 	registry     metrics.Registry
 	sink         *logging.Sink
 	log          zerolog.Logger
@@ -109,7 +118,8 @@
 	quarantine   *quarantine.Writer
 	streams      *streams.Journal
 	peers        *peers.Link
-	work         *workshare.Sharer
+	work         *workshare.Sharer // nil if work is not shared
+	shares       *fairshare.Policy
 	observing    chan bool // whether this entry observes the reports of all
 	revocation   workspace.Revocation
 	stopping     atomic.Bool
@@ -117,10 +127,10 @@
 }
 
 // newGatewayProcess returns a process that has not opened any sockets yet.
-func newGatewayProcess(settingsFile string, cfg platform.Settings, metricsPort int, sink *logging.Sink, log zerolog.Logger) *gatewayProcess {
+func newGatewayProcess(flags gatewayFlags, cfg platform.Settings, sink *logging.Sink, log zerolog.Logger) *gatewayProcess {
 	registry := metrics.NewRegistry()
 	p := &gatewayProcess{
-		settingsFile: settingsFile, cfg: cfg, metricsPort: metricsPort, registry: registry, sink: sink, log: log,
+		flags: flags, cfg: cfg, registry: registry, sink: sink, log: log,
 		store: platform.NewStore(platform.StoreOptions{
 			Address: cfg.StoreAddress, Stable: cfg.Bounds.Stable, History: cfg.StoreHistory, Registry: registry,
 		}, log),
@@ -130,18 +140,24 @@
 	divider := quota.New(self)
 	fleet := placement.New(placement.Options{
 		DataCentre: cfg.DataCentre, DrainTime: cfg.Bounds.Drain, Heartbeat: cfg.Heartbeat, Shares: divider,
-		AdmitVersions: true,
+		AdmitVersions: true, ShareWork: flags.shareWork,
 	})
 	dispatcher := platform.NewDispatcher(p.pool, p.control, gateway.NewAnnouncements(fleet, p.registry, log))
 	crashes := quarantine.New(self)
 	p.quarantine = quarantine.NewWriter(crashes, p.store, log)
 	p.peers = peers.New(self, log)
-	p.work = workshare.New(workshare.Options{
-		Self: self, MaxData: peers.MaxData, Registry: registry,
-		Send: func(data []byte, dataCentre string) { p.peers.SendDataCentre(peers.TopicWork, data, dataCentre) },
-	}, fleet, log)
-	fleet.OnWork(p.work.Add)
-	p.peers.Subscribe(peers.TopicWork, func(from string, data []byte) { p.work.Receive(time.Now(), from, data) })
+	if flags.shareWork {
+		p.work = workshare.New(workshare.Options{
+			Self: self, MaxData: peers.MaxData, Registry: registry,
+			Send: func(data []byte, dataCentre string) { p.peers.SendDataCentre(peers.TopicWork, data, dataCentre) },
+		}, fleet, log)
+		fleet.OnWork(p.work.Add)
+		p.peers.Subscribe(peers.TopicWork, func(from string, data []byte) { p.work.Receive(time.Now(), from, data) })
+	}
+	p.shares = fairshare.New(time.Now(), fairshare.Options{
+		Self: self, DataCentre: cfg.DataCentre, Workspaces: p.workspaces,
+		Services: func() []string { return p.gateway.EngineServices() }, Registry: p.registry,
+	}, p.peers, log)
 	p.streams = streams.New(streams.Options{
 		Self: self, Started: time.Now(), Entries: func() int { return p.gateway.Entries() },
 		Services: func() []string { return p.gateway.EngineServices() },
@@ -162,6 +178,7 @@
 	p.gateway = gateway.New(gateway.Options{
 		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: p.registry, Quarantine: crashes, Streams: p.streams,
 		Revocation: p.revocation, Usage: recorder,
+		Shares: p.shares,
 	}, fleet, dispatcher, log)
 	decode := gateway.Decoder{Routing: platform.DecodeRouting, Upstream: platform.DecodeUpstream}
 	p.follower = gateway.NewFollower(p.store, decode, p.gateway, fleet, gateway.Freshness{
@@ -180,7 +197,22 @@
 // setPeers passes the known entries on to those that send messages to them. The roster alone calls it.
 func (p *gatewayProcess) setPeers(known map[string]fighollow.Peer) {
 	p.peers.SetPeers(known)
-	p.work.SetPeers(known)
+	if p.work != nil {
+		p.work.SetPeers(known)
+	}
+}
+
+// workspaces returns the names of the workspaces of the configuration in force; nil if it requires no keys.
+func (p *gatewayProcess) workspaces() []string {
+	r := p.gateway.Routing()
+	if r == nil || !r.KeysRequired {
+		return nil
+	}
+	out := make([]string, 0, len(r.Workspaces))
+	for i := range r.Workspaces {
+		out = append(out, r.Workspaces[i].Name)
+	}
+	return out
 }
 
 // routingBound returns the time within which a new configuration must take effect, also if it removes a key.
@@ -233,7 +265,7 @@
 	serverErrs := make(chan error, 3)
 	go func() { serverErrs <- callerServer.Serve(callers) }()
 	go func() { serverErrs <- readinessServer.Serve(readinessListener) }()
-	if p.metricsPort > 0 {
+	if p.flags.metricsPort > 0 {
 		go func() { serverErrs <- p.serveMetrics() }()
 	}
 	bgCtx, cancelBg := context.WithCancel(context.Background())
@@ -246,7 +278,10 @@
 	background.Go(func() { p.quarantine.Run(bgCtx) })
 	background.Go(func() { p.streams.Run(bgCtx) })
 	background.Go(func() { p.peers.Run(bgCtx, p.streams) })
-	background.Go(func() { p.work.Run(bgCtx) })
+	if p.work != nil {
+		background.Go(func() { p.work.Run(bgCtx) })
+	}
+	background.Go(func() { p.shares.Run(bgCtx) })
 	background.Go(func() { p.follower.Follow(bgCtx, fighollow.KindQuarantine, p.quarantine.Apply) })
 	background.Go(func() {
 		p.follower.FollowWhile(bgCtx, fighollow.KindCrashReports, p.observing, p.quarantine.ApplyReports, p.quarantine.StopObserving)
@@ -284,7 +319,7 @@
 	line.Str("http", cfg.Ingress).Str("readiness", cfg.Readiness).Str("store", cfg.StoreAddress).
 		Str("dataCentre", cfg.DataCentre).Str("version", version).Dur("drainMs", b.Drain).Dur("graceMs", b.Grace).
 		Dur("leaseMs", b.Lease).Dur("stableMs", b.Stable).Dur("configMs", b.Config).Dur("heartbeatMs", cfg.Heartbeat).Float64("retryRatio", b.RetryRatio).Int("retrySlack", b.RetrySlack).
-		Bool("fencesChecked", b.RequireFencing).Bool("strictRevocation", b.StrictRevocation).Dur("revokeMs", b.Revoke).Int("metricsPort", p.metricsPort).Send()
+		Bool("fencesChecked", b.RequireFencing).Bool("strictRevocation", b.StrictRevocation).Dur("revokeMs", b.Revoke).Int("metricsPort", p.flags.metricsPort).Send()
 }
 
 // reloadOnHangup reads the settings again on each SIGHUP. The retry limits take effect at once; all other settings take
@@ -296,13 +331,13 @@
 			return
 		case <-hangups:
 		}
-		cfg, err := platform.ReadSettings(p.settingsFile)
+		cfg, err := platform.ReadSettings(p.flags.settingsFile)
 		if err != nil {
 			event.SettingsInvalid.Log(&p.log).Err(err).Send()
 			continue
 		}
 		p.gateway.SetRetries(cfg.Bounds.RetryRatio, cfg.Bounds.RetrySlack)
-		event.SettingsReloaded.Log(&p.log).Str("file", p.settingsFile).Float64("retryRatio", cfg.Bounds.RetryRatio).
+		event.SettingsReloaded.Log(&p.log).Str("file", p.flags.settingsFile).Float64("retryRatio", cfg.Bounds.RetryRatio).
 			Int("retrySlack", cfg.Bounds.RetrySlack).Send()
 	}
 }
@@ -389,7 +424,7 @@
 	p.registerGauges()
 	r := chi.NewRouter()
 	r.Get("/metrics", admin.MetricsHandler(p.registry))
-	address := net.JoinHostPort(p.cfg.Address, strconv.Itoa(p.metricsPort))
+	address := net.JoinHostPort(p.cfg.Address, strconv.Itoa(p.flags.metricsPort))
 	s := &http.Server{Addr: address, Handler: r, ReadHeaderTimeout: callerHeaderTimeout}
 	if err := s.ListenAndServe(); err != nil {
 		return fmt.Errorf("serve metrics: %w", err)
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -101,7 +101,7 @@
 		byAddress[e.upstream.Address] = e
 	}
 	for i := range r.cfg.Entries {
-		f := placement.New(placement.Options{DataCentre: r.cfg.DataCentres[i%len(r.cfg.DataCentres)], DrainTime: drainTime})
+		f := placement.New(placement.Options{DataCentre: r.cfg.DataCentres[i%len(r.cfg.DataCentres)], DrainTime: drainTime, ShareWork: r.cfg.Policy.ShareWork})
 		f.Configure(&fighollow.Routing{Services: map[string]fighollow.ServiceTraits{service: {Name: service, Engine: &r.cfg.Engine.Traits}}})
 		r.entries = append(r.entries, f)
 	}
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -73,6 +73,10 @@
 	WorkUnread          = Event{8078, "workUnread", zerolog.InfoLevel, "a message of another entry about the prompts that it placed could not be decoded and is ignored; engines' backlogs are underestimated by these. Logged at most every 10 s"}
 	WorkShared          = Event{8079, "workShared", zerolog.InfoLevel, "the entries of the deployment begin or cease to tell each other which prompts they place, because of their number"}
 	WorkDistrusted      = Event{8080, "workDistrusted", zerolog.WarnLevel, "another entry reports more work than it can have placed; its reports are ignored for 30 s. Logged at most every 10 s; check the log and the clock of that entry"}
+	ScarcityBegan       = Event{8082, "scarcityBegan", zerolog.InfoLevel, "requests for a service are refused as too late, or far beyond their target: its engine time is divided among workspaces. The line has the fair rate in milliseconds of engine time a second, how many workspaces offer more, the least share that is admitted of what they offer, and the entry by whose rates it is divided"}
+	ScarcityEnded       = Event{8083, "scarcityEnded", zerolog.InfoLevel, "engine time of a service is no longer divided among workspaces; the line has how long that lasted and how many requests this entry refused meanwhile"}
+	SharesRefused       = Event{8084, "sharesRefused", zerolog.InfoLevel, "a service is still scarce; the line has how many requests this entry has refused since that began, and the figures of scarcityBegan as they are now"}
+	ShareMessageIgnored = Event{8085, "shareMessageIgnored", zerolog.DebugLevel, "a message of another entry about shares is malformed or absurd; it is ignored"}
 	RoleOrdered         = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is ordered to change its role; the line has the reason and the load that the decision was based on"}
 	RoleOrderEnded      = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "the engine accepted or refused an order for a role change, or its answer was lost; in the last case it may still carry out the order, and gets no other for some time"}
 	ReportMissing       = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
@@ -90,4 +94,5 @@
 	RoleLeaseReleased, UsageFrozen, UsageAccepted, UsageRepeated, UsageGivenUp, UsageUnstored, UsageRead, DutyUnsupported,
 	UsageClockCorrected, UsageMessageIgnored, UsageCountersLost, UsageCountersAsked,
 	WorkUnread, WorkShared, WorkDistrusted,
+	ScarcityBegan, ScarcityEnded, SharesRefused, ShareMessageIgnored,
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,7 @@
 	Streams    *streams.Journal        // which versions began streams; nil if only the gateway's own answers go on
 	Quarantine *quarantine.Tracker     // requests and parts of prompts that crash engines; nil for one that knows only this gateway's
 	Usage      fighollow.UsageRecorder // counts the requests that upstreams began to run; nil for none
+	Shares     fighollow.SharePolicy   // divides scarce engine time among workspaces; nil for none
 	Revocation workspace.Revocation
 }
 
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -18,6 +18,8 @@
 	// AdmitVersions keeps answers from beginning at engines of software versions that Pool.Admit was not given, while there are others and
 	// for 2 s after such an engine is first known.
 	AdmitVersions bool
+	// ShareWork lets the entries tell each other what they place, where there are enough of them; see Fleet.OnWork and Fleet.AddWork.
+	ShareWork bool
 }
 
 // Fleet holds the upstreams of all services. Each service has its own lock. It is safe for concurrent use.
@@ -82,7 +84,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.entries = max(1, n)
-	f.sharing = f.entries >= minSharingEntries || f.sharing && f.entries >= keepSharingEntries
+	f.sharing = f.opts.ShareWork && (f.entries >= minSharingEntries || f.sharing && f.entries >= keepSharingEntries)
 	for _, p := range f.pools {
 		p.setEntries(f.entries)
 		p.setSharing(f.sharing)
