gateway, platform: slow callers cost no memory beyond a third of the instance's, and are not their engines' failures

The bound on request bodies was 96 MiB on any instance; the smallest entries have 144 MB. It is now a third of the instance's memory, at most 96 MiB. An answer that breaks off after a write to its caller has blocked for a second is not counted as a failure of the engine, which cuts off answers that stay unread.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -257,7 +257,7 @@
 	}
 	callers := callerconn.NewListener(callerListener, p.callerTimeouts, p.log)
 	callerServer := &http.Server{
-		Handler:           callerconn.ResetAborted(platform.NewIngress(p.gateway, p.stopping.Load)),
+		Handler:           callerconn.ResetAborted(platform.NewIngress(p.gateway, p.cfg.MemoryMB, p.stopping.Load)),
 		ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: stdlog.New(p.log, "", 0),
 		ConnState: callers.ConnState, ConnContext: callerconn.Context,
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -64,6 +64,7 @@
 	isRecorded       bool   // the stream is in the journal
 	counted          bool   // usage has the request
 	status           int
+	blocked          time.Duration // of the last write to the caller
 	firstByte, total time.Duration // from the arrival to the first byte and to the end of the answer
 }
 
@@ -197,15 +198,30 @@
 	return err
 }
 
-// recordInterruption records that an answer broke off. It does not count as a failure of the upstream if ctx is done.
+// slowCallerTime is how long a write to the caller blocks from which on an answer that breaks off next is not the upstream's failure:
+// engines cut off answers that stay unread for some seconds.
+const slowCallerTime = time.Second
+
+// write writes a part of the answer to the caller, and records for how long that blocked.
+func (x *exchange) write(p []byte) error {
+	began := time.Now()
+	err := x.out.Write(p)
+	x.blocked = time.Since(began)
+	return err
+}
+
+// recordInterruption records that an answer broke off. It does not count as a failure of the upstream if ctx is done or the caller did not
+// read.
 func (x *exchange) recordInterruption(ctx context.Context, a *attempt, err error) error {
 	x.mayHaveRun = true
 	x.tried = append(x.tried, a.upstream.ID)
 	result := placement.Failed
-	if ctx.Err() != nil {
+	if ctx.Err() == nil {
+		x.recordUsage(time.Now())
+	}
+	if ctx.Err() != nil || x.blocked >= slowCallerTime {
 		result = placement.Abandoned
 	} else {
-		x.recordUsage(time.Now())
 		x.recordBreak(a, err)
 	}
 	a.end(result, err)
--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -187,8 +187,12 @@
 }
 
 func newGatewayWith(opts gateway.Options, f fighollow.Dispatcher, route fighollow.Route) *gateway.Gateway {
+	return newLoggingGateway(opts, f, route, zerolog.Nop())
+}
+
+func newLoggingGateway(opts gateway.Options, f fighollow.Dispatcher, route fighollow.Route, log zerolog.Logger) *gateway.Gateway {
 	fleet := placement.New(placement.Options{DataCentre: "a", DrainTime: time.Second})
-	g := gateway.New(opts, fleet, f, zerolog.Nop())
+	g := gateway.New(opts, fleet, f, log)
 	g.Apply(&fighollow.Routing{Version: 1, Routes: []fighollow.Route{route}, Services: map[string]fighollow.ServiceTraits{
 		"plain": {Name: "plain"}, "models": {Name: "models", Engine: &fighollow.EngineTraits{Slots: 8, KVCapacityTokens: 1000}},
 	}})
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -57,7 +57,7 @@
 	if !long && x.call.Method != http.MethodHead {
 		length = int64(len(buffered))
 	}
-	x.callerLeft = x.sendHeader(a.reply, length) != nil || x.out.Write(buffered) != nil
+	x.callerLeft = x.sendHeader(a.reply, length) != nil || x.write(buffered) != nil
 	switch {
 	case long && x.callerLeft:
 		a.end(placement.Abandoned, nil)
@@ -74,7 +74,7 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := a.body.Read(buf)
-		if n > 0 && x.out.Write(buf[:n]) != nil {
+		if n > 0 && x.write(buf[:n]) != nil {
 			x.callerLeft = true
 		}
 		switch {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -71,7 +71,7 @@
 	if id := lastEventID(events); id != "" {
 		x.resumeAfter = id
 	}
-	if err := x.out.Write(events); err != nil {
+	if err := x.write(events); err != nil {
 		x.callerLeft = true
 		return err
 	}
