--- a/internal/fairshare/fair.go
+++ b/internal/fairshare/fair.go
@@ -100,8 +100,11 @@
 }
 
 const (
-	// beginLateShare is the fraction of the offered engine time that must be late for scarcity to begin.
-	beginLateShare = 0.02
+	// beginLateShare is the fraction of the offered engine time that must be late for scarcity to begin. Where demand exceeds what the
+	// engines do, queues grow until nearly all is late; some percent are late whenever engines start, crash or are slow, and to refuse
+	// requests then helps nobody. keepLateShare is the fraction at which it goes on.
+	beginLateShare = 0.25
+	keepLateShare  = 0.02
 	// capacityGrowth is by how much the capacity grows in a second, and crowdedGain by how much it shrinks if all requests wait for their
 	// latency target or longer. It settles where they wait for a third of it, so that requests are refused by share and not by lateness.
 	// Less than the capacity is divided while requests wait, up to maxDrain, so that queues shorten at once.
@@ -145,7 +148,11 @@
 	e.updated = now
 	keep := math.Exp2(-float64(elapsed) / float64(admittedHalfLife))
 	e.admitted = keep*e.admitted + (1-keep)*t.admitted
-	late := t.late > 0 && t.late >= beginLateShare*t.offered
+	lateFrom := beginLateShare
+	if e.scarce {
+		lateFrom = keepLateShare
+	}
+	late := t.late > 0 && t.late >= lateFrom*t.offered
 	switch {
 	case e.scarce:
 		e.crowded = 0
