--- a/internal/fairshare/policy.go
+++ b/internal/fairshare/policy.go
@@ -227,7 +227,7 @@
 	b := c.at(number)
 	b.offered[rank] += workMs
 	if r.Refused {
-		return admitted // it does not matter
+		return admitted // placement has refused it, and it is only counted
 	}
 	draw := drawOf(r.ID)
 	if v != nil && !v.admits(r.Workspace, c.rates(at, rateBuckets), rank, draw) {
