--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -147,12 +147,7 @@
 	p.quarantine = quarantine.NewWriter(crashes, p.store, log)
 	p.peers = peers.New(self, log)
 	if flags.shareWork {
-		p.work = workshare.New(workshare.Options{
-			Self: self, MaxData: peers.MaxData, Registry: registry,
-			Send: func(data []byte, dataCentre string) { p.peers.SendDataCentre(peers.TopicWork, data, dataCentre) },
-		}, fleet, log)
-		fleet.OnWork(p.work.Add)
-		p.peers.Subscribe(peers.TopicWork, func(from string, data []byte) { p.work.Receive(time.Now(), from, data) })
+		p.work = p.newSharer(self, fleet)
 	}
 	p.shares = fairshare.New(time.Now(), fairshare.Options{
 		Self: self, DataCentre: cfg.DataCentre, Workspaces: p.workspaces,
@@ -177,8 +172,7 @@
 	p.revocation = workspace.Revocation{Strict: cfg.Bounds.StrictRevocation, Within: cfg.Bounds.Revoke}
 	p.gateway = gateway.New(gateway.Options{
 		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: p.registry, Quarantine: crashes, Streams: p.streams,
-		Revocation: p.revocation, Usage: recorder,
-		Shares: p.shares,
+		Revocation: p.revocation, Usage: recorder, Shares: p.shares,
 	}, fleet, dispatcher, log)
 	decode := gateway.Decoder{Routing: platform.DecodeRouting, Upstream: platform.DecodeUpstream}
 	p.follower = gateway.NewFollower(p.store, decode, p.gateway, fleet, gateway.Freshness{
@@ -194,6 +188,17 @@
 	return p
 }
 
+// newSharer returns what tells the other entries which prompts this one has placed, and adds what they tell to the backlogs of fleet.
+func (p *gatewayProcess) newSharer(self string, fleet *placement.Fleet) *workshare.Sharer {
+	s := workshare.New(workshare.Options{
+		Self: self, MaxData: peers.MaxData, Registry: p.registry,
+		Send: func(data []byte, dataCentre string) { p.peers.SendDataCentre(peers.TopicWork, data, dataCentre) },
+	}, fleet, p.log)
+	fleet.OnWork(s.Add)
+	p.peers.Subscribe(peers.TopicWork, func(from string, data []byte) { s.Receive(time.Now(), from, data) })
+	return s
+}
+
 // setPeers passes the known entries on to those that send messages to them. The roster alone calls it.
 func (p *gatewayProcess) setPeers(known map[string]fighollow.Peer) {
 	p.peers.SetPeers(known)
