--- a/internal/emulator/sharing_test.go
+++ b/internal/emulator/sharing_test.go
@@ -1,6 +1,7 @@
 package emulator_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -39,13 +40,20 @@
 			return float64(r.Classes[class].OnTime) / float64(r.Classes[class].Requests)
 		}
 	}
+	policies := []emulator.Policy{
+		{Name: "own"}, {Name: "shared", ShareWork: true}, {Name: "lossy", ShareWork: true, MessageLoss: 0.1},
+		{Name: "false", ShareWork: true, FalseReports: true},
+	}
 	for _, entries := range []int{24, 31} {
+		results := make([][]emulator.Result, len(policies))
+		var runs sync.WaitGroup
+		for i, p := range policies {
+			runs.Go(func() { results[i] = runSeeds(manyEntries(entries, 1, p), 2) })
+		}
+		runs.Wait()
 		long := make(map[string]float64)
-		for _, p := range []emulator.Policy{
-			{Name: "own"}, {Name: "shared", ShareWork: true}, {Name: "lossy", ShareWork: true, MessageLoss: 0.1},
-			{Name: "false", ShareWork: true, FalseReports: true},
-		} {
-			rs := runSeeds(manyEntries(entries, 1, p), 2)
+		for i, p := range policies {
+			rs := results[i]
 			long[p.Name] = mean(rs, onTime("long"))
 			short := mean(rs, onTime("short"))
 			wait := mean(rs, func(r emulator.Result) float64 { return r.Classes["long"].TTFT(0.99).Seconds() * 1000 })
--- a/internal/fairshare/load_test.go
+++ b/internal/fairshare/load_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -253,7 +254,10 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "%-52s %7s %24s %7s %24s %7s %10s\n", "", "heavy", "others admitted", "all", "others' on-time share", "engines", "datagrams")
 	fmt.Fprintf(&b, "%-52s %7s %24s %7s %24s %7s %10s\n", "", "", "least  mean  most", "", "", "used", "a second")
-	for _, v := range variants {
+	rows := make([]string, len(variants))
+	var plays sync.WaitGroup
+	play := func(i int) {
+		v := &variants[i]
 		f := newFleet(entries, engines, workspaces)
 		if v.disturb != nil {
 			v.disturb(f)
@@ -287,10 +291,15 @@
 				t.Errorf("%s: workspace %d gets less than a quarter of what is admitted over all", v.name, w)
 			}
 		}
-		fmt.Fprintf(&b, "%-52s %7.2f %12.2f %5.2f %5.2f %7.2f %24.2f %7.2f %10.0f\n", v.name, got[heavy].admitted/got[heavy].offered,
+		rows[i] = fmt.Sprintf("%-52s %7.2f %12.2f %5.2f %5.2f %7.2f %24.2f %7.2f %10.0f\n", v.name, got[heavy].admitted/got[heavy].offered,
 			least, others.admitted/others.offered, most, all.admitted/all.offered, others.onTime/others.offered,
 			all.admitted/capacity/length.Seconds()*1.5, float64(f.datagrams)/length.Seconds())
 	}
+	for i := range variants {
+		plays.Go(func() { play(i) })
+	}
+	plays.Wait()
+	b.WriteString(strings.Join(rows, ""))
 	goldie.New(t).Assert(t, "load", []byte(b.String()))
 }
 
