platform, cmd/fighollow: usage API instead of the platform's words

Settings.Cloud becomes UsageAPI, whose Required replaces the list of the platform's duties; Scaling replaces RequiresScaling, and ConfirmKeys replaces StrictRevocation. The line of the start has usageAPI, usageWindowMs, usageCallsPerSec, keysConfirmed and revocationMs instead of cloud, reportWindowMs, dutyPerS, strictRevocation and revokeMs. The settings file stays as it was.

Test: go test ./cmd/... and go test ./platform -run 'Key|Tenant|Usage|Settings|Duties'.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -169,7 +169,7 @@
 		p.usage = p.newUsage(self)
 		recorder = p.usage.counter
 	}
-	p.revocation = workspace.Revocation{Strict: cfg.Bounds.StrictRevocation, Within: cfg.Bounds.Revoke}
+	p.revocation = workspace.Revocation{Strict: cfg.Bounds.ConfirmKeys, Within: cfg.Bounds.Revoke}
 	p.gateway = gateway.New(gateway.Options{
 		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: p.registry, Quarantine: crashes, Streams: p.streams,
 		Revocation: p.revocation, Usage: recorder, Shares: p.shares,
@@ -319,12 +319,12 @@
 	cfg, b := &p.cfg, &p.cfg.Bounds
 	line := event.ProcessStarted.Log(&p.log)
 	if p.usage != nil {
-		line.Str("cloud", cfg.Cloud.Address).Dur("reportWindowMs", b.ReportWindow).Float64("dutyPerS", cfg.Cloud.CallsPS)
+		line.Str("usageAPI", cfg.UsageAPI.Address).Dur("usageWindowMs", b.ReportWindow).Float64("usageCallsPerSec", cfg.UsageAPI.CallsPS)
 	}
 	line.Str("http", cfg.Ingress).Str("readiness", cfg.Readiness).Str("store", cfg.StoreAddress).
 		Str("dataCentre", cfg.DataCentre).Str("version", version).Dur("drainMs", b.Drain).Dur("graceMs", b.Grace).
 		Dur("leaseMs", b.Lease).Dur("stableMs", b.Stable).Dur("configMs", b.Config).Dur("heartbeatMs", cfg.Heartbeat).Float64("retryRatio", b.RetryRatio).Int("retrySlack", b.RetrySlack).
-		Bool("fencesChecked", b.RequireFencing).Bool("strictRevocation", b.StrictRevocation).Dur("revokeMs", b.Revoke).Int("metricsPort", p.flags.metricsPort).Send()
+		Bool("fencesChecked", b.RequireFencing).Bool("keysConfirmed", b.ConfirmKeys).Dur("revocationMs", b.Revoke).Int("metricsPort", p.flags.metricsPort).Send()
 }
 
 // reloadOnHangup reads the settings again on each SIGHUP. The retry limits take effect at once; all other settings take
--- a/cmd/fighollow/usage.go
+++ b/cmd/fighollow/usage.go
@@ -33,8 +33,8 @@
 		Self: self, DataCentre: p.cfg.DataCentre, Window: p.cfg.Bounds.ReportWindow, Holder: p.lease.HolderName, Registry: p.registry,
 	}, clock, u.counter, p.peers, p.log)
 	u.reporter = usage.NewReporter(usage.ReporterOptions{
-		Self: p.cfg.Node, Window: p.cfg.Bounds.ReportWindow, CallsPerSec: p.cfg.Cloud.CallsPS, Started: time.Now(), Registry: p.registry,
-	}, p.lease, p.store, platform.NewCloud(p.cfg.Cloud.Address), u.collector, clock, p.log)
+		Self: p.cfg.Node, Window: p.cfg.Bounds.ReportWindow, CallsPerSec: p.cfg.UsageAPI.CallsPS, Started: time.Now(), Registry: p.registry,
+	}, p.lease, p.store, platform.NewUsageAPI(p.cfg.UsageAPI.Address), u.collector, clock, p.log)
 	return u
 }
 
@@ -68,7 +68,7 @@
 	if _, reason := p.cfg.RequiresUsage(); reason != "" {
 		event.DutyUnsupported.Log(&p.log).Str("duty", "usage reports").Str("reason", reason).Send()
 	}
-	if !p.cfg.RequiresScaling() {
+	if !p.cfg.Scaling {
 		return
 	}
 	for {
--- a/cmd/fighollow/usage_test.go
+++ b/cmd/fighollow/usage_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -24,18 +23,17 @@
 	holders []string
 }
 
-func (a *usageAPI) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var report struct{ Window int64 }
-	if err := json.NewDecoder(r.Body).Decode(&report); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
+func (a *usageAPI) receive(report standin.UsageReport, err error) int {
+	if err != nil {
+		return http.StatusBadRequest
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.windows = append(a.windows, report.Window)
-	if holder := r.Header.Get("Lease-Holder"); !slices.Contains(a.holders, holder) {
-		a.holders = append(a.holders, holder)
+	if !slices.Contains(a.holders, report.Holder) {
+		a.holders = append(a.holders, report.Holder)
 	}
+	return http.StatusOK
 }
 
 func (a *usageAPI) holder(n int) bool {
@@ -48,14 +46,14 @@
 // reports undone until its lease has expired.
 func TestUsageIsReportedAcrossAPlannedStop(t *testing.T) {
 	store, api := standin.NewStore(), &usageAPI{}
-	server, cloud := httptest.NewServer(store), httptest.NewServer(api)
-	defer cloud.Close()
+	server, apiServer := httptest.NewServer(store), httptest.NewServer(standin.UsageHandler(api.receive))
+	defer apiServer.Close()
 	defer server.CloseClientConnections()
 	store.Put("config", "main", map[string]any{"version": 1})
 	process := func(name string) (context.CancelFunc, <-chan error) {
 		cfg := testSettings(t, strings.TrimPrefix(server.URL, "http://"))
 		cfg.Node, cfg.Bounds.Lease, cfg.Bounds.ReportWindow = name, 3*time.Second, 200*time.Millisecond
-		cfg.Cloud = platform.CloudSettings{Address: strings.TrimPrefix(cloud.URL, "http://"), Duties: []string{"usage_report"}, CallsPS: 50}
+		cfg.UsageAPI = platform.UsageAPISettings{Address: strings.TrimPrefix(apiServer.URL, "http://"), Required: true, CallsPS: 50}
 		ctx, cancel := context.WithCancel(context.Background())
 		return cancel, startProcess(ctx, cfg, 0)
 	}
