soak, faults: the platform's names come from platform/standin

There is one copy of the settings file. Records have workspace and workspaceCounts instead of tenant and counts, and the oracle's rule tenant is named workspace. The usage API of TestFrozenReportIsRepeatedByTheNextHolder now also refuses reports without a fencing token or a holder, or at another path.

--- a/internal/faults/gateway_test.go
+++ b/internal/faults/gateway_test.go
@@ -21,36 +21,6 @@
 	"github.com/fighollow/fighollow/platform/standin"
 )
 
-// gatewaySettings is the platform's settings file of an entry, with windows of usageWindow.
-const gatewaySettings = `node = %q
-ip = "127.0.0.1"
-zone = "a"
-[listen]
-front = %q
-ready = %q
-[limits]
-memoryMb = 284
-[bounds]
-drainMs = 1000
-graceS = 4
-configMs = 2000
-revokeMs = 4000
-strictRevocation = false
-stableWindowMs = 3000
-leaseMs = 3000
-retryBudgetRatio = 0.2
-budgetSlack = 10
-reportWindowS = 2
-usageTolerance = 0.05
-usageLateS = 6
-[provider]
-address = %q
-[cloud]
-address = %q
-duties = ["usage_report","autoscale"]
-dutyPerS = 50.0
-`
-
 const (
 	usageKind   = "fighollow-usage-reports" // of the store
 	usageWindow = 2 * time.Second
@@ -72,7 +42,7 @@
 	requests int
 }
 
-func newGatewayFleet(t *testing.T, entries int, tenants ...object) *gatewayFleet {
+func newGatewayFleet(t *testing.T, entries int, workspaces ...standin.Workspace) *gatewayFleet {
 	ctx, cancel := context.WithTimeout(context.Background(), cellLimit)
 	f := &gatewayFleet{ctx: ctx, t: t, dir: t.TempDir(), store: standin.NewStore(), usage: freeAddr(t), frozen: make([][]byte, entries)}
 	t.Cleanup(cancel)
@@ -84,11 +54,11 @@
 		w.Header().Set("Server-Signature", "sig-plain1")
 	}))
 	t.Cleanup(service.Close)
-	f.configure(1, tenants...)
-	f.store.Put("servers", "plain1", object{
-		"service": "plain", "address": service.Listener.Addr().String(), "zone": "a", "version": "v1", "slots": 16, "state": "ready", "sequence": 0,
-		"coldRemainingMs": 0, "born": time.Now().UnixMilli(),
-	})
+	f.configure(1, workspaces...)
+	registration := standin.Registration{
+		Service: "plain", Address: service.Listener.Addr().String(), DataCentre: "a", Version: "v1", Slots: 16, Born: time.Now().UnixMilli(),
+	}
+	f.store.Put(standin.KindUpstreams, "plain1", registration.Spec())
 	for i := range entries {
 		f.startEntry(i)
 	}
@@ -96,26 +66,33 @@
 }
 
 // configure writes a configuration with workspaces.
-func (f *gatewayFleet) configure(version int, tenants ...object) {
-	f.store.Put("config", "main", object{
-		"version": version, "tenants": tenants,
+func (f *gatewayFleet) configure(version int, workspaces ...standin.Workspace) {
+	configuration := object{
+		"version":  version,
 		"routes":   []object{{"name": "any", "host": gatewayHost, "pathPrefix": "/any/", "kind": "idempotent", "timeoutMs": 2500, "service": "plain", "maxAttempts": 2}},
 		"services": []object{{"name": "plain", "maxConnections": 200}},
 		"limits":   object{"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 20000},
-	})
+	}
+	standin.SetWorkspaces(configuration, workspaces)
+	f.store.Put("config", "main", configuration)
 }
 
 // startEntry starts an entry and waits until it is ready.
 func (f *gatewayFleet) startEntry(i int) {
-	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.serveStore(i, w, r) }))
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.serveStore(i, w, r) }))
 	f.t.Cleanup(func() {
-		front.CloseClientConnections()
-		front.Close()
+		store.CloseClientConnections()
+		store.Close()
 	})
 	name, ingress, ready := fmt.Sprintf("entry-%d", i+1), freeAddr(f.t), freeAddr(f.t)
 	file := filepath.Join(f.dir, name+".toml")
-	settings := fmt.Sprintf(gatewaySettings, name, ingress, ready, front.Listener.Addr(), f.usage)
-	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+	settings := standin.EntrySettings{
+		Name: name, IP: "127.0.0.1", DataCentre: "a", Ingress: ingress, Readiness: ready, Store: store.Listener.Addr().String(), MemoryMB: 284,
+		Drain: time.Second, Grace: 4 * time.Second, Config: 2 * time.Second, Stable: 3 * time.Second, Lease: 3 * time.Second,
+		RetryRatio: 0.2, RetrySlack: 10, Revocation: &standin.RevocationSettings{Within: 4 * time.Second},
+		Usage: &standin.UsageSettings{API: f.usage, CallsPerSec: 50, Window: usageWindow, Share: 0.05, Due: 6 * time.Second},
+	}
+	if err := os.WriteFile(file, []byte(settings.File()), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
 	p := &process{name: name, args: []string{"fighollow", "gateway", "--settings", file}, log: filepath.Join(f.dir, name+".log")}
@@ -177,7 +154,7 @@
 	n := c.f.requests
 	c.f.mu.Unlock()
 	_ = c.nc.SetDeadline(time.Now().Add(4 * time.Second)) // fails only on a closed connection
-	if _, err := fmt.Fprintf(c.nc, "GET /any/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: q%d\r\nRequest-Deadline-Ms: 3000\r\nX-Api-Key: %s\r\n\r\n", gatewayHost, n, key); err != nil {
+	if _, err := fmt.Fprintf(c.nc, "GET /any/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: q%d\r\nRequest-Deadline-Ms: 3000\r\n%s: %s\r\n\r\n", gatewayHost, n, standin.HeaderKey, key); err != nil {
 		return 0
 	}
 	res, err := http.ReadResponse(c.br, nil)
@@ -194,14 +171,14 @@
 // Guards against a removed key that stays in force on connections which were open before its removal.
 func TestRemovedKeyIsRefusedOnAnOpenConnection(t *testing.T) {
 	t.Parallel()
-	f := newGatewayFleet(t, 1, object{"name": "north", "apiKeys": []string{"key-old", "key-new"}})
+	f := newGatewayFleet(t, 1, standin.Workspace{Name: "north", Keys: []string{"key-old", "key-new"}})
 	open, err := f.dial(0)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer open.nc.Close()
 	until(f.ctx, t, "a request with the key is answered", func() bool { return open.ask("key-old") == http.StatusOK })
-	f.configure(2, object{"name": "north", "apiKeys": []string{"key-new"}})
+	f.configure(2, standin.Workspace{Name: "north", Keys: []string{"key-new"}})
 	removed := time.Now()
 	other, err := f.dial(0)
 	if err != nil {
@@ -227,20 +204,12 @@
 		t.Errorf("%d requests reached the service, and one of two had a valid key", n)
 	}
 	for _, h := range f.arrived {
-		if h.Get("Tenant") != "north" || h.Get("X-Api-Key") != "" {
-			t.Fatalf("the service got workspace %q and key %q", h.Get("Tenant"), h.Get("X-Api-Key"))
+		if h.Get(standin.HeaderWorkspace) != "north" || h.Get(standin.HeaderKey) != "" {
+			t.Fatalf("the service got workspace %q and key %q", h.Get(standin.HeaderWorkspace), h.Get(standin.HeaderKey))
 		}
 	}
 }
 
-// usageReport is one report as the usage API got it.
-type usageReport struct {
-	Window int64            `json:"window"`
-	Counts map[string]int64 `json:"counts"`
-	holder string
-	fence  string
-}
-
 // frozenReports finds the reports in a stored object, whatever their fields are called: an object with a window near a time, and one
 // with only numbers by the names of workspaces.
 func frozenReports(v any, now time.Time, workspaces ...string) map[int64]map[string]int64 {
@@ -287,7 +256,7 @@
 // Guards against a report that differs from the one which an earlier holder of the lease froze, and perhaps sent, before it was killed.
 func TestFrozenReportIsRepeatedByTheNextHolder(t *testing.T) {
 	t.Parallel()
-	f := newGatewayFleet(t, 2, object{"name": "north", "apiKeys": []string{"key-north"}}, object{"name": "south", "apiKeys": []string{"key-south"}})
+	f := newGatewayFleet(t, 2, standin.Workspace{Name: "north", Keys: []string{"key-north"}}, standin.Workspace{Name: "south", Keys: []string{"key-south"}})
 	// Requests with both keys reach both entries until the test ends.
 	ctx, stop := context.WithCancel(f.ctx)
 	var wg sync.WaitGroup
@@ -326,19 +295,19 @@
 	read() // what was written until the end
 
 	var mu sync.Mutex
-	var reports []usageReport
+	var reports []standin.UsageReport
 	l, err := net.Listen("tcp", f.usage)
 	if err != nil {
 		t.Fatal(err)
 	}
-	api := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		report := usageReport{holder: r.Header.Get("Lease-Holder"), fence: r.Header.Get("Fencing-Token")}
-		if err := json.NewDecoder(r.Body).Decode(&report); err != nil {
-			t.Errorf("usage report: %v", err)
+	api := &http.Server{ReadHeaderTimeout: time.Second, Handler: standin.UsageHandler(func(report standin.UsageReport, err error) int {
+		if err != nil {
+			t.Errorf("usage report: %v", err) // also without a fencing token
 		}
 		mu.Lock()
 		defer mu.Unlock()
 		reports = append(reports, report)
+		return http.StatusOK
 	})}
 	go func() { _ = api.Serve(l) }()
 	defer func() { _ = api.Close() }()
@@ -361,8 +330,8 @@
 	mu.Lock()
 	defer mu.Unlock()
 	for _, r := range reports {
-		if r.holder != f.entries[1-holder].name || r.fence == "" {
-			t.Errorf("report of %q with fence %q, and %s holds the lease", r.holder, r.fence, f.entries[1-holder].name)
+		if r.Holder != f.entries[1-holder].name || r.Fence == 0 {
+			t.Errorf("report of %q with fence %d, and %s holds the lease", r.Holder, r.Fence, f.entries[1-holder].name)
 		}
 	}
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/fighollow/fighollow/platform/standin"
 )
 
 // start starts everything and waits until all entries are ready.
@@ -109,63 +111,35 @@
 		"--store", r.store, "--seed", fmt.Sprint(r.opts.Seed), "--faulty", fmt.Sprint(faulty))
 }
 
-// entrySettings is the platform's settings file of an entry.
-const entrySettings = `node = %q
-ip = "127.0.0.1"
-zone = "a"
-[listen]
-front = %q
-ready = %q
-[limits]
-memoryMb = %d
-[bounds]
-drainMs = %d
-graceS = %d
-configMs = %d
-stableWindowMs = %d
-leaseMs = %d
-retryBudgetRatio = %g
-budgetSlack = %d
-[provider]
-address = %q
-`
+// soakDataCentre is where all entries and upstreams are.
+const soakDataCentre = "a"
 
 // usageName is the name of the usage API's process.
 const usageName = "usage"
 
-// usageSettings and usageBounds are added to the settings of an entry where usage reports are due.
-const (
-	usageSettings = `[cloud]
-address = %q
-duties = ["usage_report","autoscale"]
-dutyPerS = %.1f
-`
-	usageBounds = `[bounds]
-reportWindowS = %d
-usageTolerance = %g
-usageLateS = %d
-strictRevocation = false
-revokeMs = %d
-`
-)
-
 func (r *run) startEntry(name string) error {
-	front, ready := freeAddress(), freeAddress()
+	ingress, ready := freeAddress(), freeAddress()
 	store, err := r.link("store-"+name, r.store)
 	if err != nil {
 		return err
 	}
-	if r.ingress[name], err = r.link(name, front); err != nil {
+	if r.ingress[name], err = r.link(name, ingress); err != nil {
 		return err
 	}
 	r.readiness[name] = ready
-	settings := fmt.Sprintf(entrySettings, name, front, ready, memoryMB, drainMs, graceS, configMs, stableMs, leaseMs, retryRatio, retrySlack, store)
+	settings := standin.EntrySettings{
+		Name: name, IP: "127.0.0.1", DataCentre: soakDataCentre, Ingress: ingress, Readiness: ready, Store: store, MemoryMB: memoryMB,
+		Drain: drainMs * time.Millisecond, Grace: graceS * time.Second, Config: configMs * time.Millisecond, Stable: stableMs * time.Millisecond,
+		Lease: leaseMs * time.Millisecond, RetryRatio: retryRatio, RetrySlack: retrySlack,
+	}
 	if r.plan.Workspaces {
-		settings += fmt.Sprintf(usageSettings, r.usage, dutyPerS)
-		settings = strings.Replace(settings, "[bounds]\n", fmt.Sprintf(usageBounds, reportS, usageShare, usageLateS, revokeMs), 1)
+		settings.Revocation = &standin.RevocationSettings{Within: revocationMs * time.Millisecond}
+		settings.Usage = &standin.UsageSettings{
+			API: r.usage, CallsPerSec: usageCallsPS, Window: reportS * time.Second, Share: usageShare, Due: reportDueS * time.Second,
+		}
 	}
 	file := filepath.Join(r.opts.Dir, name+".toml")
-	if err := os.WriteFile(file, []byte(settings), 0o644); err != nil {
+	if err := os.WriteFile(file, []byte(settings.File()), 0o644); err != nil {
 		return fmt.Errorf("soak: %w", err)
 	}
 	return r.spawn(name, r.opts.Gateway, "gateway", "--settings", file)
--- a/internal/soak/keys.go
+++ b/internal/soak/keys.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+
+	"github.com/fighollow/fighollow/platform/standin"
 )
 
 // keyPrefix begins each key that callers send, so that a key can be found in headers and logs.
@@ -60,24 +62,24 @@
 	return out
 }
 
-// tenants returns the list for the configuration.
-func (k keyring) tenants() []any {
-	var out []any
+// workspaces returns the list for the configuration.
+func (k keyring) workspaces() []standin.Workspace {
+	var out []standin.Workspace
 	for i, w := range soakWorkspaces {
 		keys := []string{steadyKey(w)}
 		for _, n := range k[w] {
 			keys = append(keys, changingKey(n))
 		}
-		tenant := map[string]any{"name": w, "apiKeys": keys}
+		workspace := standin.Workspace{Name: w, Keys: keys}
 		if i < 2 {
-			tenant["priority"] = i
+			workspace.Priority = new(i)
 		}
-		out = append(out, tenant)
+		out = append(out, workspace)
 	}
 	return append(out,
-		map[string]any{"name": soakWorkspaces[0], "apiKeys": []string{"", keyOfSameName}, "priority": 3},
-		map[string]any{"name": "", "apiKeys": []string{keyOfNoName}},
-		map[string]any{"name": "line\nbreak", "apiKeys": []string{keyOfBadName}},
+		standin.Workspace{Name: soakWorkspaces[0], Keys: []string{"", keyOfSameName}, Priority: new(3)},
+		standin.Workspace{Name: "", Keys: []string{keyOfNoName}},
+		standin.Workspace{Name: "line\nbreak", Keys: []string{keyOfBadName}},
 	)
 }
 
@@ -108,7 +110,7 @@
 // drawCredentials draws the key of a request, or the lack of one, and perhaps a workspace that the caller claims.
 func drawCredentials(r *rand.Rand) credentials {
 	workspace := soakWorkspaces[r.IntN(len(soakWorkspaces))]
-	key, name := steadyKey(workspace), "X-Api-Key"
+	key, name := steadyKey(workspace), standin.HeaderKey
 	if r.IntN(4) == 0 {
 		name = strings.ToLower(name)
 	}
@@ -125,7 +127,7 @@
 	case n < 90:
 		c.form = "missing"
 	case n < 93:
-		c.form, c.header = "doubled", name+": "+key+"\r\nX-Api-Key: "+key+"\r\n"
+		c.form, c.header = "doubled", name+": "+key+"\r\n"+standin.HeaderKey+": "+key+"\r\n"
 	case n < 96:
 		c.form, c.header = "list", name+": "+key+", "+steadyKey(soakWorkspaces[0])+"\r\n"
 	case n < 98:
@@ -137,7 +139,7 @@
 		c.header = name + ": " + c.key + "\r\n"
 	}
 	if r.IntN(6) == 0 {
-		c.header += []string{"Tenant", "tenant"}[r.IntN(2)] + ": " + soakWorkspaces[r.IntN(len(soakWorkspaces))] + "\r\n"
+		c.header += []string{standin.HeaderWorkspace, strings.ToLower(standin.HeaderWorkspace)}[r.IntN(2)] + ": " + soakWorkspaces[r.IntN(len(soakWorkspaces))] + "\r\n"
 	}
 	return c
 }
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"time"
+
+	"github.com/fighollow/fighollow/platform/standin"
 )
 
 // Texts of records of configurations.
@@ -54,7 +56,7 @@
 		add(routeOpen, "idempotent", "plain")
 		add(routeOpenStream, "streaming", "models")
 		for _, route := range routes[len(routes)-2:] {
-			route["public"] = true
+			standin.SetPublic(route)
 		}
 	}
 	for i := 1; i <= version; i++ {
@@ -73,7 +75,7 @@
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": idleTimeout.Milliseconds()},
 	}
 	if r.plan.Workspaces {
-		spec["tenants"] = keys.tenants()
+		standin.SetWorkspaces(spec, keys.workspaces())
 		r.attempted = version
 		r.recorder.Add(Record{Kind: KindConfig, Text: configBegin, Number: int64(version), Keys: keys.valid()})
 	}
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -30,13 +30,13 @@
 	MemoryKiB    int64
 	Files        int
 	// Workspaces reports that requests need keys and that usage reports are due: see checkKeys and checkUsage.
-	Workspaces     bool
-	Config         time.Duration // after which a configuration with other keys must be in force at an undisturbed entry
-	Grace          time.Duration // within which a stopped entry ends
-	Window         time.Duration // of usage reports
-	UsageTolerance float64       // share by which a count may be wrong
-	UsageLate      time.Duration // after the end of its window, when a report must have been accepted
-	PlannedOnly    bool          // only planned stops and changes of the configuration: no request may be cut
+	Workspaces  bool
+	Config      time.Duration // after which a configuration with other keys must be in force at an undisturbed entry
+	Grace       time.Duration // within which a stopped entry ends
+	Window      time.Duration // of usage reports
+	UsageShare  float64       // share by which a count may be wrong
+	UsageDue    time.Duration // after the end of its window, when a report must have been accepted
+	PlannedOnly bool          // only planned stops and changes of the configuration: no request may be cut
 }
 
 // Finding is a broken promise.
--- a/internal/soak/oracle_keys.go
+++ b/internal/soak/oracle_keys.go
@@ -147,12 +147,12 @@
 		switch {
 		case !public && len(workspaces) == 0:
 			add("keyRun", "passed on to %s without a valid key", a.Instance)
-		case a.Tenant != q.arrivals[0].Tenant:
-			add("tenant", "passed on for %q and for %q", q.arrivals[0].Tenant, a.Tenant)
-		case a.Tenant == "" && public && !always, slices.Contains(workspaces, a.Tenant):
+		case a.Workspace != q.arrivals[0].Workspace:
+			add("workspace", "passed on for %q and for %q", q.arrivals[0].Workspace, a.Workspace)
+		case a.Workspace == "" && public && !always, slices.Contains(workspaces, a.Workspace):
 			continue
 		default:
-			add("tenant", "passed on to %s for %q, and the key is of %q", a.Instance, a.Tenant, strings.Join(workspaces, ","))
+			add("workspace", "passed on to %s for %q, and the key is of %q", a.Instance, a.Workspace, strings.Join(workspaces, ","))
 		}
 		return out
 	}
--- a/internal/soak/oracle_usage.go
+++ b/internal/soak/oracle_usage.go
@@ -124,7 +124,7 @@
 	for _, r := range records {
 		switch r.Kind {
 		case KindArrive:
-			of(r.Request).workspace = r.Tenant
+			of(r.Request).workspace = r.Workspace
 		case KindRun:
 			q := of(r.Request)
 			if !isStream(r.Route) {
@@ -186,8 +186,8 @@
 		case r.Kind == KindUsage:
 			if first, ok := reports[r.Number]; !ok {
 				reports[r.Number] = r
-			} else if !maps.Equal(first.Counts, r.Counts) {
-				out = append(out, Finding{"usageDiffers", "", fmt.Sprintf("window %d: %v of %s, and %v of %s", r.Number, first.Counts, first.Holder, r.Counts, r.Holder)})
+			} else if !maps.Equal(first.WorkspaceCounts, r.WorkspaceCounts) {
+				out = append(out, Finding{"usageDiffers", "", fmt.Sprintf("window %d: %v of %s, and %v of %s", r.Number, first.WorkspaceCounts, first.Holder, r.WorkspaceCounts, r.Holder)})
 			}
 			if _, ok := accepted[r.Number]; !ok && r.Status == 200 {
 				accepted[r.Number] = r.At()
@@ -207,7 +207,7 @@
 		if len(series) > 1 {
 			sum := make(map[string]int64)
 			for _, k := range series {
-				for w, n := range reports[k].Counts {
+				for w, n := range reports[k].WorkspaceCounts {
 					sum[w] += n
 				}
 			}
@@ -218,7 +218,7 @@
 	}
 	for k := begin.UnixNano()/int64(rules.Window) + 1; ; k++ {
 		in := windowSpan(rules, k, k)
-		due := in.to.Add(rules.UsageLate)
+		due := in.to.Add(rules.UsageDue)
 		if due.After(end) {
 			break
 		}
@@ -239,7 +239,7 @@
 		if at.After(due) {
 			out = append(out, Finding{"usageLate", "", fmt.Sprintf("window %d is reported %v after its end", k, at.Sub(in.to))})
 		}
-		out = append(out, checkCounts(rules, k, k, reports[k].Counts, began)...)
+		out = append(out, checkCounts(rules, k, k, reports[k].WorkspaceCounts, began)...)
 		series = append(series, k)
 	}
 	endSeries()
@@ -253,7 +253,7 @@
 
 // checkCounts checks the counts of the report of a window, or the sums of those of consecutive ones.
 func checkCounts(rules Rules, first, last int64, counts map[string]int64, began tally) (out []Finding) {
-	slack := func(n int64) int64 { return max(1, int64(math.Floor(rules.UsageTolerance*float64(n)))) }
+	slack := func(n int64) int64 { return max(1, int64(math.Floor(rules.UsageShare*float64(n)))) }
 	workspaces := make(map[string]bool)
 	for _, m := range []map[string]int64{counts, began.most} {
 		for w := range m {
--- a/internal/soak/oracle_workspaces_test.go
+++ b/internal/soak/oracle_workspaces_test.go
@@ -14,7 +14,7 @@
 func workspaceRules() Rules {
 	rules := testRules
 	rules.Workspaces, rules.Config, rules.Grace = true, 3*time.Second, 4*time.Second
-	rules.Window, rules.UsageTolerance, rules.UsageLate = 2*time.Second, 0.05, 6*time.Second
+	rules.Window, rules.UsageShare, rules.UsageDue = 2*time.Second, 0.05, 6*time.Second
 	return rules
 }
 
@@ -32,11 +32,11 @@
 		return []Record{begun, at(second(s+0.01), Record{Kind: KindConfig, Text: configEnd, Number: number})}
 	}
 	// ask returns the records of a request that is sent at a time. Without a status it is passed on and answered.
-	ask := func(s float64, route, key, tenant string, status int) []Record {
+	ask := func(s float64, route, key, workspace string, status int) []Record {
 		out := []Record{at(second(s), Record{Kind: KindSent, Request: "q", Route: route, Key: key})}
 		if status == 0 {
 			status = 200
-			out = append(out, at(second(s)+1000, Record{Kind: KindArrive, Request: "q", Route: route, Tenant: tenant}), at(second(s)+2000, Record{Kind: KindRun, Request: "q", Route: route}))
+			out = append(out, at(second(s)+1000, Record{Kind: KindArrive, Request: "q", Route: route, Workspace: workspace}), at(second(s)+2000, Record{Kind: KindRun, Request: "q", Route: route}))
 		}
 		return append(out, at(second(s)+3000, Record{Kind: KindGot, Request: "q", Route: route, Entry: "entry1", Status: status, Complete: true, Whole: true}))
 	}
@@ -57,9 +57,9 @@
 		want    string
 	}{
 		{"valid", ask(8, routeAny, "k", "north", 0), ""},
-		{"another workspace", ask(8, routeAny, "k", "south", 0), "tenant"},
-		{"no workspace", ask(8, routeAny, "k", "", 0), "tenant"},
-		{"two values", ask(8, routeAny, "k", "north,south", 0), "tenant"},
+		{"another workspace", ask(8, routeAny, "k", "south", 0), "workspace"},
+		{"no workspace", ask(8, routeAny, "k", "", 0), "workspace"},
+		{"two values", ask(8, routeAny, "k", "north,south", 0), "workspace"},
 		{"valid and refused", ask(8, routeAny, "k", "", 401), "keyRefused"},
 		{"valid and 503", ask(8, routeAny, "k", "", 503), ""},
 		{"refused and passed on", append(ask(11, routeAny, "n", "north", 0)[:2], ask(11, routeAny, "n", "", 401)[1]), "keyRefused"},
@@ -71,12 +71,12 @@
 		{"unknown key at a disturbed entry", append(ask(8, routeAny, "other", "north", 0), fault(7, "begin", FaultPause, "entry1")), "keyRun"},
 		{"no key at a store that is away", append(ask(8, routeAny, "", "", 0), fault(7, "begin", FaultStore, "store")), "keyRun"},
 		{"public without a key", ask(8, routeOpen, "", "", 0), ""},
-		{"public with a claimed workspace", ask(8, routeOpen, "", "south", 0), "tenant"},
+		{"public with a claimed workspace", ask(8, routeOpen, "", "south", 0), "workspace"},
 		{"public with a key", ask(8, routeOpen, "k", "north", 0), ""},
-		{"public with a key and no workspace", ask(8, routeOpen, "k", "", 0), "tenant"},
+		{"public with a key and no workspace", ask(8, routeOpen, "k", "", 0), "workspace"},
 		{"public with an unknown key", ask(8, routeOpen, "other", "", 0), ""},
 		{"public and refused", ask(8, routeOpen, "other", "", 401), "keyRefused"},
-		{"forwarded key", append(ask(8, routeAny, "k", "north", 0), at(second(8)+1500, Record{Kind: KindArrive, Request: "q", Route: routeAny, Tenant: "north", KeySeen: true})), "keyForwarded"},
+		{"forwarded key", append(ask(8, routeAny, "k", "north", 0), at(second(8)+1500, Record{Kind: KindArrive, Request: "q", Route: routeAny, Workspace: "north", KeySeen: true})), "keyForwarded"},
 		{"removed", ask(14, routeAny, "k", "north", 0), "keyRun"},
 		{"removed within the bound", ask(12, routeAny, "k", "north", 0), ""},
 		{"removed beside another entry's fault", append(ask(14, routeAny, "k", "north", 0), fault(12, "begin", FaultKill, "entry2")), "keyRun"},
@@ -87,7 +87,7 @@
 		{"added within the bound", ask(12, routeAny, "n", "", 401), ""},
 		{"perhaps moved", ask(24, routeAny, "n", "south", 0), ""},
 		{"perhaps moved and not", ask(24, routeAny, "n", "north", 0), ""},
-		{"perhaps moved and both", append(ask(24, routeAny, "n", "north", 0), at(second(24)+1500, Record{Kind: KindArrive, Request: "q", Tenant: "south"})), "tenant"},
+		{"perhaps moved and both", append(ask(24, routeAny, "n", "north", 0), at(second(24)+1500, Record{Kind: KindArrive, Request: "q", Workspace: "south"})), "workspace"},
 		{"key in a log", []Record{at(0, Record{Kind: KindLeak, Instance: "entry1"})}, "keyLeak"},
 
 		{"holders in turn", []Record{usage(1, "a", 1), usage(2, "b", 2), usage(4.1, "a", 3)}, ""},
@@ -125,11 +125,11 @@
 				d += 2 * usageEdge * time.Duration(1-2*(i%20/10)) // away from the edges of the window
 			}
 			id := string(rune('!' + i))
-			out = append(out, at(d, Record{Kind: KindSent, Request: id, Route: routeAny, Key: "k"}), at(d, Record{Kind: KindArrive, Request: id, Route: routeAny, Tenant: "north"}),
+			out = append(out, at(d, Record{Kind: KindSent, Request: id, Route: routeAny, Key: "k"}), at(d, Record{Kind: KindArrive, Request: id, Route: routeAny, Workspace: "north"}),
 				at(d, Record{Kind: KindRun, Request: id, Route: routeAny}), at(d, Record{Kind: KindGot, Request: id, Route: routeAny, Status: 200, Complete: true, Whole: true}))
 		}
 		for k := range int64(10) {
-			r := at(time.Duration(2*k+4)*time.Second, Record{Kind: KindUsage, Holder: "a", Fence: 1, Number: first + k, Status: 200, Counts: map[string]int64{"north": 20}})
+			r := at(time.Duration(2*k+4)*time.Second, Record{Kind: KindUsage, Holder: "a", Fence: 1, Number: first + k, Status: 200, WorkspaceCounts: map[string]int64{"north": 20}})
 			if change(k, &r) {
 				out = append(out, r)
 			}
@@ -151,7 +151,7 @@
 		}
 	}
 	count := func(n int64) func(int64, *Record) bool {
-		return in(func(r *Record) { r.Counts = map[string]int64{"north": n} })
+		return in(func(r *Record) { r.WorkspaceCounts = map[string]int64{"north": n} })
 	}
 	fault := func(d time.Duration, what string, kind FaultKind, target string) Record {
 		return at(d, Record{Kind: KindFault, Instance: target, Fault: kind, Text: what + " " + string(kind) + " "})
@@ -168,15 +168,15 @@
 		{"two less", play(count(18)), "usageCount"},
 		{"one more", play(count(21)), ""},
 		{"two more", play(count(22)), "usageCount"},
-		{"uncertain at the edges", edges(func(k int64, r *Record) bool { r.Counts["north"] += 2 * (k % 2); return true }), ""},
-		{"more in each than is uncertain in all", edges(func(_ int64, r *Record) bool { r.Counts["north"] += 2; return true }), "usageCount"},
-		{"another workspace", play(in(func(r *Record) { r.Counts["south"] = 2 })), "usageCount"},
+		{"uncertain at the edges", edges(func(k int64, r *Record) bool { r.WorkspaceCounts["north"] += 2 * (k % 2); return true }), ""},
+		{"more in each than is uncertain in all", edges(func(_ int64, r *Record) bool { r.WorkspaceCounts["north"] += 2; return true }), "usageCount"},
+		{"another workspace", play(in(func(r *Record) { r.WorkspaceCounts["south"] = 2 })), "usageCount"},
 		{"missing", play(missing), "usageLate"},
 		{"missing at the beginning", play(func(k int64, _ *Record) bool { return k > 3 }), ""},
 		{"not accepted", play(in(func(r *Record) { r.Status = 429 })), "usageLate"},
 		{"late", play(in(func(r *Record) { r.AtMicros += (5 * time.Second).Microseconds() })), "usageLate"},
-		{"repeated", play(all, at(17*time.Second, Record{Kind: KindUsage, Holder: "a", Fence: 1, Number: first + 6, Status: 200, Counts: map[string]int64{"north": 20}})), ""},
-		{"differs", play(all, at(17*time.Second, Record{Kind: KindUsage, Holder: "a", Fence: 1, Number: first + 6, Status: 429, Counts: map[string]int64{"north": 21}})), "usageDiffers"},
+		{"repeated", play(all, at(17*time.Second, Record{Kind: KindUsage, Holder: "a", Fence: 1, Number: first + 6, Status: 200, WorkspaceCounts: map[string]int64{"north": 20}})), ""},
+		{"differs", play(all, at(17*time.Second, Record{Kind: KindUsage, Holder: "a", Fence: 1, Number: first + 6, Status: 429, WorkspaceCounts: map[string]int64{"north": 21}})), "usageDiffers"},
 		{"missing beside a fault", play(missing, fault(12*time.Second, "begin", FaultKill, "entry1"), fault(13*time.Second, "end", FaultKill, "entry1")), ""},
 		{"missing after a fault", play(missing, fault(1*time.Second, "begin", FaultKill, "engine1"), fault(2900*time.Millisecond, "end", FaultKill, "engine1")), "usageLate"},
 		{"missing after a handover", play(missing, fault(2*time.Second, "begin", FaultKill, "entry1"), fault(3500*time.Millisecond, "end", FaultKill, "entry1")), ""},
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -58,12 +58,12 @@
 	Number   int64      `json:"number,omitempty"` // final: resident memory in KiB; config: the version; usage: the window
 	Files    int        `json:"files,omitempty"`  // final: open file descriptors
 	// Key is the one usable key of a sent request. Of others, Text says how they lack one.
-	Key    string `json:"key,omitempty"`
-	Tenant string `json:"tenant,omitempty"` // arrive: the workspaces that the entry names, separated by commas
+	Key       string `json:"key,omitempty"`
+	Workspace string `json:"workspace,omitempty"` // arrive: the workspaces that the entry names, separated by commas
 	// KeySeen reports a key in the header of a request that arrived.
-	KeySeen bool              `json:"keySeen,omitempty"`
-	Keys    map[string]string `json:"keys,omitempty"`   // config: the workspace of each valid key; only in the record of the beginning
-	Counts  map[string]int64  `json:"counts,omitempty"` // usage: by workspace; Number is the window
+	KeySeen         bool              `json:"keySeen,omitempty"`
+	Keys            map[string]string `json:"keys,omitempty"`            // config: the workspace of each valid key; only in the record of the beginning
+	WorkspaceCounts map[string]int64  `json:"workspaceCounts,omitempty"` // usage: by workspace; Number is the window
 }
 
 // At returns the time of the record.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -10,6 +10,8 @@
 	"path/filepath"
 	"sync"
 	"time"
+
+	"github.com/fighollow/fighollow/platform/standin"
 )
 
 // Options configures a run.
@@ -57,10 +59,10 @@
 	countedCrash = 5
 	lateRequests = 3
 	reportS      = 2
-	usageLateS   = 6
-	revokeMs     = 4000
+	reportDueS   = 6
+	revocationMs = 4000
 	usageShare   = 0.05
-	dutyPerS     = 50.0
+	usageCallsPS = 50.0
 	tailTime     = 4 * time.Second // of traffic after the recovery
 	// keySlack is added to configMs where the oracle judges keys: several runs share the machine.
 	keySlack = time.Second
@@ -77,7 +79,7 @@
 		Files: maxFiles, PlannedOnly: p.Planned && !p.CrashPart, LimitWindow: limitWindowS * time.Second, LimitFactor: limitFactor, LimitSlack: limitSlack,
 		Stable: stableMs * time.Millisecond, CountedCrash: countedCrash, LateRequests: lateRequests,
 		Workspaces: p.Workspaces, Config: configMs*time.Millisecond + keySlack, Grace: graceS * time.Second,
-		Window: reportS * time.Second, UsageTolerance: usageShare, UsageLate: usageLateS * time.Second,
+		Window: reportS * time.Second, UsageShare: usageShare, UsageDue: reportDueS * time.Second,
 	}
 }
 
@@ -144,7 +146,7 @@
 	r.inspect()
 	if r.plan.Workspaces {
 		r.findKeys()
-		sleep(ctx, usageLateS*time.Second+lossSlackMs*time.Millisecond) // until the last reports are due
+		sleep(ctx, reportDueS*time.Second+lossSlackMs*time.Millisecond) // until the last reports are due
 		r.recorder.Add(Record{Kind: KindClosed})
 	}
 	return r.report()
@@ -166,7 +168,7 @@
 		sent := Record{Kind: KindSent, Request: "final-" + name, Route: routeAny}
 		if r.plan.Workspaces {
 			sent.Key = steadyKey(soakWorkspaces[0])
-			req.Header.Set("X-Api-Key", sent.Key)
+			req.Header.Set(standin.HeaderKey, sent.Key)
 		}
 		r.recorder.Add(sent)
 		resp, err := client.Do(req)
--- a/internal/soak/store.go
+++ b/internal/soak/store.go
@@ -54,7 +54,7 @@
 		for name, at := range s.written {
 			if s.mode == storeUp && time.Since(at) > 3*heartbeat {
 				delete(s.written, name)
-				s.store.Remove("servers", name)
+				s.store.Remove(standin.KindUpstreams, name)
 			}
 		}
 		s.mu.Unlock()
@@ -69,7 +69,7 @@
 	}
 	s.mu.Lock()
 	away := s.mode != storeUp
-	if name, ok := strings.CutPrefix(r.URL.Path, "/api/objects/servers/"); ok && !away && r.Method == http.MethodPut {
+	if name, ok := strings.CutPrefix(r.URL.Path, standin.UpstreamsPath+"/"); ok && !away && r.Method == http.MethodPut {
 		s.written[name] = time.Now()
 	}
 	s.mu.Unlock()
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/fighollow/fighollow/platform/standin"
 )
 
 // heartbeat is the pause between two writes of an upstream's object.
@@ -74,7 +76,7 @@
 	for end := time.Now().Add(drainTime); time.Now().Before(end); time.Sleep(heartbeat / 4) {
 		u.register()
 	}
-	u.call(http.MethodDelete, "/api/objects/servers/"+u.instance(), nil)
+	u.call(http.MethodDelete, standin.UpstreamsPath+"/"+u.instance(), nil)
 	time.Sleep(drainTime)
 	return srv.Close()
 }
@@ -147,21 +149,14 @@
 		return
 	}
 	id := u.id
-	state := "ready"
-	if u.draining {
-		state = "draining"
-	}
-	spec := map[string]any{
-		"service": u.Service, "address": u.Address, "zone": "a", "version": "v1", "slots": 16, "state": state, "sequence": u.orders,
-		"coldRemainingMs": 0, "born": u.born,
-	}
-	if u.role != "" {
-		spec["stage"] = u.role
+	registration := standin.Registration{
+		Service: u.Service, Address: u.Address, DataCentre: soakDataCentre, Version: "v1", Role: u.role, Slots: 16, Draining: u.draining,
+		Orders: u.orders, Born: u.born,
 	}
 	u.mu.Unlock()
-	object := map[string]any{"metadata": map[string]any{"name": id}, "spec": spec}
-	if u.call(http.MethodPut, "/api/objects/servers/"+id, object) == http.StatusNotFound {
-		u.call(http.MethodPost, "/api/objects/servers", object)
+	object := map[string]any{"metadata": map[string]any{"name": id}, "spec": registration.Spec()}
+	if u.call(http.MethodPut, standin.UpstreamsPath+"/"+id, object) == http.StatusNotFound {
+		u.call(http.MethodPost, standin.UpstreamsPath, object)
 	}
 }
 
@@ -297,7 +292,7 @@
 	instance, prompt := u.instance(), r.Header.Get("Prompt-Prefix")
 	u.Recorder.Add(Record{
 		Kind: KindArrive, Request: id, Route: route, Instance: instance, Prefill: prefill, Accepted: prefill && status == 0, Part: partOf(prompt),
-		Tenant: strings.Join(r.Header.Values("Tenant"), ","), KeySeen: hasKey(r.Header),
+		Workspace: strings.Join(r.Header.Values(standin.HeaderWorkspace), ","), KeySeen: hasKey(r.Header),
 	})
 	u.nameLimit(w.Header())
 	if status != 0 {
@@ -322,7 +317,7 @@
 		u.crash(id, part)
 		panic(http.ErrAbortHandler)
 	}
-	if isStream(route) && r.Header.Get("Tenant") != "" {
+	if isStream(route) && r.Header.Get(standin.HeaderWorkspace) != "" {
 		u.Recorder.Add(Record{Kind: KindBegin, Request: id, Route: route, Instance: instance})
 	}
 	header := http.Header{"Request-Id": {id}, "Server-Signature": {"sig-" + instance}}
@@ -352,7 +347,7 @@
 // hasKey reports whether a header has a caller's key, in whichever field.
 func hasKey(h http.Header) bool {
 	for name, values := range h {
-		if name == "X-Api-Key" || strings.Contains(strings.Join(values, ","), keyPrefix) {
+		if name == standin.HeaderKey || strings.Contains(strings.Join(values, ","), keyPrefix) {
 			return true
 		}
 	}
--- a/internal/soak/usage.go
+++ b/internal/soak/usage.go
@@ -1,12 +1,12 @@
 package soak
 
 import (
-	"encoding/json"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/fighollow/fighollow/platform/standin"
 )
 
 // Modes of the usage API, for FaultUsage.
@@ -24,7 +24,6 @@
 const (
 	usageSlowTime = 900 * time.Millisecond
 	usageLateTime = 2 * time.Second // above the timeout of a call
-	usagePath     = "/usage"
 )
 
 // UsageServer is the platform's API for usage reports. It records each report that it has read.
@@ -54,14 +53,19 @@
 	if mode == usageDown {
 		panic(http.ErrAbortHandler)
 	}
-	rec, ok := readUsage(r)
+	standin.UsageHandler(func(report standin.UsageReport, err error) int { return s.receive(mode, report, err) }).ServeHTTP(w, r)
+}
+
+// receive records a report and returns the status of the answer, or closes the connection.
+func (s *UsageServer) receive(mode string, report standin.UsageReport, err error) int {
+	rec := Record{
+		Kind: KindUsage, Holder: report.Holder, Fence: report.Fence, Number: report.Window, WorkspaceCounts: report.Counts, Status: http.StatusOK,
+	}
 	switch {
-	case !ok:
-		rec.Status = http.StatusBadRequest
+	case err != nil:
+		rec.Status, rec.Text = http.StatusBadRequest, "malformed"
 	case mode == usageBusy:
 		rec.Status = http.StatusTooManyRequests
-	default:
-		rec.Status = http.StatusOK
 	}
 	s.recorder.Add(rec)
 	switch mode {
@@ -72,28 +76,5 @@
 	case usageLose:
 		panic(http.ErrAbortHandler)
 	}
-	w.WriteHeader(rec.Status)
-}
-
-// readUsage reads a report. ok is false if it is not as the platform wants it.
-func readUsage(r *http.Request) (rec Record, ok bool) {
-	rec = Record{Kind: KindUsage, Holder: r.Header.Get("Lease-Holder")}
-	var body struct {
-		Window *int64           `json:"window"`
-		Counts map[string]int64 `json:"counts"`
-	}
-	fence, err := strconv.ParseUint(r.Header.Get("Fencing-Token"), 10, 64)
-	if err != nil || json.NewDecoder(r.Body).Decode(&body) != nil || body.Window == nil {
-		rec.Text = "malformed"
-		return rec, false
-	}
-	rec.Fence, rec.Number, rec.Counts = fence, *body.Window, body.Counts
-	for _, n := range body.Counts {
-		ok = ok || n < 0
-	}
-	if ok || r.Method != http.MethodPost || r.URL.Path != usagePath || rec.Holder == "" {
-		rec.Text = "malformed"
-		return rec, false
-	}
-	return rec, true
+	return rec.Status
 }
