usage: a restarted holder waits for the list of entries before it asks for counters

A process that is killed and started again acquires the lease at once, because the lease names it, and may do so before its first poll of the entries' objects. Collector.Sync then knew no collector and returned immediately, and the windows that were due were frozen with the holder's own counts, that is, mostly none. Sync now waits until the entries were read, at most 2 s, which allows for one failed poll.

TestRestartedHolderAsksBeforeItFreezes had no counts of 4 without the wait.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -80,6 +80,7 @@
 
 	mu        sync.Mutex
 	peers     []peer
+	known     bool // SetPeers was called
 	questions map[uint64]*question
 	asked     uint64 // number of questions so far
 }
@@ -130,7 +131,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.peers = peers
+	l.peers, l.known = peers, true
 }
 
 // choose returns the n peers that come first for a stream.
--- a/internal/peers/topic.go
+++ b/internal/peers/topic.go
@@ -81,6 +81,13 @@
 	return out
 }
 
+// Known reports whether SetPeers was called: until then this entry cannot tell whether it is the only one.
+func (l *Link) Known() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.known
+}
+
 // find returns the first peer that matches.
 func (l *Link) find(matches func(*peer) bool) (peer, bool) {
 	l.mu.Lock()
--- a/internal/usage/collector.go
+++ b/internal/usage/collector.go
@@ -52,6 +52,7 @@
 	Subscribe(topic peers.Topic, handle func(from string, data []byte))
 	Send(topic peers.Topic, data []byte, names ...string)
 	DataCentres() map[string]string // of the other entries, by name
+	Known() bool                    // the other entries were read at least once
 }
 
 var _ Transport = (*peers.Link)(nil)
--- a/internal/usage/collector_test.go
+++ b/internal/usage/collector_test.go
@@ -17,6 +17,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/fighollow/fighollow/internal/peers"
+	"github.com/fighollow/fighollow/internal/roster"
 )
 
 const collectedWindow = 5 * time.Second
@@ -33,6 +34,7 @@
 	mu      sync.Mutex
 	entries map[string]*process // running ones; nil for one that was killed
 	sent    []datagram
+	unread  string         // process that has not read yet which other entries there are
 	deliver func(datagram) // instead of sent, if it is set
 }
 
@@ -60,10 +62,19 @@
 	}
 }
 
+func (p *process) Known() bool {
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	return p.net.unread != p.name
+}
+
 func (p *process) DataCentres() map[string]string {
 	p.net.mu.Lock()
 	defer p.net.mu.Unlock()
 	out := make(map[string]string)
+	if p.net.unread == p.name {
+		return out
+	}
 	for name := range p.net.entries {
 		if name != p.name {
 			out[name] = "dc"
@@ -302,6 +313,60 @@
 	})
 }
 
+// Guards against a holder that was restarted, acquires the lease again at once and freezes windows with its own counts only, because it
+// has not read yet which other entries there are.
+func TestRestartedHolderAsksBeforeItFreezes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dataCentres := make(map[string]string)
+		for i := range 5 {
+			dataCentres[fmt.Sprintf("entry-%d", i)] = "dc"
+		}
+		self := "" // the only entry that is no collector
+		for name := range dataCentres {
+			if !slices.Contains(roster.Observers(dataCentres), name) {
+				self = name
+			}
+		}
+		net := &network{entries: make(map[string]*process), unread: self}
+		net.deliver = func(d datagram) {
+			if p := net.entries[d.to]; p != nil {
+				go p.handle(d.from, d.data)
+			}
+		}
+		start := time.Now()
+		for name := range dataCentres {
+			p := &process{net: net, name: name, registry: metrics.NewRegistry()}
+			p.clock = NewClock(func() (time.Time, time.Duration) { return time.Now(), time.Since(start) })
+			p.counter = NewCounter(collectedWindow, p.clock)
+			p.collector = NewCollector(CollectorOptions{Self: p.name, DataCentre: "dc", Window: collectedWindow}, p.clock, p.counter, p, zerolog.Nop())
+			net.entries[p.name] = p
+			if name != self {
+				p.counter.Begun(time.Now(), "w")
+				go p.collector.Run(t.Context())
+			}
+		}
+		known := make(chan struct{})
+		go func() {
+			defer close(known)
+			time.Sleep(1700 * time.Millisecond) // one failed poll of the entries' objects
+			net.mu.Lock()
+			defer net.mu.Unlock()
+			net.unread = ""
+		}()
+		time.Sleep(500 * time.Millisecond)
+		window := windowContaining(time.Now(), collectedWindow)
+		holder := net.entries[self]
+		holder.collector.Sync(t.Context(), window)
+		qt.Check(t, holder.collector.Counts(window), qt.DeepEquals, map[string]int64{"w": 4})
+		<-known
+
+		net.unread = self
+		began := time.Now()
+		holder.collector.Sync(t.Context(), window)
+		qt.Check(t, time.Since(began), qt.Equals, peersWait, qt.Commentf("if the entries cannot be read"))
+	})
+}
+
 // Guards against a collector that lacks what was counted before it was restarted, and against a holder that gets only what is counted after
 // the entries have read that it is one.
 func TestNewTargetsGetAllCounters(t *testing.T) {
--- a/internal/usage/inquiry.go
+++ b/internal/usage/inquiry.go
@@ -13,6 +13,11 @@
 	// syncRounds and syncInterval are how often collectors are asked for their counters, and the pause between.
 	syncRounds   = 4
 	syncInterval = 250 * time.Millisecond
+	// peersWait is how long a question waits for the other entries to be read. A process that is restarted can acquire the lease before its
+	// first poll of their objects, and freezes windows with its own counts only if it asks nobody. It is long enough for a second poll
+	// after a failed one.
+	peersWait     = 2 * time.Second
+	peersInterval = 50 * time.Millisecond
 	// answerBurst parts of an answer are sent between two answerPauses: 1,600 a second, so that the answers of four collectors do not
 	// overflow a receive buffer of 200 KB.
 	answerBurst = 8
@@ -106,11 +111,17 @@
 }
 
 // Sync asks the collectors for all counters of windows from one on, and all entries to send theirs to this one from now on. It returns when
-// all known collectors have answered, after a second or when ctx is done. What arrives later is merged too.
+// all known collectors have answered, a second after the other entries are known, or when ctx is done. What arrives later is merged too.
 func (c *Collector) Sync(ctx context.Context, from int64) {
 	c.syncing.Lock()
 	defer c.syncing.Unlock()
 	began := time.Now()
+	for !c.transport.Known() && time.Since(began) < peersWait && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(peersInterval):
+		}
+	}
 	dataCentres := c.transport.DataCentres()
 	q := &inquiry{waiting: make(map[string]bool), parts: make(map[answerID]map[int]bool), done: make(chan struct{})}
 	for _, name := range c.collectors(dataCentres) {
