usage: a new holder corrects its clock by the collectors' answers before it freezes

A restarted holder whose time of day was 5 s ahead at its start could freeze with that estimate, as it was corrected only with its next message, up to 1.4 s later at 350 entries. The window that had 2 s to go was frozen, and its report lacked all requests that began later.

TestRestartedHolderAsksBeforeItFreezes: after Sync the estimate was still 5 s ahead.

--- a/internal/usage/collector.go
+++ b/internal/usage/collector.go
@@ -152,9 +152,7 @@
 
 // Tick corrects the clock, drops old windows and sends what is due.
 func (c *Collector) Tick(now time.Time) {
-	if change, n := c.clock.correct(); change != 0 {
-		event.UsageClockCorrected.Log(&c.log).Float64("changeMs", float64(change)/float64(time.Millisecond)).Int("peers", n).Send()
-	}
+	c.correctClock()
 	dataCentres := c.transport.DataCentres()
 	for _, s := range c.prepare(now, dataCentres) {
 		c.send(&s.message, s.to...)
@@ -173,6 +171,13 @@
 	}
 }
 
+// correctClock adopts what the peers have stated so far.
+func (c *Collector) correctClock() {
+	if change, n := c.clock.correct(); change != 0 {
+		event.UsageClockCorrected.Log(&c.log).Float64("changeMs", float64(change)/float64(time.Millisecond)).Int("peers", n).Send()
+	}
+}
+
 // sending is a message with its receivers.
 type sending struct {
 	message message
--- a/internal/usage/collector_test.go
+++ b/internal/usage/collector_test.go
@@ -313,8 +313,8 @@
 	})
 }
 
-// Guards against a holder that was restarted, acquires the lease again at once and freezes windows with its own counts only, because it
-// has not read yet which other entries there are.
+// Guards against a holder that was restarted, acquires the lease again at once and freezes windows with its own counts only: because it has
+// not read yet which other entries there are, or by its time of day, which is 5 s ahead and which the collectors' answers correct.
 func TestRestartedHolderAsksBeforeItFreezes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		dataCentres := make(map[string]string)
@@ -336,7 +336,11 @@
 		start := time.Now()
 		for name := range dataCentres {
 			p := &process{net: net, name: name, registry: metrics.NewRegistry()}
-			p.clock = NewClock(func() (time.Time, time.Duration) { return time.Now(), time.Since(start) })
+			off := time.Duration(0)
+			if name == self {
+				off = 5 * time.Second
+			}
+			p.clock = NewClock(func() (time.Time, time.Duration) { return time.Now().Add(off), time.Since(start) })
 			p.counter = NewCounter(collectedWindow, p.clock)
 			p.collector = NewCollector(CollectorOptions{Self: p.name, DataCentre: "dc", Window: collectedWindow}, p.clock, p.counter, p, zerolog.Nop())
 			net.entries[p.name] = p
@@ -359,6 +363,8 @@
 		holder.collector.Sync(t.Context(), window)
 		qt.Check(t, holder.collector.Counts(window), qt.DeepEquals, map[string]int64{"w": 4})
 		<-known
+		now := time.Now()
+		qt.Check(t, holder.clock.Now(now.Add(5*time.Second)).Sub(now).Abs() < minCorrection, qt.IsTrue)
 
 		net.unread = self
 		began := time.Now()
--- a/internal/usage/inquiry.go
+++ b/internal/usage/inquiry.go
@@ -160,6 +160,8 @@
 		}
 	}
 	announce() // once more, so that one lost datagram loses nothing
+	// The answers state the time. A holder whose time of day was ahead at its start would otherwise freeze windows that have not ended.
+	c.correctClock()
 	c.mu.Lock()
 	missing := q.missing()
 	c.mu.Unlock()
