--- a/internal/usage/collector_test.go
+++ b/internal/usage/collector_test.go
@@ -344,6 +344,8 @@
 			p.counter = NewCounter(collectedWindow, p.clock)
 			p.collector = NewCollector(CollectorOptions{Self: p.name, DataCentre: "dc", Window: collectedWindow}, p.clock, p.counter, p, zerolog.Nop())
 			net.entries[p.name] = p
+		}
+		for name, p := range net.entries {
 			if name != self {
 				p.counter.Begun(time.Now(), "w")
 				go p.collector.Run(t.Context())
@@ -366,7 +368,9 @@
 		now := time.Now()
 		qt.Check(t, holder.clock.Now(now.Add(5*time.Second)).Sub(now).Abs() < minCorrection, qt.IsTrue)
 
+		net.mu.Lock()
 		net.unread = self
+		net.mu.Unlock()
 		began := time.Now()
 		holder.collector.Sync(t.Context(), window)
 		qt.Check(t, time.Since(began), qt.Equals, peersWait, qt.Commentf("if the entries cannot be read"))
