--- a/internal/lease/holder_test.go
+++ b/internal/lease/holder_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -103,3 +104,20 @@
 		qt.Assert(t, g.Tenure, qt.Equals, c.tenure)
 	}
 }
+
+// Guards against an act that is allowed while a release waits for the acts before it: it could arrive after the next holder's first one.
+func TestReleaseAllowsNoFurtherAct(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		h := New(Options{
+			Self: "a", Duration: leaseTime, Clock: func() time.Duration { return time.Minute + time.Since(start) },
+		}, &memoryStore{}, zerolog.Nop())
+		qt.Assert(t, h.Step(t.Context(), noChoice{}), qt.IsTrue)
+		_, ok := h.Fence(time.Second)
+		qt.Assert(t, ok, qt.IsTrue)
+		go h.Release(t.Context(), noChoice{})
+		time.Sleep(100 * time.Millisecond)
+		_, ok = h.Fence(0)
+		qt.Assert(t, ok, qt.IsFalse)
+	})
+}
