placement: absurd prompts neither displace known parts nor spoil the fit of durations

Cause: a part stated as larger than an engine's memory evicted all others from its mirror, also parts that the engine had reported and reports once only; eight results that came at 1/100 or less of the expected time, because their tokens were overstated or the engine was absurdly fast, moved the estimate of 17,000 tokens from 340 to 107 ms. Result: such parts are not recorded; the tokens of a sample at 1/32 of the expected time or less are reduced to what is expected of twice its time. TestAbsurdPartDisplacesNothing, TestAbsurdPromptsHardlyChangeTheFit failed before.

--- a/internal/placement/linefit.go
+++ b/internal/placement/linefit.go
@@ -7,6 +7,12 @@
 	minFitSamples = 6
 	// maxSampleRatio bounds a sample relative to the line, so that one frozen engine does not spoil the fit.
 	maxSampleRatio = 4
+	// absurdRatio is from which excess of the expected over the observed duration on the number of tokens is taken for wrong: callers state
+	// it. Prompts that were cached without this entry's knowledge take less time than expected too, but not that much less.
+	absurdRatio = 32
+	// absurdSampleRatio is how much of the excess is left by reducing the number of tokens. It is above 1, so that a line that is far too
+	// high falls.
+	absurdSampleRatio = 2
 	// slopePrior is the weight of a line through the origin, relative to the squared mean size. Sizes that hardly differ do not
 	// tell the slope.
 	slopePrior = 0.01
@@ -52,6 +58,10 @@
 	w := 1.0
 	if f.weight >= minFitSamples {
 		expected := f.estimate(tokens)
+		if intercept, slope := f.line(); slope > 0 && expected > absurdRatio*ms {
+			tokens = max(0, absurdSampleRatio*ms-intercept) / slope
+			expected = f.estimate(tokens)
+		}
 		ms = min(ms, maxSampleRatio*expected+1)
 		if ms > expected {
 			w = highWeight
--- a/internal/placement/prefix.go
+++ b/internal/placement/prefix.go
@@ -123,6 +123,9 @@
 			c.lru.MoveToFront(e)
 			continue
 		}
+		if float64(p.Tokens) > prefixMemoryShare*float64(c.capacity) {
+			continue // would displace all others; callers can state any number
+		}
 		c.parts[p.ID] = c.lru.PushFront(&cachedPart{id: p.ID, tokens: p.Tokens, lastUsed: now, computed: computed})
 		c.used += p.Tokens
 	}
