fairshare, gateway: stated engine time is corrected by the durations of prompts

Cause: shares follow from the tokens that callers state. Result: entries compare durations per stated engine time with those of other workspaces in the same rank, and correct what exceeds a factor of 4.

--- a/internal/fairshare/load_test.go
+++ b/internal/fairshare/load_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -38,6 +39,9 @@
 	lost       func(d datagram) bool
 	forge      func(d datagram, m *message) // changes a message on its way
 	free       []time.Time                  // when engines end what they have
+	states     map[int]float64              // by which factor workspaces state other engine time than they need
+	ranked     bool                         // a third of the requests are more urgent than the others
+	computed   []computed                   // prompts whose results are on their way
 }
 
 // testEntry is the Transport of an entry.
@@ -106,6 +110,13 @@
 		f.entries[d.to].policy.receive(f.now, fmt.Sprintf("entry-%02d", d.from), d.data)
 	}
 	f.travelling = later
+	f.computed = slices.DeleteFunc(f.computed, func(c computed) bool {
+		ended := !c.end.After(f.now)
+		if ended {
+			f.entries[c.entry].policy.Computed(f.now, c.request, f.now.Sub(c.sent))
+		}
+		return ended
+	})
 }
 
 const (
@@ -116,8 +127,24 @@
 // outcome is what the callers of a workspace got, in milliseconds of engine time.
 type outcome struct {
 	offered, admitted, onTime float64
+	ranks                     [2]fraction          // admitted
+	slots                     [worstSlots]fraction // on time, by two seconds
 }
 
+// fraction is what some requests got of what they asked for.
+type fraction struct{ got, asked float64 }
+
+// computed is a prompt that an engine computes.
+type computed struct {
+	entry   int
+	request fighollow.ShareRequest
+	sent    time.Time
+	end     time.Time
+}
+
+// worstSlots is the number of intervals of two seconds that are told apart.
+const worstSlots = 15
+
 // serve serves a request, with or without the policy.
 func (f *fleet) serve(entry, workspace int, id string, work time.Duration, shares bool, o *outcome) {
 	engine := 0
@@ -130,24 +157,39 @@
 	if f.free[engine].After(start) {
 		start = f.free[engine]
 	}
+	stated, rank := work, 0
+	if by, ok := f.states[workspace]; ok {
+		stated = time.Duration(by * float64(work))
+	}
+	if f.ranked && drawOf(id+"/rank") > 1./3 {
+		rank = 1
+	}
 	expected := start.Add(work).Sub(f.now)
 	ms := float64(work) / float64(time.Millisecond)
+	slot := &o.slots[int(f.now.Sub(epoch)/(2*time.Second))%worstSlots]
 	o.offered += ms
+	o.ranks[rank].asked += ms
+	slot.asked += ms
 	refused := expected > testDeadline
 	if shares {
-		d := f.entries[entry].policy.Decide(f.now, fighollow.ShareRequest{
-			Service: "hule", Workspace: f.workspaces[workspace], ID: id, Work: work, Late: expected > 2*testTarget,
+		r := fighollow.ShareRequest{
+			Service: "hule", Workspace: f.workspaces[workspace], ID: id, Rank: rank, Work: stated, Late: expected > 2*testTarget,
 			Wait: float64(start.Sub(f.now)) / float64(testTarget), Refused: refused,
-		})
-		refused = refused || !d.Admitted
+		}
+		refused = !f.entries[entry].policy.Decide(f.now, r).Admitted || refused
+		if !refused {
+			f.computed = append(f.computed, computed{entry, r, f.now, start.Add(work)})
+		}
 	}
 	if refused {
 		return
 	}
 	f.free[engine] = start.Add(work)
 	o.admitted += ms
+	o.ranks[rank].got += ms
 	if expected <= testTarget {
 		o.onTime += ms
+		slot.got += ms
 	}
 }
 
--- a/internal/fairshare/policy.go
+++ b/internal/fairshare/policy.go
@@ -81,7 +81,8 @@
 	verdict atomic.Pointer[verdict] // nil while the service is not scarce
 	refused atomic.Int64            // requests since the last log line
 
-	delayed delayed
+	delayed  delayed
+	observed observations
 
 	// The following are guarded by Policy.mu.
 	own        estimator // from the rates of this entry
@@ -104,6 +105,9 @@
 
 // add adds a request.
 func (d *delayed) add(now time.Time, number int64, workMs float32, r fighollow.ShareRequest) {
+	if !r.Late && r.Wait <= 0 {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	b := d.cell.at(number)
@@ -208,13 +212,9 @@
 		p.uncounted.Inc(1)
 		return admitted
 	}
-	workMs := float32(min(max(0, float64(r.Work)/float64(time.Millisecond)), maxWorkMs))
-	rank := min(max(r.Rank, 0), maxRanks-1)
+	rank := boundRank(r.Rank)
 	at := now.Sub(p.rates.start)
 	number := int64(at / bucketTime)
-	if r.Late || r.Wait > 0 {
-		s.delayed.add(now, number, workMs, r)
-	}
 	v := s.verdict.Load()
 	shard := p.rates.shard(r.Workspace)
 	shard.mu.Lock()
@@ -224,8 +224,14 @@
 		p.uncounted.Inc(1)
 		return admitted
 	}
+	workMs := statedMs(r.Work)
+	if c.computed.prompts(now) >= minObserved {
+		all := s.observed.get()
+		workMs = min(workMs*correction(now, &c.computed, &all), maxWorkMs)
+	}
+	s.delayed.add(now, number, float32(workMs), r)
 	b := c.at(number)
-	b.offered[rank] += workMs
+	b.offered[rank] += float32(workMs)
 	if r.Refused {
 		return admitted // placement has refused it, and it is only counted
 	}
@@ -235,10 +241,33 @@
 		p.refused.Inc(1)
 		return fighollow.ShareDecision{RetryAfter: retryAfter(drawOf(r.ID+"/retry"), time.Duration(p.interval.Load()))}
 	}
-	b.admitted += workMs
+	b.admitted += float32(workMs)
 	return admitted
 }
 
+// statedMs returns the engine time that a request states, in milliseconds, within its bounds.
+func statedMs(work time.Duration) float64 {
+	return min(max(minWorkMs, float64(work)/float64(time.Millisecond)), maxWorkMs)
+}
+
+func boundRank(rank int) int { return min(max(rank, 0), maxRanks-1) }
+
+// Computed implements fighollow.SharePolicy. What is not measured by Decide is ignored.
+func (p *Policy) Computed(now time.Time, r fighollow.ShareRequest, took time.Duration) {
+	s := (*p.services.Load())[r.Service]
+	if s == nil || took < 0 {
+		return
+	}
+	rank, workMs, tookMs := boundRank(r.Rank), statedMs(r.Work), float64(took)/float64(time.Millisecond)
+	shard := p.rates.shard(r.Workspace)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	if c := shard.cells[cellKey{r.Service, r.Workspace}]; c != nil {
+		c.computed[rank].add(now, tookMs, workMs)
+		s.observed.add(now, rank, tookMs, workMs)
+	}
+}
+
 // admits reports whether a request of a workspace is admitted, given the rates of the workspace at this entry.
 func (v *verdict) admits(workspace string, own rates, rank int, draw float64) bool {
 	known := v.shares[workspace]
--- a/internal/fairshare/rates.go
+++ b/internal/fairshare/rates.go
@@ -29,7 +29,8 @@
 
 // cell measures the rates of one workspace at one service. It has a bucket more than the window: the last one is not complete.
 type cell struct {
-	buckets [rateBuckets + 1]bucket
+	buckets  [rateBuckets + 1]bucket
+	computed observedRanks
 }
 
 // at returns the bucket with a number, which replaces an earlier one.
@@ -108,7 +109,8 @@
 	return c
 }
 
-// all returns the rates by service and workspace, and drops what was not used within the window.
+// all returns the rates by service and workspace, and drops what was not used within the window and of which
+// nothing is observed any more.
 func (r *recorder) all(now time.Time) map[string]map[string]rates {
 	at := now.Sub(r.start)
 	out := make(map[string]map[string]rates)
@@ -118,7 +120,9 @@
 		for key, c := range s.cells {
 			measured := c.rates(at, rateBuckets)
 			if measured.offered == 0 {
-				delete(s.cells, key)
+				if c.computed.prompts(now) < 1 {
+					delete(s.cells, key)
+				}
 				continue
 			}
 			if out[key.service] == nil {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -37,23 +37,24 @@
 	seed      uint64
 	deadline  time.Time
 
-	attemptsSent int                 // attempts that were sent, including an accepted prefill
-	arrivals     arrivals            // attempts that count against the route's limit and the retry budget
-	tried        []string            // ids of upstreams that failed or refused the request
-	mayHaveRun   bool                // an attempt of unknown outcome was sent
-	unreachable  int                 // attempts for which no connection could be made in time
-	unsent       int                 // attempts for which no connection could be made, those included
-	kv           *fighollow.KVCache  // of the prompt, which a decode engine has not taken yet
-	kvRefused    int                 // decode engines that refused it
-	refused      int                 // attempts that upstreams refused
-	overTarget   time.Duration       // by how much a request that was refused as too late would have missed its latency target
-	permitWait   time.Duration       // for which a stream that broke off has waited for a permit
-	shareDecided bool                // the request was counted for its workspace's share
-	shareDelay   time.Duration       // after which a request beyond its workspace's share may be sent again
-	limitedFor   time.Duration       // time until a request that upstreams' limits or pauses exclude can be placed
-	subject      *quarantine.Request // what the request is recognised by
-	isProbe      bool                // the request, or a part of its prompt, is in quarantine, and it shows whether that still crashes engines
-	withheldFor  time.Duration       // time until a request like it can be tried
+	attemptsSent int                    // attempts that were sent, including an accepted prefill
+	arrivals     arrivals               // attempts that count against the route's limit and the retry budget
+	tried        []string               // ids of upstreams that failed or refused the request
+	mayHaveRun   bool                   // an attempt of unknown outcome was sent
+	unreachable  int                    // attempts for which no connection could be made in time
+	unsent       int                    // attempts for which no connection could be made, those included
+	kv           *fighollow.KVCache     // of the prompt, which a decode engine has not taken yet
+	kvRefused    int                    // decode engines that refused it
+	refused      int                    // attempts that upstreams refused
+	overTarget   time.Duration          // by how much a request that was refused as too late would have missed its latency target
+	permitWait   time.Duration          // for which a stream that broke off has waited for a permit
+	shareDecided bool                   // the request was counted for its workspace's share
+	share        fighollow.ShareRequest // as it was counted
+	shareDelay   time.Duration          // after which a request beyond its workspace's share may be sent again
+	limitedFor   time.Duration          // time until a request that upstreams' limits or pauses exclude can be placed
+	subject      *quarantine.Request    // what the request is recognised by
+	isProbe      bool                   // the request, or a part of its prompt, is in quarantine, and it shows whether that still crashes engines
+	withheldFor  time.Duration          // time until a request like it can be tried
 
 	retriesEnded     bool   // no further attempt is made
 	headerSent       bool   // the status and header of the answer were sent
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -105,6 +105,7 @@
 		case errors.Is(err, placement.ErrPaused), x.refused == 0 && (errors.Is(err, placement.ErrNoUpstream) || errors.Is(err, placement.ErrLimited)):
 			return nil, nil
 		case err == nil && a.reply.KV != nil:
+			x.recordComputed(a)
 			a.end(placement.Answered, nil)
 			x.arrivals.prefillAccepted(a.charge)
 			return a.reply.KV, nil
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -74,6 +74,15 @@
 		r.Wait = max(0, c.WaitMs*float64(time.Millisecond)/float64(target))
 	}
 	d := x.g.opts.Shares.Decide(now, r)
-	x.shareDelay = d.RetryAfter
+	x.share, x.shareDelay = r, d.RetryAfter
 	return d.Admitted
 }
+
+// recordComputed records that an engine has computed the prompt, if that is the attempt for which the share was decided.
+func (x *exchange) recordComputed(a *attempt) {
+	if !x.shareDecided || x.attemptsSent != 1 || a.phase == fighollow.RequestDecode {
+		return
+	}
+	now := time.Now()
+	x.g.opts.Shares.Computed(now, x.share, now.Sub(a.placed.SentAt))
+}
--- a/internal/gateway/share_test.go
+++ b/internal/gateway/share_test.go
@@ -13,8 +13,13 @@
 
 // shareLog is a fighollow.SharePolicy that keeps what it is asked.
 type shareLog struct {
-	refuse bool
-	asked  []fighollow.ShareRequest
+	refuse   bool
+	asked    []fighollow.ShareRequest
+	computed []fighollow.ShareRequest
+}
+
+func (l *shareLog) Computed(_ time.Time, r fighollow.ShareRequest, _ time.Duration) {
+	l.computed = append(l.computed, r)
 }
 
 func (l *shareLog) Decide(_ time.Time, r fighollow.ShareRequest) fighollow.ShareDecision {
@@ -23,14 +28,14 @@
 }
 
 // Guards against a request that is run although it is beyond its workspace's share, against one that is counted again when it is retried, and
-// against decisions on requests that have no workspace, take up a stream, go to a plain service or meet a configuration without workspaces.
+// against decisions on requests that have no workspace, take up a stream, go to a plain service or meet a configuration without workspaces, and against durations of prompts that are not compared with what was stated.
 func TestShares(t *testing.T) {
 	for _, c := range []struct {
 		name, service, workspace, resumeAfter string
-		keys, refuse, late                    bool
+		keys, refuse, late, computed          bool
 		asked                                 int
 	}{
-		{name: "admitted", service: "models", workspace: "w", keys: true, asked: 1},
+		{name: "admitted", service: "models", workspace: "w", keys: true, asked: 1, computed: true},
 		{name: "refused", service: "models", workspace: "w", keys: true, refuse: true, asked: 1},
 		{name: "too late", service: "models", workspace: "w", keys: true, late: true, asked: 1},
 		{name: "without a workspace", service: "models", keys: true, refuse: true},
@@ -74,6 +79,11 @@
 				default:
 					qt.Assert(t, got.refusal == nil, qt.IsTrue)
 				}
+				if c.computed {
+					qt.Assert(t, shares.computed, qt.DeepEquals, shares.asked)
+				} else {
+					qt.Assert(t, shares.computed, qt.HasLen, 0)
+				}
 				for _, r := range shares.asked {
 					qt.Assert(t, r.Work > 0 && r.Wait == 0, qt.IsTrue, qt.Commentf("%+v", r))
 					r.Work, r.Wait = 0, 0
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -83,6 +83,7 @@
 		a.streaming = true
 		a.firstEvent = time.Since(a.placed.SentAt)
 		x.pool.Started(time.Now(), a.placed)
+		x.recordComputed(a)
 	}
 	return nil
 }
--- a/pkg/fighollow/share.go
+++ b/pkg/fighollow/share.go
@@ -27,4 +27,7 @@
 type SharePolicy interface {
 	// Decide counts a request and decides on it. It must be called at most once for each request.
 	Decide(now time.Time, r ShareRequest) ShareDecision
+	// Computed records that an engine computed the prompt of an admitted request, and how long after it was sent. Decide corrects by that
+	// the engine time that later requests of the workspace state.
+	Computed(now time.Time, r ShareRequest, took time.Duration)
 }
