placement: a backlog begins when it is first used

Cause: a new backlog drained by the time since the year 1. An engine that started again while a prompt of this entry was unfinished, or had one when the entries began to share work, was expected to be 9e12 ms behind until a prompt ended there. Result: at most the time since. TestBacklogBeginsWithUnfinishedPrompt failed before.

--- a/internal/placement/backlog.go
+++ b/internal/placement/backlog.go
@@ -48,6 +48,9 @@
 
 // drain applies the time since the last call at an engine that takes slowness times as long as expected.
 func (b *backlog) drain(now time.Time, slowness float64, own *workByUrgency) {
+	if b.drainedAt.IsZero() {
+		b.drainedAt = now // own prompts can precede the backlog: the engine started again, or the entries began to share work
+	}
 	elapsed := milliseconds(now.Sub(b.drainedAt))
 	if elapsed <= 0 {
 		return
--- a/internal/placement/backlog_test.go
+++ b/internal/placement/backlog_test.go
@@ -77,6 +77,26 @@
 	qt.Assert(t, f.AddWork(start, "c", []placement.Work{workAt("p-a-2", 0, 1)}).Added, qt.Equals, 1)
 }
 
+// Guards against an engine that is avoided because it started again, or because the entries began to share work, while a prompt was unfinished.
+func TestBacklogBeginsWithUnfinishedPrompt(t *testing.T) {
+	for _, restarts := range []bool{true, false} {
+		f := sharingFleet(8, "p-a-1")
+		if !restarts {
+			f.SetEntries(1)
+		}
+		p := f.Pool(models)
+		c, _ := p.Choose(start, prompt(1, 2))
+		p.Begin(start, c, prompt(1, 2))
+		if restarts {
+			again := engine("p-a-1")
+			again.StartedMs++
+			f.Put(start, again, 100)
+		}
+		f.SetEntries(8)
+		qt.Assert(t, pending(f, start.Add(time.Second), 0) <= 1000, qt.IsTrue, qt.Commentf("restarts: %t", restarts))
+	}
+}
+
 // Guards against placed prompts that are not told, or not told to have ended, each once.
 func TestPlacedPromptsAreTold(t *testing.T) {
 	f := sharingFleet(8, "p-a-1", "d-a-1")
