--- a/internal/faults/gateway_test.go
+++ b/internal/faults/gateway_test.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -70,6 +71,8 @@
 	arrived  []http.Header // of the requests at the service
 	frozen   [][]byte      // last acknowledged write of usage reports by each entry
 	requests int
+	flags    func(entry int) []string                                // further flags of an entry; nil for none
+	front    func(entry int, w http.ResponseWriter, r *http.Request) // between an entry and the store; nil for serveStore
 }
 
 func newGatewayFleet(t *testing.T, entries int, tenants ...object) *gatewayFleet {
@@ -107,7 +110,13 @@
 
 // startEntry starts an entry and waits until it is ready.
 func (f *gatewayFleet) startEntry(i int) {
-	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.serveStore(i, w, r) }))
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.front != nil {
+			f.front(i, w, r)
+			return
+		}
+		f.serveStore(i, w, r)
+	}))
 	f.t.Cleanup(func() {
 		front.CloseClientConnections()
 		front.Close()
@@ -119,6 +128,9 @@
 		f.t.Fatal(err)
 	}
 	p := &process{name: name, args: []string{"fighollow", "gateway", "--settings", file}, log: filepath.Join(f.dir, name+".log")}
+	if f.flags != nil {
+		p.args = append(p.args, f.flags(i)...)
+	}
 	p.start(f.t)
 	f.t.Cleanup(func() {
 		if !p.ended() {
@@ -233,6 +245,63 @@
 	}
 }
 
+// Guards against versions of the configuration in quick succession that keep a removed key in force, that cost a read of the store each, or
+// during which a key that stays is refused.
+func TestRemovedKeyIsRefusedInAStormOfVersions(t *testing.T) {
+	t.Parallel()
+	const (
+		versions = 200
+		interval = 15 * time.Millisecond
+	)
+	f := newGatewayFleet(t, 0)
+	var answers atomic.Int64
+	f.front = func(_ int, w http.ResponseWriter, r *http.Request) {
+		f.store.ServeHTTP(w, r)
+		if strings.HasPrefix(r.URL.Path, "/api/objects/config") && r.Context().Err() == nil {
+			answers.Add(1)
+		}
+	}
+	tenant := func(keys ...string) object { return object{"name": "north", "apiKeys": append(keys, "key-steady")} }
+	f.configure(2, tenant("key-old"))
+	f.startEntry(0)
+	c, err := f.dial(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.nc.Close()
+	until(f.ctx, t, "a request with the key is answered", func() bool { return c.ask("key-old") == http.StatusOK })
+	answers.Store(0)
+	f.configure(3, tenant("key-old"))
+	until(f.ctx, t, "the entry has read a version, after which it pauses", func() bool { return answers.Load() > 0 })
+	began := time.Now()
+	f.configure(4, tenant()) // the key is gone in all that follow
+	refused := time.Duration(0)
+	for v := range versions {
+		f.configure(5+v, tenant(fmt.Sprint("key-", v)), object{"name": "faulty", "apiKeys": []string{fmt.Sprint("key-", v), ""}}, object{})
+		if got := c.ask("key-steady"); got != http.StatusOK {
+			t.Fatalf("status %d for a key that stays, at version %d", got, 5+v)
+		}
+		switch got := c.ask("key-old"); {
+		case got == http.StatusUnauthorized && refused == 0:
+			refused = time.Since(began)
+		case got != http.StatusUnauthorized && (refused > 0 || got != http.StatusOK):
+			t.Fatalf("status %d for the removed key at version %d", got, 5+v)
+		}
+		if wait(f.ctx.Done(), interval) {
+			break
+		}
+	}
+	took := time.Since(began)
+	if refused == 0 || refused > 2*time.Second { // configMs
+		t.Errorf("the key was refused %v after its removal", refused)
+	}
+	// An entry pauses for a quarter of configMs after changes.
+	if n, most := answers.Load(), int64(took/(500*time.Millisecond))+2; n > most {
+		t.Errorf("%d reads of the configuration in %v, %d allowed", n, took, most)
+	}
+	t.Logf("refused after %v; %d reads of the configuration for %d versions in %v", refused, answers.Load(), versions, took)
+}
+
 // usageReport is one report as the usage API got it.
 type usageReport struct {
 	Window int64            `json:"window"`
