platform: the watch of the configuration is checked each time where keys are required

Cause: a check asked for the watch of the oldest version only. Change: watches of urgent kinds are checked each time too, for one stale call more in each check. The configuration is urgent where it requires keys, so that other deployments make the same calls as before.

TestRemovedKeyIsRefusedAlthoughTheWatchIsDeaf failed before; refused within the stable window now.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -131,11 +131,12 @@
 	registry := metrics.NewRegistry()
 	p := &gatewayProcess{
 		flags: flags, cfg: cfg, registry: registry, sink: sink, log: log,
-		store: platform.NewStore(platform.StoreOptions{
-			Address: cfg.StoreAddress, Stable: cfg.Bounds.Stable, History: cfg.StoreHistory, Registry: registry,
-		}, log),
 		pool: upstream.New(), control: upstream.New(), observing: make(chan bool, 1), reporterDone: make(chan struct{}),
 	}
+	p.store = platform.NewStore(platform.StoreOptions{
+		Address: cfg.StoreAddress, Stable: cfg.Bounds.Stable, History: cfg.StoreHistory, Registry: registry,
+		Urgent: func() []fighollow.Kind { return p.gateway.UrgentKinds() },
+	}, log)
 	self := cfg.Node + "@" + cfg.Address
 	divider := quota.New(self)
 	fleet := placement.New(placement.Options{
