fairshare: the test of the idle policy counts steps without a data race

Change: the counter is atomic, and the test waits until the steps of that moment have run. The bounds are the same.

--- a/internal/fairshare/policy_test.go
+++ b/internal/fairshare/policy_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -232,13 +233,13 @@
 }
 
 // countedTransport counts the questions for peers, one of which each step asks that is not idle.
-type countedTransport struct{ asked int }
+type countedTransport struct{ asked atomic.Int64 }
 
 func (*countedTransport) Subscribe(peers.Topic, func(string, []byte)) {}
 func (*countedTransport) Send(peers.Topic, []byte, ...string)         {}
 
 func (t *countedTransport) DataCentres() map[string]string {
-	t.asked++
+	t.asked.Add(1)
 	return map[string]string{"other": "a"}
 }
 
@@ -251,17 +252,23 @@
 			Self: "self", DataCentre: "a", Workspaces: func() []string { return []string{"w"} }, Services: func() []string { return []string{"s"} },
 		}, transport, zerolog.Nop())
 		go p.Run(ctx)
-		time.Sleep(time.Hour)
-		qt.Check(t, transport.asked, qt.Equals, 0)
+		// Steps that are due at the same moment as the check are run before it.
+		sleep := func(d time.Duration) {
+			time.Sleep(d)
+			synctest.Wait()
+		}
+		sleep(time.Hour)
+		qt.Check(t, transport.asked.Load(), qt.Equals, int64(0))
 		decide := func(late bool) {
 			p.Decide(time.Now(), fighollow.ShareRequest{Service: "s", Workspace: "w", ID: "r", Work: time.Millisecond, Late: late})
 		}
 		decide(false)
-		time.Sleep(time.Hour)
-		qt.Check(t, transport.asked, qt.Equals, 1, qt.Commentf("the first step"))
+		sleep(time.Hour)
+		qt.Check(t, transport.asked.Load(), qt.Equals, int64(1), qt.Commentf("the first step"))
 		decide(true)
-		time.Sleep(2 * time.Second)
-		qt.Check(t, transport.asked >= 7, qt.IsTrue, qt.Commentf("%d steps", transport.asked))
+		sleep(2 * time.Second)
+		asked := transport.asked.Load()
+		qt.Check(t, asked >= 7, qt.IsTrue, qt.Commentf("%d steps", asked))
 		cancel()
 		synctest.Wait()
 	})
