placement, workshare: prompts of other entries count until they end

Up to 16 prompts piled up at slow engines, until their callers left. With shared work it was the same: what others had placed drained at the expected speed, so a slow engine looked idle; prompts that were abandoned taught nothing; an entry knew what engines cache, and how fast they are, from its own requests only, one prompt of each engine every five seconds.

Change: the work of a prompt counts until its entry reports its end. Each report names the entry's unfinished prompts, so that the next one repairs a lost one, and prompts expire if none arrives. Reports tell which shared parts an engine computes and how long a prompt took relative to what was expected. Abandoned prompts count as slow if they outlasted the expectation.

--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -31,15 +31,16 @@
 // run is the state of one simulation.
 type run struct {
 	Clock
-	cfg         Config
-	rng         *rand.Rand
-	engines     []*engine
-	entries     []*placement.Fleet
-	result      Result
-	planner     *roles.Planner
-	lastRequest uint64              // number of the newest request
-	sharers     []*workshare.Sharer // of the entries, if they share work
-	messages    *rand.Rand          // draws the messages that are lost
+	cfg          Config
+	rng          *rand.Rand
+	engines      []*engine
+	entries      []*placement.Fleet
+	result       Result
+	planner      *roles.Planner
+	lastRequest  uint64              // number of the newest request
+	sharers      []*workshare.Sharer // of the entries, if they share work
+	falseReports uint32              // so many were sent
+	messages     *rand.Rand          // draws the messages that are lost
 }
 
 // epoch is the virtual time at which every run begins. Any constant works.
--- a/internal/emulator/sharing.go
+++ b/internal/emulator/sharing.go
@@ -17,6 +17,8 @@
 const (
 	falseReportInterval = 100 * time.Millisecond
 	falseReportMs       = 3_600_000
+	// falseReportNumbers is below the numbers of false reports and above those of the prompts of the entry that sends them.
+	falseReportNumbers = 1 << 30
 )
 
 // shareWork connects the entries by messages that take networkDelay.
@@ -68,9 +70,11 @@
 // reportFalsely lets the first entry report work at all engines that it did not place.
 func (r *run) reportFalsely() {
 	r.After(falseReportInterval, r.reportFalsely)
-	for _, e := range r.engines {
+	for i, e := range r.engines {
+		r.falseReports++
 		r.sharers[0].Add(r.Now, placement.Work{
-			Engine: placement.EngineHash(e.upstream), DataCentre: e.upstream.DataCentre, Phase: fighollow.RequestPrefill, Ms: falseReportMs,
+			Number: falseReportNumbers + r.falseReports, Engine: placement.EngineHash(e.upstream), DataCentre: e.upstream.DataCentre,
+			Urgency: i % 2, Ms: falseReportMs,
 		})
 	}
 	r.tickAt(r.sharers[0])
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fighollow/fighollow/pkg/fighollow"
@@ -39,6 +40,7 @@
 	distrustUntil time.Time
 
 	onWork         func(now time.Time, w Work)
+	placedPrompts  atomic.Uint32 // numbers the prompts that are reported
 	senders        senderBudgets
 	promptEngines  int // that compute prompts, as of enginesCounted
 	enginesCounted time.Time
@@ -63,7 +65,7 @@
 func (f *Fleet) pool(service string) *Pool {
 	p := f.pools[service]
 	if p == nil {
-		p = newPool(f.opts, f.announcements)
+		p = newPool(f.opts, f.announcements, &f.placedPrompts)
 		p.setEntries(f.entries)
 		p.setSharing(f.sharing)
 		p.setOnWork(f.onWork)
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -30,14 +30,13 @@
 	UpstreamID    string
 	Phase         fighollow.RequestPhase
 	SentAt        time.Time
-	PrefillTokens float64       // prompt tokens that the engine computes; 0 for a decode
-	workMs        float64       // expected time for which the prompt occupies the engine
-	backlog       bool          // earlier prompts of this entry were unfinished at the engine
-	computing     bool          // the engine has not computed the prompt yet
-	told          Work          // to other entries; set if shared
-	shared        bool          // the entries shared what they placed when it was sent
-	aheadMs       float64       // work that preceded it then; set if shared
-	addedBefore   workByUrgency // others' work that had been reported then; set if shared
+	PrefillTokens float64 // prompt tokens that the engine computes; 0 for a decode
+	workMs        float64 // expected time for which the prompt occupies the engine
+	backlog       bool    // earlier prompts of this entry were unfinished at the engine
+	computing     bool    // the engine has not computed the prompt yet
+	reported      Work    // to other entries; set if shared
+	shared        bool    // the entries shared what they placed when it was sent
+	aheadMs       float64 // work that preceded it then; set if shared
 	prompt        []fighollow.PromptPart
 	urgency       int
 	incarnation   incarnation
@@ -74,16 +73,16 @@
 	a.PrefillTokens = computedTokens(q, &c)
 	a.workMs, a.backlog, a.computing = p.workMs(q, &c), inst.prefills > 0, true
 	if p.sharing {
-		p.drainBacklog(now, inst)
 		a.workMs = p.times.sharedWorkMs(a.PrefillTokens, q.Phase)
-		a.shared, a.aheadMs, a.addedBefore = true, p.pendingMs(inst, q.Urgency), inst.backlog.added
+		a.shared, a.aheadMs = true, p.pendingMs(inst, q.Urgency)
 	}
 	inst.pending[q.Urgency] += a.workMs
 	if a.shared && p.onWork != nil {
-		a.told = Work{
-			Engine: EngineHash(c.Upstream), DataCentre: c.Upstream.DataCentre, Phase: a.Phase, Urgency: a.urgency, Ms: a.workMs * p.pace.mean(),
+		a.reported = Work{
+			Number: p.placedPrompts.Add(1) - 1, Engine: EngineHash(c.Upstream), DataCentre: c.Upstream.DataCentre, Urgency: a.urgency,
+			Ms: a.workMs * p.pace.mean(), Prefix: sharedPrefix(q.Prompt),
 		}
-		p.onWork(now, a.told)
+		p.onWork(now, a.reported)
 	}
 	inst.prefills++
 	if q.Phase == fighollow.RequestPrefill {
@@ -104,38 +103,29 @@
 	return p.times.occupiedMs(computedTokens(q, c))
 }
 
-// endPrompt removes the computation of a prompt from the work of its engine. Calls after the first do nothing.
-func (p *Pool) endPrompt(now time.Time, inst *instance, a *Attempt) {
+// sharedPrefix returns the parts of a prompt that are reported to other entries.
+func sharedPrefix(prompt []fighollow.PromptPart) []fighollow.PromptPart {
+	return prompt[:min(max(0, len(prompt)-1), maxPrefixParts)]
+}
+
+// endPrompt removes the computation of a prompt from the work of its engine; computed tells whether the engine has done it. Calls after
+// the first do nothing.
+func (p *Pool) endPrompt(now time.Time, inst *instance, a *Attempt, computed bool) {
 	if !a.computing {
 		return
 	}
-	if a.shared && p.sharing {
-		p.drainBacklog(now, inst)
-	}
 	a.computing = false
 	inst.prefills = max(0, inst.prefills-1)
 	if a.Phase == fighollow.RequestPrefill {
 		inst.exports = max(0, inst.exports-1)
 	}
 	inst.pending[a.urgency] = max(0, inst.pending[a.urgency]-a.workMs)
-	if a.shared {
-		inst.backlog.end(a.urgency, a.workMs)
-	}
 	if inst.prefills == 0 {
 		inst.pending = workByUrgency{} // drops rounding errors
-		inst.backlog.ownDone = workByUrgency{}
 	}
-	if a.told.Ms > 0 && p.sharing && p.onWork != nil {
-		a.told.Ended = true
-		p.onWork(now, a.told)
-	}
-}
-
-// endComputed is endPrompt for a prompt that the engine has computed.
-func (p *Pool) endComputed(now time.Time, inst *instance, a *Attempt) {
-	p.endPrompt(now, inst, a)
-	if a.shared && p.sharing && p.current(a.incarnation) != nil {
-		inst.backlog.computed(a.urgency, &a.addedBefore)
+	if a.reported.Ms > 0 && p.sharing && p.onWork != nil {
+		a.reported.Ended, a.reported.Computed = true, computed
+		p.onWork(now, a.reported)
 	}
 }
 
@@ -151,7 +141,7 @@
 	inst.endPause(a)
 	if a.computing {
 		p.observeWhole(now, inst, a)
-		p.endComputed(now, inst, a)
+		p.endPrompt(now, inst, a, true)
 		return
 	}
 	inst.latency.observe(now, now.Sub(a.SentAt))
@@ -169,10 +159,13 @@
 	}
 	before := inst.unavailableUntil()
 	inst.open = max(0, inst.open-1)
-	if r == Answered && a.computing {
-		p.endComputed(now, inst, a)
+	if r == Answered && a.computing && a.Phase == fighollow.RequestPrefill {
+		p.observePrompt(now, inst, a)
+	}
+	if r == Abandoned && a.computing {
+		p.observeUnfinished(now, inst, a)
 	}
-	p.endPrompt(now, inst, a)
+	p.endPrompt(now, inst, a, r == Answered)
 	if a.Phase != fighollow.RequestPrefill {
 		inst.running = max(0, inst.running-1)
 	}
@@ -190,7 +183,6 @@
 		inst.recordSuccess()
 		switch a.Phase {
 		case fighollow.RequestPrefill:
-			p.observePrompt(now, inst, a)
 			inst.cache.add(now, a.prompt, true)
 		case fighollow.RequestWhole:
 			if p.traits.Engine == nil {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fighollow/fighollow/internal/rendezvous"
@@ -113,17 +114,17 @@
 	sharing bool // the entries share what they place
 	pace    fleetPace
 	onWork  func(now time.Time, w Work)
-	// backlogsAt is when the next values were updated: what is assumed of others' work at engines of other data centres, and the latency of
-	// a prompt without tokens.
+	// backlogsAt is when what is assumed of others' work at engines of other data centres was updated, in milliseconds.
 	backlogsAt                     time.Time
-	remotePrefillMs, remoteWholeMs workByUrgency
-	resultLatencyMs                float64
+	remotePrefillMs, remoteWholeMs float64
+	reported                       reportedPrompts // unfinished prompts of other entries
+	placedPrompts                  *atomic.Uint32  // numbers the prompts that this entry reports; of the fleet
 }
 
-func newPool(opts Options, m *announcements) *Pool {
+func newPool(opts Options, m *announcements, placed *atomic.Uint32) *Pool {
 	return &Pool{
 		dataCentre: opts.DataCentre, drain: opts.DrainTime, shares: opts.Shares, entries: 1, instances: make(map[string]*instance), byHash: make(map[uint64]*instance), versions: make(map[string]versionTimes),
-		gated: opts.AdmitVersions, withheld: make(map[string]bool), announcements: m,
+		gated: opts.AdmitVersions, withheld: make(map[string]bool), announcements: m, placedPrompts: placed,
 	}
 }
 
--- a/internal/placement/prompttime.go
+++ b/internal/placement/prompttime.go
@@ -77,12 +77,13 @@
 	}
 }
 
-// observeShared adds the result at now of a prompt that was sent while the entries shared what they place. It is compared with what was
+// observeShared adds the result at now of a prompt that was sent while the entries shared what they placed. It is compared with what was
 // expected of it and of the work that preceded it, so that known queueing does not make an engine look slow.
 func (p *Pool) observeShared(now time.Time, inst *instance, a *Attempt, own *lineFit) {
 	ms := milliseconds(now.Sub(a.SentAt))
 	if expected := own.known(a.PrefillTokens); expected > 0 {
 		p.pace.observe(now, &inst.pace, ms, expected+a.aheadMs)
+		a.reported.Ratio = ms / (expected + a.aheadMs)
 	}
 	inst.speed.observe(now, 0, 0)
 	if !a.backlog {
@@ -90,6 +91,23 @@
 	}
 }
 
+// observeUnfinished adds a prompt that was abandoned at now while its engine was to compute it. That took longer than expected at least if
+// the time until now is longer; without it, an engine whose prompts all outlast their callers would look as fast as the others.
+func (p *Pool) observeUnfinished(now time.Time, inst *instance, a *Attempt) {
+	if !a.shared || !p.sharing {
+		return
+	}
+	own := &p.times.alone
+	if a.Phase == fighollow.RequestWhole {
+		own = &p.times.whole
+	}
+	ms := milliseconds(now.Sub(a.SentAt))
+	if expected := own.known(a.PrefillTokens); expected > 0 && ms > expected+a.aheadMs {
+		p.pace.observe(now, &inst.pace, ms, expected+a.aheadMs)
+		a.reported.Ratio = ms / (expected + a.aheadMs)
+	}
+}
+
 // observeWhole adds the first event at now of a prompt that a decode engine computed itself.
 func (p *Pool) observeWhole(now time.Time, inst *instance, a *Attempt) {
 	if a.shared {
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -21,8 +21,9 @@
 	senderPause      = 30 * time.Second
 	// maxSenders bounds the number of entries whose reported work is counted. A deployment has at most some hundred entries.
 	maxSenders = 1024
-	// drainStep is the least time that is applied to a backlog. A request is placed by several calls of Choose at nearly the same time.
-	drainStep = time.Millisecond
+	// backlogStep is the pause between two updates of what engines of other data centres are assumed to have. A request is placed by several
+	// calls of Choose at nearly the same time.
+	backlogStep = time.Millisecond
 	// countInterval is the pause between two counts of the engines.
 	countInterval = time.Second
 	// remoteBacklogShare is the backlog that an engine of another data centre is assumed to have, as a fraction of the mean here. Entries
@@ -30,14 +31,34 @@
 	remoteBacklogShare = 0.5
 )
 
-// Work is a prompt that was placed at an engine.
+// maxPromptsPerEntry bounds the unfinished prompts of one entry that are counted in a service. An entry has some tens.
+const maxPromptsPerEntry = 256
+
+// maxPrefixParts bounds the parts of a prompt that its entry reports. Prompts have two or three that others share.
+const maxPrefixParts = 4
+
+// Work is a prompt that was placed at an engine, or that has ended there, as its entry reports it.
 type Work struct {
+	Number     uint32 // of the prompt among those of the entry; it increases
 	Engine     uint64 // EngineHash of the engine
 	DataCentre string // of the engine; not sent
-	Phase      fighollow.RequestPhase
 	Urgency    int
-	Ended      bool    // the prompt was placed before and has ended
-	Ms         float64 // engine time at an engine of mean speed
+	Ms         float64                // engine time at an engine of mean speed
+	Prefix     []fighollow.PromptPart // parts that other prompts may share, from the first on, at most maxPrefixParts
+	// Ended is set when the prompt is no longer at the engine, and Computed if the engine has computed it. Ratio is then the time it took,
+	// relative to what was expected; 0 if that is not known.
+	Ended, Computed bool
+	Ratio           float64
+}
+
+// WorkReport is what an entry reports of the prompts that it placed at the engines of a data centre.
+type WorkReport struct {
+	Placed []Work
+	Ended  []Work // only Number, Computed and Ratio are set
+	// Next is above the numbers of all prompts that the entry had placed anywhere when it sent the report, and Unfinished has the numbers of those
+	// that were unfinished in the data centre, without Placed. So a lost report is repaired by the next one.
+	Next       uint32
+	Unfinished []uint32
 }
 
 // EngineHash identifies one run of an engine in messages between entries.
@@ -50,7 +71,7 @@
 	Added   int     // prompts that were added to a backlog
 	Ignored int     // prompts at unknown engines, invalid ones, and those beyond a bound
 	AddedMs float64 // work that was added, within the bounds
-	// Distrusted is set if all were ignored because the entry reports more than it can have placed.
+	// Distrusted is set if the report was ignored because the entry reports more than it can have placed.
 	Distrusted bool
 }
 
@@ -70,12 +91,12 @@
 	p.onWork = placed
 }
 
-// AddWork adds prompts that the entry named from reports to have placed. While work is not shared, it ignores them.
-func (f *Fleet) AddWork(now time.Time, from string, reported []Work) WorkCounts {
+// AddWork applies a report of the entry named from. While work is not shared, it ignores reports.
+func (f *Fleet) AddWork(now time.Time, from string, r WorkReport) WorkCounts {
 	f.mu.Lock()
 	if !f.sharing {
 		f.mu.Unlock()
-		return WorkCounts{Ignored: len(reported)}
+		return WorkCounts{Ignored: len(r.Placed)}
 	}
 	pools := make([]*Pool, 0, len(f.pools))
 	for _, p := range f.pools {
@@ -87,30 +108,19 @@
 			f.promptEngines += p.countPromptEngines()
 		}
 	}
-	accepted := f.senders.spend(now, from, reportedMs(reported), senderShare*1000*float64(f.promptEngines)/float64(f.entries))
+	accepted := f.senders.spend(now, from, reportedMs(r.Placed), senderShare*1000*float64(f.promptEngines)/float64(f.entries))
 	f.mu.Unlock()
+	placed := len(r.Placed)
 	if !accepted {
-		return WorkCounts{Ignored: len(reported), Distrusted: true}
+		r.Placed, r.Ended = nil, nil
 	}
-	var counts WorkCounts
-	for _, w := range reported {
-		ms := 0.0
-		if w.Ms > 0 && w.Urgency >= 0 && w.Urgency <= maxUrgency {
-			for _, p := range pools {
-				if ms = p.addWork(now, w); ms > 0 {
-					break
-				}
-			}
-		}
-		if ms == 0 {
-			counts.Ignored++
-			continue
-		}
-		counts.Added++
-		if !w.Ended {
-			counts.AddedMs += ms
-		}
+	counts := WorkCounts{Distrusted: !accepted}
+	for _, p := range pools {
+		added, ms := p.addReport(now, from, r)
+		counts.Added += added
+		counts.AddedMs += ms
 	}
+	counts.Ignored = placed - counts.Added
 	return counts
 }
 
@@ -118,9 +128,7 @@
 func reportedMs(reported []Work) float64 {
 	var ms float64
 	for _, w := range reported {
-		if !w.Ended {
-			ms += min(w.Ms, maxWorkMs)
-		}
+		ms += max(0, min(w.Ms, maxWorkMs))
 	}
 	return ms
 }
@@ -174,21 +182,81 @@
 	return prefill
 }
 
-// addWork adds a prompt that another entry placed, or removes one that has ended. It returns the work that was added; 0 if the engine is not in the pool.
-func (p *Pool) addWork(now time.Time, w Work) float64 {
+// addReport applies what a report says of the engines of this service: it adds prompts, and removes those that have ended. It returns how many
+// prompts were added, and their work.
+func (p *Pool) addReport(now time.Time, from string, r WorkReport) (added int, ms float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	inst := p.byHash[w.Engine]
-	if inst == nil || !p.sharing {
-		return 0
+	if !p.sharing {
+		return 0, 0
+	}
+	prompts := p.reported.of(from)
+	for i := range r.Ended {
+		p.endReported(now, prompts, &r.Ended[i])
 	}
-	p.drainBacklog(now, inst)
+	p.confirmReported(now, prompts, r)
 	mean := p.pace.mean()
-	if w.Ended {
-		inst.backlog.endOther(w.Urgency, min(w.Ms, maxWorkMs)/mean)
-		return min(w.Ms, maxWorkMs)
+	for i := range r.Placed {
+		w := &r.Placed[i]
+		inst := p.byHash[w.Engine]
+		if inst == nil || prompts[w.Number] != nil || len(prompts) >= maxPromptsPerEntry || w.Ms <= 0 || w.Urgency < 0 || w.Urgency > maxUrgency {
+			continue
+		}
+		work := min(w.Ms, maxWorkMs)
+		rp := &reportedPrompt{
+			engine: w.Engine, urgency: w.Urgency, prefix: w.Prefix, placedAt: now, confirmedAt: now,
+			ms: min(work/mean, max(0, maxBacklogMs-inst.backlog.others.total())),
+		}
+		prompts[w.Number] = rp
+		inst.backlog.add(rp.urgency, rp.ms)
+		inst.cache.add(now, rp.prefix, false)
+		added++
+		ms += rp.ms * mean
+	}
+	return added, ms
+}
+
+// endReported removes a prompt of another entry that has ended, and learns from it.
+func (p *Pool) endReported(now time.Time, prompts map[uint32]*reportedPrompt, w *Work) {
+	rp := prompts[w.Number]
+	if rp == nil {
+		return
+	}
+	delete(prompts, w.Number)
+	inst := p.byHash[rp.engine]
+	if inst == nil {
+		return
+	}
+	inst.backlog.remove(rp.urgency, rp.ms)
+	if w.Computed {
+		inst.cache.add(now, rp.prefix, true)
+	}
+	if w.Ratio > 0 && rp.ms > 0 {
+		p.pace.observe(now, &inst.pace, w.Ratio*rp.ms, rp.ms)
+	}
+}
+
+// confirmReported removes the prompts of another entry that had ended when it sent r, by reports that did not arrive, and confirms the others.
+func (p *Pool) confirmReported(now time.Time, prompts map[uint32]*reportedPrompt, r WorkReport) {
+	unfinished := make(map[uint32]bool, len(r.Unfinished))
+	for _, number := range r.Unfinished {
+		unfinished[number] = true
+	}
+	for number, rp := range prompts {
+		switch {
+		case unfinished[number]:
+			rp.confirmedAt = now
+		case int32(r.Next-number) > 0: // placed before the report was sent; a later one can have arrived earlier
+			p.removeReported(rp)
+			delete(prompts, number)
+		}
+	}
+}
+
+func (p *Pool) removeReported(rp *reportedPrompt) {
+	if inst := p.byHash[rp.engine]; inst != nil {
+		inst.backlog.remove(rp.urgency, rp.ms)
 	}
-	return mean * inst.backlog.add(w.Urgency, min(w.Ms, maxWorkMs)/mean)
 }
 
 // setSharing sets whether the entries share what they place.
@@ -198,66 +266,51 @@
 	if p.sharing == on {
 		return
 	}
-	p.sharing, p.pace = on, fleetPace{}
+	p.sharing, p.pace, p.reported = on, fleetPace{}, reportedPrompts{}
 	for _, inst := range p.instances {
 		inst.backlog, inst.pace = backlog{}, pace{}
 	}
 }
 
-// drainBacklog applies the time that has passed to the backlog of an engine, at most every drainStep.
-func (p *Pool) drainBacklog(now time.Time, inst *instance) {
-	if now.Sub(inst.backlog.drainedAt) < drainStep {
-		return
-	}
-	inst.backlog.drain(now, p.slowness(now, inst), &inst.pending)
-}
-
-// prepareBacklogs applies the time that has passed to all backlogs, and updates what engines of other data centres are assumed to have.
+// prepareBacklogs drops prompts of others that no longer count, and updates what engines of other data centres are assumed to have.
 func (p *Pool) prepareBacklogs(now time.Time) {
-	if now.Sub(p.backlogsAt) < drainStep {
+	if now.Sub(p.backlogsAt) < backlogStep {
 		return
 	}
-	p.backlogsAt, p.resultLatencyMs = now, p.times.aloneMs(0)
-	p.remotePrefillMs, p.remoteWholeMs = workByUrgency{}, workByUrgency{}
+	p.backlogsAt = now
+	for _, rp := range p.reported.expire(now) {
+		p.removeReported(rp)
+	}
+	p.remotePrefillMs, p.remoteWholeMs = 0, 0
 	prefill, whole := 0, 0
 	for _, inst := range p.instances {
-		p.drainBacklog(now, inst)
 		switch {
 		case inst.upstream.DataCentre != p.dataCentre:
 		case inst.upstream.Role == fighollow.RolePrefill:
-			p.remotePrefillMs.addLeft(&inst.backlog)
+			p.remotePrefillMs += inst.backlog.others.total()
 			prefill++
 		default:
-			p.remoteWholeMs.addLeft(&inst.backlog)
+			p.remoteWholeMs += inst.backlog.others.total()
 			whole++
 		}
 	}
-	for u := range p.remotePrefillMs {
-		p.remotePrefillMs[u] *= remoteBacklogShare / float64(max(1, prefill))
-		p.remoteWholeMs[u] *= remoteBacklogShare / float64(max(1, whole))
-	}
-}
-
-// addLeft adds what is left of others' work at an engine.
-func (w *workByUrgency) addLeft(b *backlog) {
-	for u := range w {
-		w[u] += b.others[u] - b.othersDone[u]
-	}
+	p.remotePrefillMs *= remoteBacklogShare / float64(max(1, prefill))
+	p.remoteWholeMs *= remoteBacklogShare / float64(max(1, whole))
 }
 
-// pendingMs returns the work that an engine does before a new prompt of this urgency: this entry's, and that of others while the entries
-// share what they place.
+// pendingMs returns the work that an engine does before a new prompt of this urgency: this entry's, and, while the entries share what they
+// place, that of others. Work of all urgencies counts then, as engines compute prompts by turns.
 func (p *Pool) pendingMs(inst *instance, urgency int) float64 {
 	if !p.sharing {
 		return inst.pending.ahead(urgency)
 	}
-	others := inst.backlog.othersLeft(urgency)
+	others := inst.backlog.others.total()
 	if inst.upstream.DataCentre != p.dataCentre {
-		assumed := &p.remoteWholeMs
+		assumed := p.remoteWholeMs
 		if inst.upstream.Role == fighollow.RolePrefill {
-			assumed = &p.remotePrefillMs
+			assumed = p.remotePrefillMs
 		}
-		others = max(others, assumed.ahead(urgency))
+		others = max(others, assumed)
 	}
-	return others + inst.backlog.ownLeft(&inst.pending, urgency, p.resultLatencyMs)
+	return others + inst.pending.total()
 }
--- a/internal/workshare/workshare.go
+++ b/internal/workshare/workshare.go
@@ -1,9 +1,12 @@
-// Package workshare tells the other entries of a data centre which prompts this entry has placed at the engines there, and adds what they
-// tell to the engines' backlogs. Nothing is confirmed: of a prompt whose message is lost, the others do not know.
+// Package workshare reports to the other entries of a data centre which prompts this entry has placed at the engines there and which have
+// ended, and applies their reports. Reports are not acknowledged: each names the entry's unfinished prompts, so that the next one repairs
+// a lost one.
 package workshare
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,8 +24,10 @@
 	batchTime    = 20 * time.Millisecond
 	batchEntries = 40
 	maxBatchTime = 200 * time.Millisecond
-	// maxPending bounds the prompts that wait for one data centre. An entry places some tens a second.
-	maxPending = 1024
+	// endedBatches is for how many times as long ended prompts wait: they change the backlog of an engine less than a burst of new ones.
+	endedBatches = 2
+	// repeatInterval is the longest pause between two reports while prompts are unfinished. Without one, the others drop these prompts.
+	repeatInterval = time.Second
 	// maxDataCentres bounds the number of data centres that prompts wait for.
 	maxDataCentres = 64
 	// errorLogInterval is the least pause between two lines about messages that cannot be used.
@@ -31,8 +36,8 @@
 
 // Backlogs gets the work that other entries placed. placement.Fleet implements it.
 type Backlogs interface {
-	// AddWork adds prompts that the entry named from placed.
-	AddWork(now time.Time, from string, work []placement.Work) placement.WorkCounts
+	// AddWork applies a report of the entry named from.
+	AddWork(now time.Time, from string, r placement.WorkReport) placement.WorkCounts
 }
 
 // Options configures a Sharer.
@@ -44,23 +49,25 @@
 	Registry metrics.Registry // nil for none
 }
 
-// batch holds the prompts that wait for a data centre.
+// batch holds what waits to be reported to a data centre.
 type batch struct {
-	work []placement.Work
-	due  time.Time
+	placed, ended []placement.Work
+	due           time.Time // of the next report; zero if nothing waits
+	// unfinished are the prompts at the data centre's engines that are in placed or were reported.
+	unfinished map[uint32]bool
 }
 
 // Sharer sends and receives placed prompts. It is safe for concurrent use.
 type Sharer struct {
 	opts     Options
 	backlogs Backlogs
-	maxItems int // prompts in one message
 	log      zerolog.Logger
 	woken    chan struct{} // has an element when Run must look for a new batch
 
 	mu       sync.Mutex
 	entries  map[string]int // other entries by data centre
 	batches  map[string]*batch
+	next     uint32 // above the numbers of all prompts
 	loggedAt time.Time
 
 	sent, received, dropped, ignored, added, addedMs metrics.Counter
@@ -74,7 +81,7 @@
 	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("work."+name, r) }
 	return &Sharer{
-		opts: opts, backlogs: backlogs, maxItems: (opts.MaxData - headerBytes) / itemBytes, log: log, woken: make(chan struct{}, 1),
+		opts: opts, backlogs: backlogs, log: log, woken: make(chan struct{}, 1),
 		entries: make(map[string]int), batches: make(map[string]*batch),
 		sent: counter("sent"), received: counter("received"), dropped: counter("dropped"), ignored: counter("ignored"),
 		added: counter("added"), addedMs: counter("addedMs"),
@@ -108,33 +115,38 @@
 func (s *Sharer) add(now time.Time, w placement.Work) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := s.entries[w.DataCentre]
-	if n == 0 {
-		return false // nobody to tell
+	if !w.Ended {
+		s.next = max(s.next, w.Number+1)
 	}
+	n := s.entries[w.DataCentre]
 	b := s.batches[w.DataCentre]
 	if b == nil {
-		if len(s.batches) >= maxDataCentres {
-			s.dropped.Inc(1)
-			return false
+		if n == 0 || len(s.batches) >= maxDataCentres {
+			return false // nobody is there to be told
 		}
-		b = &batch{}
+		b = &batch{unfinished: make(map[uint32]bool)}
 		s.batches[w.DataCentre] = b
 	}
-	if len(b.work) >= maxPending {
+	pause := batchPause(n)
+	switch {
+	case w.Ended && !b.unfinished[w.Number]:
+		return false // was not reported
+	case w.Ended:
+		delete(b.unfinished, w.Number)
+		b.ended = append(b.ended, w)
+		pause *= endedBatches
+	case n == 0 || len(b.unfinished) >= maxUnfinished:
 		s.dropped.Inc(1)
 		return false
-	}
-	pause := batchPause(n)
-	if w.Ended {
-		pause = maxBatchTime
+	default:
+		b.unfinished[w.Number] = true
+		b.placed = append(b.placed, w)
 	}
 	due := now.Add(pause)
-	sooner := len(b.work) == 0 || due.Before(b.due)
+	sooner := b.due.IsZero() || due.Before(b.due)
 	if sooner {
 		b.due = due
 	}
-	b.work = append(b.work, w)
 	return sooner
 }
 
@@ -143,57 +155,77 @@
 	return min(maxBatchTime, max(batchTime, batchTime*time.Duration(entries)/batchEntries))
 }
 
-// Tick sends the batches that are due. It returns when the next one is; false if none waits.
+// Tick sends the reports that are due. It returns when the next one is; false if none waits.
 func (s *Sharer) Tick(now time.Time) (next time.Time, waiting bool) {
-	due := make(map[string][]placement.Work)
+	due := make(map[string][]placement.WorkReport)
 	s.mu.Lock()
 	for dc, b := range s.batches {
-		switch {
-		case now.Before(b.due):
-			if !waiting || b.due.Before(next) {
-				next, waiting = b.due, true
-			}
-		default:
-			due[dc] = b.work
+		if !b.due.IsZero() && !now.Before(b.due) {
+			due[dc] = s.takeReports(now, b)
+		}
+		if b.due.IsZero() {
 			delete(s.batches, dc)
+			continue
+		}
+		if !waiting || b.due.Before(next) {
+			next, waiting = b.due, true
 		}
 	}
 	s.mu.Unlock()
-	for dc, work := range due {
-		s.send(work, dc)
+	for dc, reports := range due {
+		s.send(reports, dc)
 	}
 	return next, waiting
 }
 
-// send sends prompts in as few messages as they fit into.
-func (s *Sharer) send(work []placement.Work, dataCentre string) {
-	for len(work) > 0 {
-		n := min(len(work), s.maxItems)
-		data, err := encode(work[:n])
-		if err != nil || n == 0 {
-			s.dropped.Inc(int64(len(work)))
-			return
+// takeReports returns what waits in a batch, in as few reports as it fits into. s.mu must be held.
+func (s *Sharer) takeReports(now time.Time, b *batch) []placement.WorkReport {
+	placed, ended := b.placed, b.ended
+	b.placed, b.ended, b.due = nil, nil, time.Time{}
+	if len(b.unfinished) > 0 {
+		b.due = now.Add(repeatInterval)
+	}
+	unfinished := slices.Sorted(maps.Keys(b.unfinished))
+	var reports []placement.WorkReport
+	for len(reports) == 0 || len(ended) > 0 || len(placed) > 0 {
+		r := placement.WorkReport{Next: s.next, Unfinished: unfinished}
+		room := s.opts.MaxData - headerBytes
+		n := min(len(ended), room/endedBytes)
+		r.Ended, ended = ended[:n], ended[n:]
+		n = min(len(placed), (room-n*endedBytes)/placedBytes)
+		r.Placed, placed = placed[:n], placed[n:]
+		reports = append(reports, r)
+	}
+	return reports
+}
+
+// send sends reports to a data centre.
+func (s *Sharer) send(reports []placement.WorkReport, dataCentre string) {
+	for _, r := range reports {
+		data, err := encode(r)
+		if err != nil || len(data) > s.opts.MaxData {
+			s.dropped.Inc(int64(len(r.Placed)))
+			continue
 		}
 		s.opts.Send(data, dataCentre)
 		s.sent.Inc(1)
-		work = work[n:]
 	}
 }
 
 // Receive handles a message of another entry. It does not block.
 func (s *Sharer) Receive(now time.Time, from string, data []byte) {
 	s.received.Inc(1)
-	work, err := decode(data, s.maxItems)
+	report, err := decode(data)
 	if err != nil {
 		s.ignored.Inc(1)
 		s.logUnused(now, event.WorkUnread, from, err)
 		return
 	}
-	c := s.backlogs.AddWork(now, from, work)
+	c := s.backlogs.AddWork(now, from, report)
 	if c.Distrusted {
 		s.logUnused(now, event.WorkDistrusted, from, nil)
 	}
-	if c.Added == 0 {
+	if c.Ignored > 0 {
 		s.ignored.Inc(1)
 	}
 	s.added.Inc(int64(c.Added))
--- a/internal/workshare/workshare_test.go
+++ b/internal/workshare/workshare_test.go
@@ -16,11 +16,11 @@
 var start = time.Unix(1000, 0)
 
 // backlogs records what a Sharer receives.
-type backlogs struct{ work []placement.Work }
+type backlogs struct{ reports []placement.WorkReport }
 
-func (b *backlogs) AddWork(_ time.Time, _ string, work []placement.Work) placement.WorkCounts {
-	b.work = append(b.work, work...)
-	return placement.WorkCounts{Added: len(work)}
+func (b *backlogs) AddWork(_ time.Time, _ string, r placement.WorkReport) placement.WorkCounts {
+	b.reports = append(b.reports, r)
+	return placement.WorkCounts{Added: len(r.Placed)}
 }
 
 // newSharer returns a Sharer with this many other entries in its data centre a, and what it sends.
@@ -38,11 +38,15 @@
 }
 
 func work(n int) placement.Work {
-	return placement.Work{Engine: 1<<63 + uint64(n), DataCentre: "a", Phase: fighollow.RequestPrefill, Urgency: n % 10, Ms: float64(n)}
+	w := placement.Work{Number: uint32(n), Engine: 1<<63 + uint64(n), DataCentre: "a", Urgency: n % 10, Ms: float64(n)}
+	for part := range n % 5 {
+		w.Prefix = append(w.Prefix, fighollow.PromptPart{ID: 1<<62 + uint64(n), Tokens: 1000 * part})
+	}
+	return w
 }
 
-// Guards against batches that are lost, cut or sent too early or late, and against prompts that arrive changed.
-func TestBatchesArriveWhole(t *testing.T) {
+// Guards against reports that are lost, cut or sent too early or late, and against prompts that arrive changed.
+func TestReportsArriveWhole(t *testing.T) {
 	for _, c := range []struct {
 		peers int
 		pause time.Duration
@@ -51,31 +55,39 @@
 		s, sent := newSharer(c.peers, got, nil)
 		_, waiting := s.Tick(start)
 		qt.Assert(t, waiting, qt.IsFalse)
-		var want []placement.Work
-		for i := range 150 {
+		var want, wantEnded []placement.Work
+		var unfinished []uint32
+		for i := range 60 {
 			w := work(i)
-			if w.Ended = i%3 == 2; !w.Ended && i%3 == 1 {
-				w.Phase = fighollow.RequestWhole
-			}
 			s.Add(start, w)
-			w.DataCentre = ""
-			if w.Ended {
-				w.Phase = ""
+			if i%3 == 0 {
+				s.Add(start, placement.Work{Number: w.Number, DataCentre: "a", Ended: true, Computed: i%2 == 0, Ratio: 1.25})
+				wantEnded = append(wantEnded, placement.Work{Number: w.Number, Ended: true, Computed: i%2 == 0, Ratio: 1.25})
+			} else {
+				unfinished = append(unfinished, w.Number)
 			}
+			w.DataCentre = ""
 			want = append(want, w)
 		}
 		next, waiting := s.Tick(start.Add(c.pause - 1))
 		qt.Assert(t, waiting, qt.IsTrue)
 		qt.Assert(t, next, qt.Equals, start.Add(c.pause))
 		qt.Assert(t, *sent, qt.HasLen, 0)
-		_, waiting = s.Tick(next)
-		qt.Assert(t, waiting, qt.IsFalse)
-		qt.Assert(t, *sent, qt.HasLen, 3)
+		next, waiting = s.Tick(next)
+		qt.Assert(t, waiting, qt.IsTrue)
+		qt.Assert(t, next, qt.Equals, start.Add(c.pause+time.Second), qt.Commentf("unfinished prompts are named again"))
 		for _, data := range *sent {
 			qt.Assert(t, len(data) <= 1136, qt.IsTrue)
 			s.Receive(start, "A", data)
 		}
-		qt.Assert(t, got.work, qt.DeepEquals, want)
+		var placed, ended []placement.Work
+		for _, r := range got.reports {
+			qt.Assert(t, r.Unfinished, qt.DeepEquals, unfinished)
+			qt.Assert(t, r.Next, qt.Equals, uint32(60))
+			placed, ended = append(placed, r.Placed...), append(ended, r.Ended...)
+		}
+		qt.Assert(t, placed, qt.DeepEquals, want)
+		qt.Assert(t, ended, qt.DeepEquals, wantEnded)
 	}
 }
 
@@ -83,29 +95,48 @@
 func TestMalformedMessagesAreIgnored(t *testing.T) {
 	got, r := &backlogs{}, metrics.NewRegistry()
 	s, sent := newSharer(1, got, r)
-	s.Add(start, work(1))
+	s.Add(start, work(4))
+	s.Add(start, work(3))
+	s.Add(start, placement.Work{Number: 3, DataCentre: "a", Ended: true})
 	s.Tick(start.Add(time.Second))
 	data := (*sent)[0]
-	malformed := [][]byte{nil, {0xc0}, {0x92, 0x02, 0x90}, {0x92, 0x01, 0xdd, 0xff, 0xff, 0xff, 0xff}}
+	malformed := [][]byte{nil, {0xc0}, {0x92, 0x01, 0x90}, {0x95, 0x02, 0x00, 0xdd, 0xff, 0xff, 0xff, 0xff}, {0x95, 0x02, 0x00, 0x90, 0xdd, 0x00, 0xff, 0xff, 0xff}}
 	for i := range data {
 		malformed = append(malformed, data[:i])
 	}
 	for _, m := range malformed {
 		s.Receive(start, "A", m)
 	}
-	qt.Assert(t, got.work, qt.HasLen, 0)
+	qt.Assert(t, got.reports, qt.HasLen, 0)
 	qt.Assert(t, metrics.GetOrRegisterCounter("work.ignored", r).Count(), qt.Equals, int64(len(malformed)))
 }
 
 // Guards against memory that grows while nothing is sent, and against messages to data centres without other entries.
 func TestWhatWaitsIsBounded(t *testing.T) {
 	r := metrics.NewRegistry()
-	s, _ := newSharer(1, &backlogs{}, r)
+	s, sent := newSharer(1, &backlogs{}, r)
 	for i := range 3000 {
 		s.Add(start, work(i))
 	}
-	qt.Assert(t, metrics.GetOrRegisterCounter("work.dropped", r).Count() > 1900, qt.IsTrue)
-	s, sent := newSharer(0, &backlogs{}, nil)
+	qt.Assert(t, metrics.GetOrRegisterCounter("work.dropped", r).Count(), qt.Equals, int64(3000-64))
+	for i := range 3000 {
+		s.Add(start, placement.Work{Number: uint32(i), DataCentre: "a", Ended: true})
+	}
+	s.Tick(start.Add(time.Second))
+	got := &backlogs{}
+	receiver, _ := newSharer(1, got, nil)
+	ended := 0
+	for _, data := range *sent {
+		qt.Assert(t, len(data) <= 1136, qt.IsTrue)
+		receiver.Receive(start, "A", data)
+	}
+	for _, r := range got.reports {
+		ended += len(r.Ended)
+	}
+	qt.Assert(t, ended, qt.Equals, 64, qt.Commentf("only what was reported is reported to have ended"))
+	_, waiting := s.Tick(start.Add(time.Second))
+	qt.Assert(t, waiting, qt.IsFalse)
+	s, sent = newSharer(0, &backlogs{}, nil)
 	s.Add(start, work(1))
 	s.Tick(start.Add(time.Second))
 	qt.Assert(t, *sent, qt.HasLen, 0)
