--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -68,7 +68,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Sources: cli.EnvVars(platform.SettingsVariable), Required: true, Usage: "settings `FILE` of the platform"},
 			&cli.StringFlag{Name: "log", Value: "info", Usage: "log `LEVEL`: debug, info, warn or error"},
-			&cli.BoolFlag{Name: "share-work", Usage: "tell the other entries which prompts are placed, and use what they tell; experimental"},
+			&cli.BoolFlag{Name: "share-work", Value: true, Usage: "tell the other entries which prompts are placed, and use what they tell, from 8 entries on"},
 			&cli.IntFlag{Name: "metrics-port", Usage: "`PORT` of the metrics server; 0: none"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
