workshare: up to 40 entries tell each other of prompts at all engines

Cause: entries were told of prompts only at the engines of their data centre, and assumed half of its mean backlog elsewhere. Change: up to 40 entries, reports go to all; more entries report to the engine's data centre as before, since what an entry receives grows with their number.

--- a/internal/emulator/sharing.go
+++ b/internal/emulator/sharing.go
@@ -54,11 +54,11 @@
 	}
 }
 
-// deliver brings a message of an entry to the others of a data centre.
+// deliver brings a message of an entry to the others of a data centre, or to all if dataCentre is empty.
 func (r *run) deliver(from int, data []byte, dataCentre string) {
 	r.result.Messages++
 	for i, s := range r.sharers {
-		if i == from || r.cfg.DataCentres[i%len(r.cfg.DataCentres)] != dataCentre || r.messages.Float64() < r.cfg.Policy.MessageLoss {
+		if i == from || dataCentre != "" && r.cfg.DataCentres[i%len(r.cfg.DataCentres)] != dataCentre || r.messages.Float64() < r.cfg.Policy.MessageLoss {
 			continue
 		}
 		r.result.Datagrams++
--- a/internal/peers/topic.go
+++ b/internal/peers/topic.go
@@ -57,14 +57,14 @@
 	}
 }
 
-// SendDataCentre sends data to all peers of a data centre.
+// SendDataCentre sends data to all peers of a data centre, or to all peers if dataCentre is empty.
 func (l *Link) SendDataCentre(topic Topic, data []byte, dataCentre string) {
 	m := topicMessage{Kind: kindTopic, Topic: topic, Data: data}
 	l.mu.Lock()
 	peers := l.peers // SetPeers replaces it
 	l.mu.Unlock()
 	for i := range peers {
-		if peers[i].dataCentre == dataCentre {
+		if dataCentre == "" || peers[i].dataCentre == dataCentre {
 			l.send(&m, peers[i].address)
 		}
 	}
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -26,8 +26,11 @@
 	backlogStep = time.Millisecond
 	// countInterval is the pause between two counts of the engines.
 	countInterval = time.Second
-	// remoteBacklogShare is the backlog that an engine of another data centre is assumed to have, as a fraction of the mean here. Entries
-	// are told of work only in their own data centre; without the assumption, all others would look idle.
+	// maxEntriesEverywhere is the number of entries up to which each is told of prompts at all engines, and not only at those of its data
+	// centre. What an entry receives grows with their number.
+	maxEntriesEverywhere = 40
+	// remoteBacklogShare is the backlog that an engine of another data centre is assumed to have, as a fraction of the mean here if
+	// entries are told of work only in their own data centre. Without the assumption, all others would look idle.
 	remoteBacklogShare = 0.5
 )
 
@@ -61,6 +64,10 @@
 	Unfinished []uint32
 }
 
+// ReportsEverywhere reports whether so many entries report the prompts that they place to all others, and not only to those in the data
+// centre of the engine.
+func ReportsEverywhere(entries int) bool { return entries <= maxEntriesEverywhere }
+
 // EngineHash identifies one run of an engine in messages between entries.
 func EngineHash(u fighollow.Upstream) uint64 {
 	return rendezvous.Key(u.Incarnation() + "@" + u.Address)
@@ -305,7 +312,7 @@
 		return inst.pending.ahead(urgency)
 	}
 	others := inst.backlog.others.total()
-	if inst.upstream.DataCentre != p.dataCentre {
+	if inst.upstream.DataCentre != p.dataCentre && !ReportsEverywhere(p.entries) {
 		assumed := p.remoteWholeMs
 		if inst.upstream.Role == fighollow.RolePrefill {
 			assumed = p.remotePrefillMs
--- a/internal/workshare/workshare.go
+++ b/internal/workshare/workshare.go
@@ -1,6 +1,6 @@
-// Package workshare reports to the other entries of a data centre which prompts this entry has placed at the engines there and which have
-// ended, and applies their reports. Reports are not acknowledged: each names the entry's unfinished prompts, so that the next one repairs
-// a lost one.
+// Package workshare reports to the other entries which prompts this entry has placed at engines and which have ended, and applies their
+// reports. In large deployments, only the entries of the engine's data centre are told. Reports are not acknowledged: each names the entry's
+// unfinished prompts, so that the next one repairs a lost one.
 package workshare
 
 import (
@@ -19,8 +19,8 @@
 )
 
 const (
-	// batchTime is how long placed prompts are collected for one message, in a data centre of up to batchEntries entries. Larger ones
-	// collect for longer in proportion, up to maxBatchTime, so that the messages that an entry receives do not grow with their number.
+	// batchTime is how long placed prompts are collected for one message to up to batchEntries entries. Messages to more of them are collected for
+	// longer in proportion, up to maxBatchTime, so that the messages that an entry receives do not grow with their number.
 	batchTime    = 20 * time.Millisecond
 	batchEntries = 40
 	maxBatchTime = 200 * time.Millisecond
@@ -34,6 +34,9 @@
 	errorLogInterval = 10 * time.Second
 )
 
+// everywhere is the audience of all other entries.
+const everywhere = ""
+
 // Backlogs gets the work that other entries placed. placement.Fleet implements it.
 type Backlogs interface {
 	// AddWork applies a report of the entry named from.
@@ -44,16 +47,16 @@
 type Options struct {
 	Self    string
 	MaxData int // size in bytes of the longest message
-	// Send sends a message to all other entries of a data centre.
+	// Send sends a message to all other entries of a data centre, or of all if dataCentre is empty.
 	Send     func(data []byte, dataCentre string)
 	Registry metrics.Registry // nil for none
 }
 
-// batch holds what waits to be reported to a data centre.
+// batch holds what waits to be reported to a data centre, or to all.
 type batch struct {
 	placed, ended []placement.Work
 	due           time.Time // of the next report; zero if nothing waits
-	// unfinished are the prompts at the data centre's engines that are in placed or were reported.
+	// unfinished are the prompts that are in placed or were reported.
 	unfinished map[uint32]bool
 }
 
@@ -65,9 +68,9 @@
 	woken    chan struct{} // has an element when Run must look for a new batch
 
 	mu       sync.Mutex
-	entries  map[string]int // other entries by data centre
-	batches  map[string]*batch
-	next     uint32 // above the numbers of all prompts
+	entries  map[string]int    // other entries by data centre; all of them under an empty name
+	batches  map[string]*batch // by data centre; empty for all
+	next     uint32            // above the numbers of all prompts
 	loggedAt time.Time
 
 	sent, received, dropped, ignored, added, addedMs metrics.Counter
@@ -94,6 +97,7 @@
 	for name, p := range peers {
 		if name != s.opts.Self {
 			entries[p.DataCentre]++
+			entries[everywhere]++
 		}
 	}
 	s.mu.Lock()
@@ -115,42 +119,53 @@
 func (s *Sharer) add(now time.Time, w placement.Work) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !w.Ended {
-		s.next = max(s.next, w.Number+1)
+	if w.Ended {
+		return s.addEnded(now, w)
 	}
-	n := s.entries[w.DataCentre]
-	b := s.batches[w.DataCentre]
-	if b == nil {
-		if n == 0 || len(s.batches) >= maxDataCentres {
-			return false // nobody is there to be told
-		}
-		b = &batch{unfinished: make(map[uint32]bool)}
-		s.batches[w.DataCentre] = b
+	s.next = max(s.next, w.Number+1)
+	audience := w.DataCentre
+	if placement.ReportsEverywhere(s.entries[everywhere] + 1) {
+		audience = everywhere
 	}
-	pause := batchPause(n)
+	n := s.entries[audience]
+	b := s.batches[audience]
 	switch {
-	case w.Ended && !b.unfinished[w.Number]:
-		return false // was not reported
-	case w.Ended:
-		delete(b.unfinished, w.Number)
-		b.ended = append(b.ended, w)
-		pause *= endedBatches
-	case n == 0 || len(b.unfinished) >= maxUnfinished:
+	case n == 0:
+		return false // nobody is there to be told
+	case b == nil && len(s.batches) >= maxDataCentres, b != nil && len(b.unfinished) >= maxUnfinished:
 		s.dropped.Inc(1)
 		return false
-	default:
-		b.unfinished[w.Number] = true
-		b.placed = append(b.placed, w)
+	case b == nil:
+		b = &batch{unfinished: make(map[uint32]bool)}
+		s.batches[audience] = b
+	}
+	b.unfinished[w.Number] = true
+	b.placed = append(b.placed, w)
+	return b.dueAt(now.Add(batchPause(n)))
+}
+
+// addEnded records a prompt that has ended. It reports whether a batch is due sooner because of it. s.mu must be held.
+func (s *Sharer) addEnded(now time.Time, w placement.Work) bool {
+	for audience, b := range s.batches {
+		if b.unfinished[w.Number] {
+			delete(b.unfinished, w.Number)
+			b.ended = append(b.ended, w)
+			return b.dueAt(now.Add(endedBatches * batchPause(s.entries[audience])))
+		}
 	}
-	due := now.Add(pause)
-	sooner := b.due.IsZero() || due.Before(b.due)
+	return false // was not reported
+}
+
+// dueAt lets the next report be due at t at the latest, and reports whether that is sooner than before.
+func (b *batch) dueAt(t time.Time) bool {
+	sooner := b.due.IsZero() || t.Before(b.due)
 	if sooner {
-		b.due = due
+		b.due = t
 	}
 	return sooner
 }
 
-// batchPause returns how long prompts are collected for a data centre with this many other entries.
+// batchPause returns how long prompts are collected for this many other entries.
 func batchPause(entries int) time.Duration {
 	return min(maxBatchTime, max(batchTime, batchTime*time.Duration(entries)/batchEntries))
 }
