placement: placing in a copy of a pool says what was weighed

Cause: `fighollow explain` needs the decision of a pool and what was compared for it, without a permit taken, demand counted or an estimate that stands twice. Path and Place run in the copy as they are; choose records the candidates there, and Weighing adds the upstreams that are none, with the reason. isCandidate is now a case of exclusion, which returns the reason, and estimateCost keeps the terms of a cost. What changes in a Pool is a struct of its own, so that a copy lacks no field. Test: 600 drawn pools of all reasons decide as their copies and do not change; it fails if the copy shares its upstreams or a term is left out of a cost. By reflection, a copy shares no reference but two immutable ones.

--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -85,6 +85,7 @@
 	OverTarget time.Duration
 	// passed are the upstreams that request limits exclude although they cost less, or all that they exclude if none is chosen.
 	passed []*instance
+	Terms  CostTerms // of CostMs
 }
 
 // Pool holds the upstreams of one service. It is safe for concurrent use.
@@ -93,7 +94,13 @@
 	drain      time.Duration
 	shares     fighollow.LimitShares // divides the upstreams' request limits; nil if they are all this entry's
 
-	mu        sync.Mutex
+	mu    sync.Mutex
+	trace trace // what was weighed; nil except in a Snapshot
+	poolState
+}
+
+// poolState is what changes in a Pool. Pool.mu must be held.
+type poolState struct {
 	entries   int // number of entries that share the connections of each upstream
 	traits    fighollow.ServiceTraits
 	instances map[string]*instance
@@ -122,8 +129,11 @@
 
 func newPool(opts Options, m *announcements) *Pool {
 	return &Pool{
-		dataCentre: opts.DataCentre, drain: opts.DrainTime, shares: opts.Shares, entries: 1, instances: make(map[string]*instance), byHash: make(map[uint64]*instance), versions: make(map[string]versionTimes),
-		gated: opts.AdmitVersions, withheld: make(map[string]bool), announcements: m,
+		dataCentre: opts.DataCentre, drain: opts.DrainTime, shares: opts.Shares,
+		poolState: poolState{
+			entries: 1, instances: make(map[string]*instance), byHash: make(map[uint64]*instance), versions: make(map[string]versionTimes),
+			gated: opts.AdmitVersions, withheld: make(map[string]bool), announcements: m,
+		},
 	}
 }
 
@@ -331,15 +341,22 @@
 	// Upstreams that are ejected, full or removed from the store are used only if there is no other.
 	for _, lastResort := range []bool{false, true} {
 		excluded = excluded[:0]
+		p.trace.begin(q, lastResort)
 		for _, inst := range p.instances {
 			if inst.open >= maxOpen || !p.isEligible(now, inst, q, lastResort) {
 				continue
 			}
 			c := p.estimateCost(now, inst, q, loc)
-			c.CostMs += jitter * float64(rendezvous.Score(q.Seed, inst.hash)%1024) / 1024
+			c.Terms.JitterMs = jitter * float64(rendezvous.Score(q.Seed, inst.hash)%1024) / 1024
+			c.CostMs += c.Terms.JitterMs
 			if !inst.hasPermit() {
 				excluded = append(excluded, excludedUpstream{inst, c.CostMs})
-			} else if c.CostMs < best.CostMs || c.CostMs == best.CostMs && inst.upstream.ID < best.Upstream.ID {
+				continue
+			}
+			if p.trace != nil {
+				p.trace.add(q, c)
+			}
+			if c.CostMs < best.CostMs || c.CostMs == best.CostMs && inst.upstream.ID < best.Upstream.ID {
 				best = c // the id makes simulations repeat
 			}
 		}
@@ -377,24 +394,34 @@
 
 // isCandidate is isEligible for an upstream without a pause.
 func (p *Pool) isCandidate(now time.Time, inst *instance, q Query, lastResort bool) bool {
-	if q.Version != "" && inst.upstream.Version != q.Version {
-		return false
-	}
-	if inst.isLeaving() || !servesPhase(inst.upstream.Role, q.Phase) || now.Before(inst.misdirectedUntil) {
-		return false
-	}
-	if !p.mayBegin(inst, q) {
-		return false
-	}
-	if !lastResort && (now.Before(inst.ejectedUntil) || now.Before(inst.fullUntil) || !inst.removedAt.IsZero() || q.NoRetry && inst.fullBackoff > 0) {
-		return false
-	}
-	for _, id := range q.Tried {
-		if id == inst.upstream.ID {
-			return false
-		}
-	}
-	return true
+	return p.exclusion(now, inst, q, lastResort) == ""
+}
+
+// exclusion returns why an upstream is no candidate, pauses, connections and its request limit aside; empty if it is one.
+func (p *Pool) exclusion(now time.Time, inst *instance, q Query, lastResort bool) Exclusion {
+	switch {
+	case !servesPhase(inst.upstream.Role, q.Phase):
+		return ExcludedRole
+	case q.Version != "" && inst.upstream.Version != q.Version:
+		return ExcludedVersion
+	case inst.isLeaving():
+		return ExcludedLeaving
+	case now.Before(inst.misdirectedUntil):
+		return ExcludedMisdirected
+	case !p.mayBegin(inst, q):
+		return ExcludedNotAdmitted
+	case !lastResort && now.Before(inst.ejectedUntil):
+		return ExcludedEjected
+	case !lastResort && now.Before(inst.fullUntil):
+		return ExcludedFull
+	case !lastResort && !inst.removedAt.IsZero():
+		return ExcludedUnlisted
+	case !lastResort && q.NoRetry && inst.fullBackoff > 0:
+		return ExcludedRefusedLately
+	case slices.Contains(q.Tried, inst.upstream.ID):
+		return ExcludedTried
+	}
+	return ""
 }
 
 // servesPhase reports whether an engine with this role accepts attempts of this phase. Plain services have no role.
@@ -423,25 +450,33 @@
 	case fighollow.RequestPrefill:
 		c.PendingMs = p.pendingMs(inst, q.Urgency)
 		ms := p.times.aloneMs(p.prefillCostTokens(now, inst, q, loc, &c))
-		occupied := p.slowness(now, inst) * (c.PendingMs + ms)
-		c.CostMs = occupied + p.transferMs(c.Fetched)
+		c.Terms = CostTerms{Slowness: p.slowness(now, inst), PromptMs: ms, TransferMs: p.transferMs(c.Fetched)}
+		occupied := c.Terms.Slowness * (c.PendingMs + ms)
+		c.CostMs = occupied + c.Terms.TransferMs
 		c.WorkMs, c.WaitMs = p.workMs(q, &c), occupied-ms
 	case fighollow.RequestDecode:
-		c.CostMs = runningCost*p.firstEvent.ms()*float64(inst.running) + inst.latency.estimate(now)
+		c.Terms = CostTerms{RunningMs: runningCost * p.firstEvent.ms() * float64(inst.running), LatencyMs: inst.latency.estimate(now)}
+		c.CostMs = c.Terms.RunningMs + c.Terms.LatencyMs
 	default:
 		if p.traits.Engine == nil {
-			c.CostMs = inst.latency.estimate(now) * (1 + float64(inst.running)/float64(max(1, inst.upstream.Slots)))
+			c.Terms.LatencyMs = inst.latency.estimate(now)
+			c.Terms.RunningMs = c.Terms.LatencyMs * float64(inst.running) / float64(max(1, inst.upstream.Slots))
+			c.CostMs = c.Terms.LatencyMs + c.Terms.RunningMs
 			break
 		}
 		c.PendingMs = p.pendingMs(inst, q.Urgency)
 		ms := p.times.wholeMs(p.prefillCostTokens(now, inst, q, loc, &c))
-		occupied := p.slowness(now, inst) * (c.PendingMs + ms)
+		c.Terms = CostTerms{
+			Slowness: p.slowness(now, inst), PromptMs: ms, InterruptionMs: interruptionCost * ms * float64(inst.running*p.entries),
+			RunningMs: runningCost * p.firstEvent.ms() * float64(inst.running), LatencyMs: inst.latency.estimate(now),
+		}
+		occupied := c.Terms.Slowness * (c.PendingMs + ms)
 		c.WorkMs, c.WaitMs = p.workMs(q, &c), occupied-ms
-		c.CostMs = occupied + interruptionCost*ms*float64(inst.running*p.entries) +
-			runningCost*p.firstEvent.ms()*float64(inst.running) + inst.latency.estimate(now)
+		c.CostMs = occupied + c.Terms.InterruptionMs + c.Terms.RunningMs + c.Terms.LatencyMs
 	}
 	if inst.upstream.DataCentre != p.dataCentre {
-		c.CostMs += p.crossDataCentreMs(q)
+		c.Terms.CrossMs = p.crossDataCentreMs(q)
+		c.CostMs += c.Terms.CrossMs
 	}
 	return c
 }
--- a/internal/placement/prefix.go
+++ b/internal/placement/prefix.go
@@ -34,6 +34,9 @@
 	epoch      string    // of the engine's positions; empty before the first report
 	position   uint64    // up to which the engine's changes were applied
 	reportedAt time.Time // when the last report arrived
+
+	known            bool // of a Snapshot: match returns the following
+	cached, computed int
 }
 
 // cachedPart is one prompt part that the engine was sent or reported.
@@ -91,6 +94,9 @@
 // match returns how many leading tokens of the prompt are cached, and how many leading tokens are computed already and can
 // be fetched.
 func (c *prefixCache) match(now time.Time, prompt []fighollow.PromptPart) (cached, computed int) {
+	if c.known {
+		return c.cached, c.computed
+	}
 	allComputed := true
 	for _, p := range prompt {
 		e, ok := c.parts[p.ID]
