fairshare, quarantine: previews of the decision on a request

Cause: an explanation must say what a workspace's share and the quarantine do with a request, without counting the request or using up a probe. Change: Policy.Decide and Tracker.Admit are divided into the decision and its effects. The decisions are the same.

--- a/internal/fairshare/policy.go
+++ b/internal/fairshare/policy.go
@@ -219,44 +219,51 @@
 
 // Decide implements fighollow.SharePolicy. A request of a workspace at or below the fair rate is admitted.
 func (p *Policy) Decide(now time.Time, r fighollow.ShareRequest) fighollow.ShareDecision {
-	admitted := fighollow.ShareDecision{Admitted: true}
 	p.use()
 	s := p.service(r.Service)
 	if s == nil || r.Workspace == "" || len(r.Workspace) > maxNameBytes {
 		p.uncounted.Inc(1)
-		return admitted
+		return fighollow.ShareDecision{Admitted: true}
 	}
-	rank := boundRank(r.Rank)
-	at := now.Sub(p.rates.start)
-	number := int64(at / bucketTime)
-	v := s.verdict.Load()
 	shard := p.rates.shard(r.Workspace)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	c := shard.cell(cellKey{r.Service, r.Workspace})
 	if c == nil {
 		p.uncounted.Inc(1)
-		return admitted
+		return fighollow.ShareDecision{Admitted: true}
+	}
+	d, workMs := p.decide(now, s, s.verdict.Load(), c, r)
+	s.delayed.add(now, p.bucketNumber(now), workMs, r)
+	if !d.Admitted {
+		s.refused.Add(1)
+		p.refused.Inc(1)
 	}
+	return d
+}
+
+// bucketNumber returns the number of the bucket of a time.
+func (p *Policy) bucketNumber(now time.Time) int64 { return int64(now.Sub(p.rates.start) / bucketTime) }
+
+// decide counts a request in the cell of its workspace and decides on it by a verdict, which is nil if the service is not scarce. It also
+// returns the engine time that the request counts, in milliseconds.
+func (p *Policy) decide(now time.Time, s *service, v *verdict, c *cell, r fighollow.ShareRequest) (fighollow.ShareDecision, float32) {
 	workMs := statedMs(r.Work)
 	if c.computed.prompts(now) >= minObserved {
 		all := s.observed.get()
 		workMs = min(workMs*correction(now, &c.computed, &all), maxWorkMs)
 	}
-	s.delayed.add(now, number, float32(workMs), r)
-	b := c.at(number)
+	rank := boundRank(r.Rank)
+	b := c.at(p.bucketNumber(now))
 	b.offered[rank] += float32(workMs)
 	if r.Refused {
-		return admitted // placement has refused it, and it is only counted
+		return fighollow.ShareDecision{Admitted: true}, float32(workMs) // placement has refused it, and it is only counted
 	}
-	draw := drawOf(r.ID)
-	if v != nil && !v.admits(r.Workspace, c.rates(at, rateBuckets), rank, draw) {
-		s.refused.Add(1)
-		p.refused.Inc(1)
-		return fighollow.ShareDecision{RetryAfter: retryAfter(drawOf(r.ID+"/retry"), time.Duration(p.interval.Load()))}
+	if v != nil && !v.admits(r.Workspace, c.rates(now.Sub(p.rates.start), rateBuckets), rank, drawOf(r.ID)) {
+		return fighollow.ShareDecision{RetryAfter: retryAfter(drawOf(r.ID+"/retry"), time.Duration(p.interval.Load()))}, float32(workMs)
 	}
 	b.admitted += float32(workMs)
-	return admitted
+	return fighollow.ShareDecision{Admitted: true}, float32(workMs)
 }
 
 // statedMs returns the engine time that a request states, in milliseconds, within its bounds.
@@ -284,18 +291,23 @@
 
 // admits reports whether a request of a workspace is admitted, given the rates of the workspace at this entry.
 func (v *verdict) admits(workspace string, own rates, rank int, draw float64) bool {
-	known := v.shares[workspace]
-	rate, ranks := max(known.rate, own.offered), known.ranks
-	probability := probability(rate, v.fair, v.floor)
+	probability := v.fraction(workspace, own)
 	if probability >= 1 {
 		return true
 	}
+	known := v.shares[workspace]
+	ranks := known.ranks
 	if known.rate == 0 {
 		ranks = own.ranks // what is stated is older than the workspace's demand
 	}
 	return ranks.position(rank, draw) < probability
 }
 
+// fraction returns the fraction of a workspace's requests that are admitted, given the rates of the workspace at this entry.
+func (v *verdict) fraction(workspace string, own rates) float64 {
+	return probability(max(v.shares[workspace].rate, own.offered), v.fair, v.floor)
+}
+
 // Tick judges each service by what is known at now, and sends what is due.
 func (p *Policy) Tick(now time.Time) {
 	if p.isIdle(now) {
--- a/internal/gateway/share_test.go
+++ b/internal/gateway/share_test.go
@@ -27,6 +27,12 @@
 	return fighollow.ShareDecision{Admitted: !l.refuse, RetryAfter: 1234 * time.Millisecond}
 }
 
+func (l *shareLog) Preview(time.Time, fighollow.ShareRequest) fighollow.SharePreview {
+	return fighollow.SharePreview{
+		Scarce: l.refuse, Fraction: 0.25, ShareDecision: fighollow.ShareDecision{Admitted: !l.refuse, RetryAfter: 1234 * time.Millisecond},
+	}
+}
+
 // Guards against a request that is run although it is beyond its workspace's share, against one that is counted again when it is retried, and
 // against decisions on requests that have no workspace, take up a stream, go to a plain service or meet a configuration without workspaces, and against durations of prompts that are not compared with what was stated.
 func TestShares(t *testing.T) {
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -23,10 +23,17 @@
 
 // NewRequest returns the Request of a call to a service.
 func NewRequest(service string, c *fighollow.Call) *Request {
-	r := &Request{Service: service, fingerprints: Fingerprints(c)}
-	if n := len(c.Prompt); n > 0 {
-		r.own = c.Prompt[n-1].ID
-		for _, p := range c.Prompt[:min(n-1, maxParts)] {
+	r := NewPrompt(service, c.Prompt)
+	r.fingerprints = Fingerprints(c)
+	return r
+}
+
+// NewPrompt returns a Request of which only the prompt is known.
+func NewPrompt(service string, prompt []fighollow.PromptPart) *Request {
+	r := &Request{Service: service}
+	if n := len(prompt); n > 0 {
+		r.own = prompt[n-1].ID
+		for _, p := range prompt[:min(n-1, maxParts)] {
 			r.parts = append(r.parts, p.ID)
 		}
 	}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -98,27 +98,47 @@
 func (t *Tracker) Admit(now time.Time, r *Request) Admission {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	a, lapsed, withheld := t.admission(now, r)
+	for _, key := range lapsed {
+		t.drop(key)
+	}
+	for _, key := range withheld {
+		q := t.cases[key]
+		q.claimed = !q.own && now.Sub(q.probeAt) >= claimTime
+	}
+	if a.Probe {
+		t.cases[a.Key].probing = now
+	}
+	return a
+}
+
+// Preview returns what Admit would return, and changes nothing.
+func (t *Tracker) Preview(now time.Time, r *Request) Admission {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a, _, _ := t.admission(now, r)
+	return a
+}
+
+// admission judges a request. It also returns which of its keys are not in quarantine any more, and which withhold it.
+func (t *Tracker) admission(now time.Time, r *Request) (a Admission, lapsed, withheld []Key) {
 	if len(t.cases) == 0 {
-		return Admission{}
+		return a, nil, nil
 	}
-	var a Admission
 	for _, key := range r.keys() {
 		q := t.cases[key]
 		switch {
 		case q == nil:
 		case now.Sub(q.changedAt) > caseLapse:
-			t.drop(key)
+			lapsed = append(lapsed, key)
 		case q.own && !now.Before(q.probeAt) && now.Sub(q.probing) > probeTime && !a.Withheld:
 			a = Admission{Key: key, Probe: true}
 		default:
-			q.claimed = !q.own && now.Sub(q.probeAt) >= claimTime
+			withheld = append(withheld, key)
 			a = Admission{Withheld: true, Key: key, RetryIn: max(q.probeAt.Sub(now), time.Second)}
 		}
 	}
-	if a.Probe {
-		t.cases[a.Key].probing = now
-	}
-	return a
+	return a, lapsed, withheld
 }
 
 // MayRepeat reports whether a request that broke off may be sent to another engine: none of its keys is in quarantine or has been
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -49,15 +49,20 @@
 	}
 }
 
-// Guards against more than one probe at a time, and against a wait that does not grow with the probes that crash engines.
+// Guards against more than one probe at a time, against a preview that uses up the probe or differs from the decision, and against a wait that does not grow with the probes that crash engines.
 func TestProbes(t *testing.T) {
 	tr, now := concluded(t)
 	write(tr, now, 7)
 	for i, wait := range []time.Duration{minHold, 2 * minHold, 4 * minHold, maxHold} {
+		preview := tr.Preview(now.Add(wait-time.Second), prompt(1, bad))
 		a := tr.Admit(now.Add(wait-time.Second), prompt(1, bad))
+		qt.Assert(t, preview, qt.Equals, a)
 		qt.Assert(t, a.Withheld, qt.IsTrue)
 		qt.Assert(t, a.RetryIn, qt.Equals, time.Second)
 		now = now.Add(wait)
+		for range 3 {
+			qt.Assert(t, tr.Preview(now, prompt(1, bad)).Probe, qt.IsTrue)
+		}
 		qt.Assert(t, tr.Admit(now, prompt(1, bad)).Probe, qt.IsTrue)
 		for range 100 {
 			qt.Assert(t, tr.Admit(now.Add(time.Second), prompt(2, bad)).Withheld, qt.IsTrue)
--- a/pkg/fighollow/share.go
+++ b/pkg/fighollow/share.go
@@ -23,10 +23,19 @@
 	RetryAfter time.Duration // if it is not admitted
 }
 
+// SharePreview is what a SharePolicy would decide on a request.
+type SharePreview struct {
+	ShareDecision
+	Scarce   bool    // the service does not suffice for all workspaces
+	Fraction float64 // of the workspace's requests that are admitted
+}
+
 // SharePolicy divides engine time among workspaces. Implementations are safe for concurrent use.
 type SharePolicy interface {
 	// Decide counts a request and decides on it. It must be called at most once for each request.
 	Decide(now time.Time, r ShareRequest) ShareDecision
+	// Preview returns what Decide would return, and changes nothing.
+	Preview(now time.Time, r ShareRequest) SharePreview
 	// Computed records that an engine computed the prompt of an admitted request, and how long after it was sent. Decide corrects by that
 	// the engine time that later requests of the workspace state.
 	Computed(now time.Time, r ShareRequest, took time.Duration)
