fighollow explain: where a running entry would send a request now, and why

Only logs said why an upstream was chosen, after the fact and without the upstreams that were not. Change: GET /explain beside /metrics, and the command. At most 8 at once, 64 parts, 50 listed upstreams. exchange.serve is divided where the explanation needs a part of it. The decoders of prompts, the default deadline and the status of refusals are exported from platform. docs/OPERATIONS.md says who may reach the listener: whoever reaches the port, as for /metrics; keys are neither asked for nor answered. Test: 400 explained requests name the upstreams that Serve then sends them to (fails if the decode is chosen with another seed), counters unchanged; refusals, parameters and bounds at the handler; the command against a process and stand-in engines, which get no request.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -69,7 +69,7 @@
 			&cli.StringFlag{Name: "settings", Sources: cli.EnvVars(platform.SettingsVariable), Required: true, Usage: "settings `FILE` of the platform"},
 			&cli.StringFlag{Name: "log", Value: "info", Usage: "log `LEVEL`: debug, info, warn or error"},
 			&cli.BoolFlag{Name: "share-work", Usage: "tell the other entries which prompts are placed, and use what they tell; experimental"},
-			&cli.IntFlag{Name: "metrics-port", Usage: "`PORT` of the metrics server; 0: none"},
+			&cli.IntFlag{Name: "metrics-port", Usage: "`PORT` of the metrics server, which also answers \"fighollow explain\"; 0: none"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			level, err := zerolog.ParseLevel(cmd.String("log"))
@@ -430,6 +430,7 @@
 	p.registerGauges()
 	r := chi.NewRouter()
 	r.Get("/metrics", admin.MetricsHandler(p.registry))
+	r.Get(explainPath, p.gateway.ExplainHandler(explainDecoder()))
 	address := net.JoinHostPort(p.cfg.Address, strconv.Itoa(p.flags.metricsPort))
 	s := &http.Server{Addr: address, Handler: r, ReadHeaderTimeout: callerHeaderTimeout}
 	if err := s.ListenAndServe(); err != nil {
--- a/cmd/fighollow/logs.go
+++ b/cmd/fighollow/logs.go
@@ -18,9 +18,9 @@
 		Usage: "read the log lines of processes",
 		Commands: []*cli.Command{{
 			Name:      "explain",
-			Usage:     "print what happened to one request, across processes",
+			Usage:     "print what happened to one past request, across processes",
 			ArgsUsage: "REQUEST-ID [FILE...]",
-			Description: "Reads the files, or standard input if none is given.\n" +
+			Description: "Reads the files, or standard input if none is given. \"fighollow explain\" says where a request would be sent now.\n" +
 				"Exits with status 1 if no line has the request's id.",
 			Action: func(_ context.Context, cmd *cli.Command) error {
 				if cmd.Args().Len() == 0 {
--- a/cmd/fighollow/main.go
+++ b/cmd/fighollow/main.go
@@ -19,7 +19,7 @@
 		Version: version,
 		Commands: []*cli.Command{
 			entryCommand(), sidecarCommand(), gatewayCommand(),
-			presetCommand(), engineCommand(), objectCommand(), statusCommand(), configCommand(), keyCommand(), logsCommand(), emulateCommand(), emulateLimitsCommand(), versionCommand(),
+			presetCommand(), engineCommand(), objectCommand(), statusCommand(), configCommand(), keyCommand(), logsCommand(), explainCommand(), emulateCommand(), emulateLimitsCommand(), versionCommand(),
 		},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -25,6 +25,7 @@
 	out  fighollow.Responder
 	log  zerolog.Logger
 
+	bytes     int // size of the body
 	version   uint64
 	route     *fighollow.Route
 	identity  fighollow.Identity // resolved when the request arrived, whatever becomes of the key
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,8 @@
 	entries        int  // number of entries that share the retry budgets
 	entriesCounted bool // entries is a count, not assumedEntries
 	budgets        map[string]*retryBudget
+
+	explaining chan struct{} // has an element for each request that is being explained
 }
 
 // New returns a Gateway without a configuration. It refuses every request as not ready until Apply is called.
@@ -62,6 +64,7 @@
 	return &Gateway{
 		opts: opts, fleet: fleet, dispatch: dispatch, log: log, seed: maphash.MakeSeed(), metrics: newMetrics(opts.Registry),
 		fingerprints: workspace.NewFingerprinter(), entries: assumedEntries, budgets: make(map[string]*retryBudget),
+		explaining: make(chan struct{}, maxExplaining),
 	}
 }
 
@@ -202,7 +205,7 @@
 }
 
 func (g *Gateway) newExchange(call *fighollow.Call, out fighollow.Responder) *exchange {
-	x := &exchange{g: g, call: call, out: out, seed: maphash.String(g.seed, call.ID)}
+	x := &exchange{g: g, call: call, out: out, seed: maphash.String(g.seed, call.ID), bytes: len(call.Body)}
 	x.log = g.log.With().Str("request", call.ID[:min(len(call.ID), maxLoggedID)]).Logger()
 	return x
 }
@@ -217,23 +220,15 @@
 	if refusal := x.identify(t, time.Now()); refusal != nil {
 		return refusal
 	}
-	x.rank = t.keys.Rank(x.identity.Workspace, x.route.Priority)
-	service := pickService(x.route, x.seed)
-	x.pool, x.budget = x.g.fleet.Pool(service), x.g.budget(service)
+	x.applyRoute(t)
+	x.pool, x.budget = x.g.fleet.Pool(x.service), x.g.budget(x.service)
 	x.arrivals = arrivals{budget: x.budget}
-	x.service, x.traits = service, t.routing.Services[service]
 	x.budget.deposit(x.call.Arrived)
-	x.deadline = x.call.Deadline
-	if limit := x.call.Arrived.Add(x.route.Timeout); x.route.Timeout > 0 && limit.Before(x.deadline) {
-		x.deadline = limit
-	}
-	if !x.g.canFinish(x.call.Arrived, x.deadline) {
-		r := fighollow.NotRunRefusal(fighollow.CodeStopping, "the process is stopping")
-		r.RetryAfterMs = (retryAfterMin / 2).Milliseconds() // other entries accept the request at once
-		return r
+	if refusal := x.stopRefusal(); refusal != nil {
+		return refusal
 	}
 	x.resumeAfter = x.call.ResumeAfter
-	x.subject = quarantine.NewRequest(service, x.call)
+	x.subject = quarantine.NewRequest(x.service, x.call)
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	if x.traits.Engine == nil {
@@ -245,6 +240,27 @@
 	return x.generate(ctx)
 }
 
+// applyRoute sets what follows from the route and the workspace.
+func (x *exchange) applyRoute(t *routeTable) {
+	x.rank = t.keys.Rank(x.identity.Workspace, x.route.Priority)
+	x.service = pickService(x.route, x.seed)
+	x.traits = t.routing.Services[x.service]
+	x.deadline = x.call.Deadline
+	if limit := x.call.Arrived.Add(x.route.Timeout); x.route.Timeout > 0 && limit.Before(x.deadline) {
+		x.deadline = limit
+	}
+}
+
+// stopRefusal returns the refusal for a request that cannot end before the process does; nil if it can.
+func (x *exchange) stopRefusal() *fighollow.Refusal {
+	if x.g.canFinish(x.call.Arrived, x.deadline) {
+		return nil
+	}
+	r := fighollow.NotRunRefusal(fighollow.CodeStopping, "the process is stopping")
+	r.RetryAfterMs = (retryAfterMin / 2).Milliseconds() // other entries accept the request at once
+	return r
+}
+
 // finish sends the refusal, if there is one, and logs the outcome of the request.
 func (x *exchange) finish(refusal *fighollow.Refusal) {
 	x.recordEnd(refusal == nil && !x.callerLeft)
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -102,7 +102,7 @@
 	for x.arrivals.allowPrefill(x.route.MaxAttempts) {
 		a, err := x.send(ctx, fighollow.RequestPrefill, nil)
 		switch {
-		case errors.Is(err, placement.ErrPaused), x.refused == 0 && (errors.Is(err, placement.ErrNoUpstream) || errors.Is(err, placement.ErrLimited)):
+		case x.skipsPrefill(err):
 			return nil, nil
 		case err == nil && a.reply.KV != nil:
 			x.recordComputed(a)
@@ -124,6 +124,11 @@
 	return nil, nil
 }
 
+// skipsPrefill reports whether a decode engine is to compute the prompt after a prefill that failed with err.
+func (x *exchange) skipsPrefill(err error) bool {
+	return errors.Is(err, placement.ErrPaused) || x.refused == 0 && (errors.Is(err, placement.ErrNoUpstream) || errors.Is(err, placement.ErrLimited))
+}
+
 // releaseTimeout bounds the call that releases a KV cache. The engine releases it by itself after some seconds.
 const releaseTimeout = time.Second
 
--- a/internal/gateway/identity.go
+++ b/internal/gateway/identity.go
@@ -31,6 +31,11 @@
 
 // identify finds the route and the workspace of the request, unless Admit has found the latter. t is nil if there is no configuration.
 func (x *exchange) identify(t *routeTable, now time.Time) *fighollow.Refusal {
+	return x.identifyBy(t, now, func() (string, workspace.Reason) { return t.keys.Find(x.call.Credentials) })
+}
+
+// identifyBy implements identify; find returns the workspace of the request's key.
+func (x *exchange) identifyBy(t *routeTable, now time.Time, find func() (string, workspace.Reason)) *fighollow.Refusal {
 	if t == nil {
 		return x.notReadyRefusal("no configuration is known yet")
 	}
@@ -49,7 +54,7 @@
 	if !x.route.Public && !x.g.opts.Revocation.MayUseKeys(now, x.g.confirmedAt()) {
 		return x.refuseKey(workspace.ReasonUnconfirmed)
 	}
-	name, reason := t.keys.Find(x.call.Credentials)
+	name, reason := find()
 	if reason != workspace.ReasonNone && !x.route.Public {
 		return x.refuseKey(reason)
 	}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -18,7 +18,7 @@
 // query returns the placement query for the next attempt.
 func (x *exchange) query(phase fighollow.RequestPhase) placement.Query {
 	return placement.Query{
-		Phase: phase, Prompt: x.call.Prompt, PromptTokens: x.call.PromptTokens, Bytes: len(x.call.Body), Tried: x.tried,
+		Phase: phase, Prompt: x.call.Prompt, PromptTokens: x.call.PromptTokens, Bytes: x.bytes, Tried: x.tried,
 		Version: x.software,
 		NoRetry: x.route.MaxAttempts <= max(1, x.arrivals.counted+1), Seed: x.seed + uint64(x.attemptsSent),
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/fighollow/fighollow/internal/quarantine"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -16,7 +17,11 @@
 	if x.isProbe {
 		return nil
 	}
-	a := x.g.opts.Quarantine.Admit(now, x.subject)
+	return x.applyAdmission(x.g.opts.Quarantine.Admit(now, x.subject))
+}
+
+// applyAdmission implements admit.
+func (x *exchange) applyAdmission(a quarantine.Admission) error {
 	x.isProbe, x.withheldFor = a.Probe, a.RetryIn
 	if a.Withheld {
 		x.g.metrics.count("quarantine.withheld")
--- a/internal/placement/explain.go
+++ b/internal/placement/explain.go
@@ -32,7 +32,7 @@
 // CostTerms are the terms of Choice.CostMs, in milliseconds: the sum of Slowness*(Choice.PendingMs+PromptMs) and the others.
 type CostTerms struct {
 	Slowness       float64 // factor by which the engine takes longer than the mean one; 0 if no prompt is computed
-	PromptMs       float64 // for the prompt alone at an engine of mean speed
+	PromptMs       float64 // for the prompt alone at an engine of mean speed, with a surcharge for what it evicts from the engine's cache
 	TransferMs     float64 // to fetch cached tokens from another engine
 	InterruptionMs float64 // delay of running answers by the computation of the prompt
 	RunningMs      float64 // delay by the running answers
