placement: services with short prompts do not share them

Change: a service shares its prompts from a typical time of 60 ms on, down to 40. Test that failed before: TestShortPromptsAreNotShared.

--- a/internal/placement/backlog_test.go
+++ b/internal/placement/backlog_test.go
@@ -11,13 +11,41 @@
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
-// sharingFleet returns a fleet of so many entries whose engines' speed is known: 10 ms for 1,000 tokens.
+// sharingFleet returns a fleet of so many entries, whose prompts are long.
 func sharingFleet(entries int, engines ...string) *placement.Fleet {
 	f := newFleetWith(placement.Options{DataCentre: "a", DrainTime: drain, ShareWork: true}, engines...)
 	f.SetEntries(entries)
+	placeAndAbandon(f, 14_000)
 	return f
 }
 
+// placeAndAbandon places a prompt of so many tokens, all of them its own. They are expected to take 200 ms for 14,000.
+func placeAndAbandon(f *placement.Fleet, tokens int) {
+	numbered++ // no prompt has a part of another
+	q := prompt(0, 0)
+	q.PromptTokens, q.Prompt = tokens, []fighollow.PromptPart{{ID: 1<<41 + uint64(numbered), Tokens: tokens}}
+	q.Target = time.Duration(tokens) * 800 * time.Millisecond / 14_000
+	p := f.Pool(models)
+	if c, ok := p.Choose(start, q); ok {
+		p.End(start, p.Begin(start, c, q), placement.Abandoned)
+	}
+}
+
+// Guards against reports between entries whose prompts end sooner than a report arrives.
+func TestShortPromptsAreNotShared(t *testing.T) {
+	f := sharingFleet(8, "p-a-1")
+	for _, c := range []struct {
+		tokens int
+		shared bool
+	}{{1000, false}, {3500, false}, {5600, true}, {3500, true}, {1000, false}} {
+		for range 200 {
+			placeAndAbandon(f, c.tokens)
+		}
+		added := f.AddWork(start, "other", placed(workAt("p-a-1", 0, 100))).Added == 1
+		qt.Assert(t, added, qt.Equals, c.shared, qt.Commentf("%d tokens", c.tokens))
+	}
+}
+
 // numbered counts the prompts of workAt.
 var numbered uint32
 
--- a/internal/placement/explain.go
+++ b/internal/placement/explain.go
@@ -101,7 +101,7 @@
 	}
 	c.instances = instances
 	// These are used for attempts that begin, upstreams that change, and reports of other entries.
-	c.onWork, c.announcements, c.byHash, c.reported = nil, newAnnouncements(), nil, reportedPrompts{}
+	c.onWork, c.announcements, c.byHash, c.reported, c.placedPrompts = nil, newAnnouncements(), nil, reportedPrompts{}, nil
 	return c
 }
 
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -72,6 +72,7 @@
 func (p *Pool) beginPrompt(now time.Time, inst *instance, a *Attempt, c Choice, q Query) {
 	a.PrefillTokens = computedTokens(q, &c)
 	a.workMs, a.backlog, a.computing = p.workMs(q, &c), inst.prefills > 0, true
+	p.observeTypicalPrompt(a.workMs)
 	if p.sharing {
 		a.workMs = p.times.sharedWorkMs(a.PrefillTokens, q.Phase)
 		a.shared, a.aheadMs = true, p.pendingMs(inst, q.Urgency)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -118,9 +118,11 @@
 	times      promptTimes // what was measured of prompts
 	firstEvent typical     // latency until the first event of an answer, or until a whole plain one
 
-	sharing bool // the entries share what they place
-	pace    fleetPace
-	onWork  func(now time.Time, w Work)
+	mayShare        bool    // the entries share what they place, if prompts take long enough
+	sharing         bool    // they do so
+	typicalPromptMs float64 // expected time of recent prompts; 0 before the first
+	pace            fleetPace
+	onWork          func(now time.Time, w Work)
 	// backlogsAt is when what is assumed of others' work at engines of other data centres was updated, in milliseconds.
 	backlogsAt                     time.Time
 	remotePrefillMs, remoteWholeMs float64
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -26,6 +26,12 @@
 	backlogStep = time.Millisecond
 	// countInterval is the pause between two counts of the engines.
 	countInterval = time.Second
+	// longPromptMs is the typical time of a prompt from which on the entries share what they place in a service, and shortPromptMs the one down
+	// to which they continue. What others report is 20 to 60 ms old; of shorter prompts, most that are reported as unfinished have ended.
+	longPromptMs  = 60
+	shortPromptMs = 40
+	// typicalPrompts is the number of recent prompts that their typical time weighs most.
+	typicalPrompts = 32
 	// maxEntriesEverywhere is the number of entries up to which each is told of prompts at all engines, and not only at those of its data
 	// centre. What an entry receives grows with their number.
 	maxEntriesEverywhere = 40
@@ -266,11 +272,28 @@
 	}
 }
 
-// setSharing sets whether the entries share what they place.
+// setSharing sets whether the entries share what they place in services whose prompts take long enough.
 func (p *Pool) setSharing(on bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.sharing == on {
+	p.mayShare = on
+	p.updateSharing()
+}
+
+// observeTypicalPrompt adds the expected time of a prompt, in milliseconds, to the typical one.
+func (p *Pool) observeTypicalPrompt(ms float64) {
+	weight := 1.0 / typicalPrompts
+	if p.typicalPromptMs == 0 {
+		weight = 1
+	}
+	p.typicalPromptMs += weight * (ms - p.typicalPromptMs)
+	p.updateSharing()
+}
+
+// updateSharing begins or ends sharing. p.mu must be held.
+func (p *Pool) updateSharing() {
+	on := p.mayShare && (p.typicalPromptMs >= longPromptMs || p.sharing && p.typicalPromptMs >= shortPromptMs)
+	if on == p.sharing {
 		return
 	}
 	p.sharing, p.pace, p.reported = on, fleetPace{}, reportedPrompts{}
