gateway: comments do not begin a stream

Cause: the relay wrote all bytes up to the last blank line, so that a comment followed by a blank line, or a field such as retry, sent the header. The stream could then neither be refused nor begin anew, and placement counted the comment as the first event.

Change: until the header is sent, bytes are held back until a block with a data, event or id field is complete. After a resumption, comments are relayed at once, but don't count as the attempt's first event.

Result: a stream that breaks off after comments is refused, or repeated where the route allows it.

--- a/internal/answer/reader.go
+++ b/internal/answer/reader.go
@@ -75,10 +75,11 @@
 	return io.EOF
 }
 
-// EventEnd returns the offset after the last complete event in the bytes of the last Read, or 0 if no event ended in them.
+// EventEnd returns the offset after the last blank line in the bytes of the last Read, which ends an event or comments, or 0 if there is
+// none.
 func (r *Reader) EventEnd() int { return r.eventEnd }
 
-// Events returns the number of complete events so far, without comments and blank lines.
+// Events returns the number of complete events so far: those with a data, event or id field.
 func (r *Reader) Events() int { return r.events.events }
 
 // SinceEvent returns the number of bytes since the last complete event: those of the next event, and of comments and blank lines.
--- a/internal/answer/reader_test.go
+++ b/internal/answer/reader_test.go
@@ -117,11 +117,11 @@
 	}
 }
 
-// Guards against comments and blank lines that count as events, so that a stream of them alone goes on without a bound.
+// Guards against comments, blank lines and fields such as retry that count as events, so that a stream of them alone goes on without a bound.
 func TestBytesSinceTheLastEvent(t *testing.T) {
 	for stream, want := range map[string]int{
 		"": 0, "data: a\n\n": 0, "data: a\r\n\r\n": 1, "data: a\n\n: b\n\n": 5, "data: a\n\n\n\n": 2, ": b\n\n: b\n\n": 10, "data: a\n\ndata: b\n": 8,
-		": b\n\ndata: a\n\n": 0,
+		": b\n\ndata: a\n\n": 0, "retry: 5\n\n": 10, "events: a\n\n": 11, "id\n\n": 0, "event:a\r\r": 0, "\xef\xbb\xbfdata: a\n\n": 0,
 	} {
 		for name, divide := range map[string]func(io.Reader) io.Reader{"whole": func(r io.Reader) io.Reader { return r }, "bytes": iotest.OneByteReader} {
 			r := answer.NewReader(divide(strings.NewReader(stream)), answer.Options{Events: true})
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,7 +27,8 @@
 		if a.body.Events() > 0 {
 			x.recordUsage(time.Now())
 		}
-		if end := a.body.EventEnd(); end > 0 {
+		// Comments before the first event are held back, so that they do not send the header. SinceEvent bounds them.
+		if end := a.body.EventEnd(); end > 0 && (x.headerSent || a.body.Events() > 0) {
 			if err := x.writeEvents(a, append(pending, buf[:end]...)); err != nil {
 				return err
 			}
@@ -38,7 +39,7 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			if len(pending) > 0 {
-				return x.writeEvents(a, pending) // comments after the last event
+				return x.writeEvents(a, pending) // comments after the last event, or of a complete stream without events
 			}
 			return nil
 		case err != nil:
@@ -59,15 +60,18 @@
 	return err
 }
 
-// writeEvents writes whole events to the caller and stores the id of the last one for resumption.
+// writeEvents writes whole events and comments to the caller and stores the id of the last event for resumption. Comments alone do not
+// begin the attempt's stream.
 //
-// The header is sent with the first of them: a stream that breaks off before it can still be refused or begin anew, whereas an answer
+// The header is sent with the first event: a stream that breaks off before it can still be refused or begin anew, whereas an answer
 // that has begun can only end with its connection.
 func (x *exchange) writeEvents(a *attempt, events []byte) error {
 	if err := x.beginEvents(a); err != nil {
 		return err
 	}
-	x.recordBegin(a)
+	if a.body.Events() > 0 {
+		x.recordBegin(a)
+	}
 	if id := lastEventID(events); id != "" {
 		x.resumeAfter = id
 	}
@@ -75,6 +79,9 @@
 		x.callerLeft = true
 		return err
 	}
+	if a.body.Events() == 0 {
+		return nil
+	}
 	if !x.streaming {
 		x.streaming = true
 		x.firstByte = time.Since(x.call.Arrived)
