placement: a late request is estimated at the urgency that it is sent with

Cause: Place estimated the wait of every request at the urgency of one that is in time. A request that was late after all was sent with the next urgency, so that it waited for the late ones too, at an engine chosen without them, and its deadline was checked against too short a wait.

Change: if the target is missed, Place chooses again at the urgency of a late request. The decode engine is chosen once: urgencies do not matter there.

TestLatePromptWaitsForLateOnes failed before.

--- a/internal/placement/backlog_test.go
+++ b/internal/placement/backlog_test.go
@@ -140,3 +140,27 @@
 		})
 	}
 }
+
+// Guards against late prompts that are placed as if they were computed before the other late ones: at an engine with more of these, or
+// although their deadline cannot be met.
+func TestLatePromptWaitsForLateOnes(t *testing.T) {
+	slo := placement.SLO{Arrived: start, Target: time.Second, Deadline: start.Add(4 * time.Second)}
+	for _, c := range []struct {
+		engines []string
+		want    string
+		err     error
+	}{{[]string{"p-a-1", "p-a-2", "d-a-1"}, "p-a-2", nil}, {[]string{"p-a-1", "d-a-1"}, "p-a-1", placement.ErrTooLate}} {
+		f := sharingFleet(8, c.engines...)
+		for i, w := range []placement.Work{workAt("p-a-1", 0, 1100), workAt("p-a-1", 1, 5000), workAt("p-a-2", 0, 1500)} {
+			f.AddWork(start, fmt.Sprint("other-", i), []placement.Work{w})
+		}
+		q := placement.Query{Phase: fighollow.RequestPrefill, PromptTokens: 100}
+		got, over, err := f.Pool(models).Place(start, &q, slo)
+		qt.Check(t, err, qt.Equals, c.err)
+		qt.Check(t, got.Upstream.ID, qt.Equals, c.want)
+		qt.Check(t, q.Urgency, qt.Equals, 1)
+		if err != nil {
+			qt.Check(t, over >= 5*time.Second, qt.IsTrue, qt.Commentf("%v over the target", over))
+		}
+	}
+}
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -24,20 +24,17 @@
 	Begun    bool // part of the answer was sent already: the remainder is delivered however late
 }
 
-// Place chooses the upstream for an attempt, sets q.Urgency, and takes a permit if the upstream has a request limit; Begin or
-// Withdraw must follow. If the answer is expected to begin after the deadline, it returns ErrTooLate, so that no prompt is
-// computed in vain, and by how much the answer would miss the target. It returns ErrNoUpstream if no upstream is eligible for
-// the attempt or for the decode after it, and ErrLimited or ErrPaused, with the time until a retry can succeed, if request limits
+// Place chooses the upstream for an attempt, sets q.Urgency, at which it estimates the wait, and takes a permit if the upstream has a
+// request limit; Begin or Withdraw must follow. If the answer is expected to begin after the deadline, it returns ErrTooLate, so that
+// no prompt is computed in vain, and by how much the answer would miss the target. It returns ErrNoUpstream if no upstream is eligible
+// for the attempt or for the decode after it, and ErrLimited or ErrPaused, with the time until a retry can succeed, if request limits
 // or pauses exclude those that are.
 func (p *Pool) Place(now time.Time, q *Query, slo SLO) (Choice, time.Duration, error) {
 	q.Urgency, q.Target = urgency(slo.Priority, false), slo.Target
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.prepare(now, *q)
-	c, err := p.choose(now, *q)
-	if err == nil && q.Phase == fighollow.RequestWhole && p.traits.Engine != nil && c.Limited && !p.sparesPermit(now, *q) {
-		err = ErrLimited
-	}
+	c, err := p.chooseFor(now, *q)
 	if err != nil {
 		return c, p.recordRefusal(now, *q, c, slo, err), err
 	}
@@ -45,7 +42,7 @@
 		p.takePermit(now, &c)
 		return c, 0, nil
 	}
-	expected := now.Sub(slo.Arrived) + duration(c.CostMs)
+	elapsed, decodeMs := now.Sub(slo.Arrived), 0.0
 	if q.Phase == fighollow.RequestPrefill {
 		decodeQuery := *q
 		decodeQuery.Phase = fighollow.RequestDecode
@@ -56,12 +53,17 @@
 		if err != nil {
 			return c, p.recordRefusal(now, decodeQuery, decode, slo, err), err
 		}
-		expected += duration(decode.CostMs)
+		decodeMs = decode.CostMs
 	}
-	c.OverTarget = expected - slo.Target
-	if expected > slo.Target {
+	if elapsed+duration(c.CostMs+decodeMs) > slo.Target {
+		// A late prompt also waits for the late ones before it, which can be fewer at another engine.
 		q.Urgency = urgency(slo.Priority, true)
+		if c, err = p.chooseFor(now, *q); err != nil {
+			return c, p.recordRefusal(now, *q, c, slo, err), err
+		}
 	}
+	expected := elapsed + duration(c.CostMs+decodeMs)
+	c.OverTarget = expected - slo.Target
 	if !slo.Begun && expected > slo.Deadline.Sub(slo.Arrived) {
 		return c, expected - slo.Target, ErrTooLate
 	}
@@ -69,6 +71,15 @@
 	return c, 0, nil
 }
 
+// chooseFor is choose, and returns ErrLimited if a whole answer would take a permit that a computed prompt needs. p.mu must be held.
+func (p *Pool) chooseFor(now time.Time, q Query) (Choice, error) {
+	c, err := p.choose(now, q)
+	if err == nil && q.Phase == fighollow.RequestWhole && p.traits.Engine != nil && c.Limited && !p.sparesPermit(now, q) {
+		err = ErrLimited
+	}
+	return c, err
+}
+
 // recordRefusal records the demand of a request that is not placed, and returns, if request limits or pauses are the reason, when its
 // caller may come back, or when an answer that has begun can go on. p.mu must be held.
 func (p *Pool) recordRefusal(now time.Time, q Query, c Choice, slo SLO, err error) time.Duration {
