placement: the test of late prompts places prompts of its own

What other entries report counts at all urgencies now, so that it no longer shows the estimate of a late prompt. It fails with the former Place.

--- a/internal/placement/backlog_test.go
+++ b/internal/placement/backlog_test.go
@@ -282,12 +282,21 @@
 		want    string
 		err     error
 	}{{[]string{"p-a-1", "p-a-2", "d-a-1"}, "p-a-2", nil}, {[]string{"p-a-1", "d-a-1"}, "p-a-1", placement.ErrTooLate}} {
-		f := sharingFleet(8, c.engines...)
-		for i, w := range []placement.Work{workAt("p-a-1", 0, 1100), workAt("p-a-1", 1, 5000), workAt("p-a-2", 0, 1500)} {
-			f.AddWork(start, fmt.Sprint("other-", i), []placement.Work{w})
+		f := newFleet(c.engines...)
+		p := f.Pool(models)
+		for _, w := range []struct {
+			engine, other string
+			urgency       int
+			ms            time.Duration
+		}{{"p-a-1", "p-a-2", 0, 1100}, {"p-a-1", "p-a-2", 1, 5000}, {"p-a-2", "p-a-1", 0, 1500}} {
+			// Before prompts were measured, one is expected to take a quarter of its target.
+			q := placement.Query{Phase: fighollow.RequestPrefill, PromptTokens: 100, Urgency: w.urgency, Target: 4 * w.ms * time.Millisecond, Tried: []string{w.other}}
+			if c, ok := p.Choose(start, q); ok {
+				p.Begin(start, c, q)
+			}
 		}
 		q := placement.Query{Phase: fighollow.RequestPrefill, PromptTokens: 100}
-		got, over, err := f.Pool(models).Place(start, &q, slo)
+		got, over, err := p.Place(start, &q, slo)
 		qt.Check(t, err, qt.Equals, c.err)
 		qt.Check(t, got.Upstream.ID, qt.Equals, c.want)
 		qt.Check(t, q.Urgency, qt.Equals, 1)
