quarantine: a request that crashes engines is recognised from any address

Cause: where the first three crashes came from one address, the fingerprints with and without the address explained them equally well, and only the one with the address was quarantined.

Change: the fingerprint without the address is quarantined too (fromAnyAddress, a pure function), unless the last minute has an answer with it. It counts three crashes, so that an entry that has seen such an answer objects. An answer to another address releases it alone. A probe is one for all keys of its request: before, the other keys stayed due and the next request was a second probe. The emulator draws runs with 1 to 8 entries in which two or three requests come from one to four addresses (DrawCrashCallers), some of them sound from another address.

--- a/internal/emulator/crashes.go
+++ b/internal/emulator/crashes.go
@@ -66,6 +66,11 @@
 	PerSecond float64 // requests with it
 	Request   bool    // the same request comes each time, whose parts are all sound
 	Copies    int     // of a request that come at once; 0 for one
+	Callers   int     // addresses from which a request comes; 0 for one
+	// OneAtFirst has a request come from the first address alone until its counted crash.
+	OneAtFirst bool
+	// SoundPerSecond is the rate of the same request from another address, where it is sound.
+	SoundPerSecond float64
 }
 
 // counted returns the number of the crash from which on the rules hold.
@@ -158,6 +163,37 @@
 	return cfg
 }
 
+// DrawCrashCallers draws a run with 1 to 8 entries in which two or three requests crash engines at once, each from one or several addresses. From
+// another address, some of those of one address are sound.
+func DrawCrashCallers(seed uint64) CrashConfig {
+	cfg := DrawCrashRequests(seed)
+	rnd := rand.New(rand.NewPCG(seed, 19))
+	cfg.Entries = 1 + rnd.IntN(8)
+	for i := range cfg.Entry {
+		cfg.Entry[i].Entry = min(cfg.Entry[i].Entry, cfg.Entries-1)
+	}
+	perEngine := cfg.PerSecond / float64(cfg.Engines)
+	cfg.Engines = 6 + rnd.IntN(16) // so that the first crashes of three requests leave some
+	cfg.PerSecond = perEngine * float64(cfg.Engines)
+	for i := range cfg.Engine {
+		cfg.Engine[i].Engine %= cfg.Engines
+	}
+	start := cfg.Parts[0].Crashing.Start
+	cfg.Parts = nil
+	for range 2 + rnd.IntN(2) {
+		from := start + time.Duration(rnd.Int64N(int64(2*time.Second)))
+		p := CrashPart{
+			Crashing: Span{from, from + 25*time.Second + time.Duration(rnd.Int64N(int64(15*time.Second)))}, Request: true,
+			PerSecond: 0.5 + 4*rnd.Float64()*rnd.Float64(), Copies: 1 + rnd.IntN(2), Callers: 1 + rnd.IntN(4), OneAtFirst: rnd.IntN(3) > 0,
+		}
+		if p.Callers == 1 && rnd.IntN(2) == 0 {
+			p.SoundPerSecond = rnd.Float64() * rnd.Float64()
+		}
+		cfg.Parts = append(cfg.Parts, p)
+	}
+	return cfg
+}
+
 // Times of a CrashRun.
 const (
 	crashStable         = 3 * time.Second // after a disruption, and after a part's fifth crash, until the rules hold
@@ -278,9 +314,12 @@
 
 // schedule schedules the arrivals of requests and the disruptions.
 func (r *CrashRun) schedule() {
-	r.arrive(r.cfg.PerSecond, -1, 0)
+	r.arrive(r.cfg.PerSecond, 0, func() { r.requests(-1) })
 	for i, p := range r.cfg.Parts {
-		r.arrive(p.PerSecond, i, p.Crashing.Start)
+		r.arrive(p.PerSecond, p.Crashing.Start, func() { r.requests(i) })
+		if p.SoundPerSecond > 0 {
+			r.arrive(p.SoundPerSecond, 0, func() { r.request(i, p.Callers, true) })
+		}
 	}
 	for _, d := range r.cfg.Entry {
 		if !d.Restart {
@@ -305,8 +344,8 @@
 	}
 }
 
-// arrive schedules the arrivals of requests with a part, or of those without a crashing part if it is -1.
-func (r *CrashRun) arrive(perSecond float64, part int, from time.Duration) {
+// arrive schedules arrivals of requests.
+func (r *CrashRun) arrive(perSecond float64, from time.Duration, do func()) {
 	gap := func() time.Duration { return time.Duration(r.rnd.ExpFloat64() / perSecond * float64(time.Second)) }
 	var next func()
 	next = func() {
@@ -314,17 +353,35 @@
 			return
 		}
 		r.After(gap(), next)
-		copies := 1
-		if part >= 0 && r.cfg.Parts[part].Request {
-			copies = max(1, r.cfg.Parts[part].Copies)
-		}
-		for range copies {
-			r.request(part)
-		}
+		do()
 	}
 	r.After(from+gap(), next)
 }
 
+// requests has the requests with a part served that come at once, or one without a crashing part if it is -1.
+func (r *CrashRun) requests(part int) {
+	copies := 1
+	if part >= 0 && r.cfg.Parts[part].Request {
+		copies = max(1, r.cfg.Parts[part].Copies)
+	}
+	caller := r.caller(part)
+	for range copies {
+		r.request(part, caller, part < 0)
+	}
+}
+
+// caller returns the index of the address from which a request with a part comes.
+func (r *CrashRun) caller(part int) int {
+	if part < 0 || r.cfg.Parts[part].Callers <= 1 {
+		return 0
+	}
+	p := &r.cfg.Parts[part]
+	if p.OneAtFirst && len(r.oracle.parts[part].crashes) < p.counted() {
+		return 0
+	}
+	return r.rnd.IntN(p.Callers)
+}
+
 // Ids of parts: their place and number, which is the index in the configuration for crashing ones.
 const (
 	placeOfCrash   = 9
@@ -354,30 +411,33 @@
 	return append(out, fighollow.PromptPart{ID: partID(placeOfRequest, r.seq), Tokens: 250})
 }
 
-// call returns the next request with a part, or the same again if it is a request that crashes engines.
-func (r *CrashRun) call(part int) *fighollow.Call {
-	c := &fighollow.Call{ID: fmt.Sprintf("r%d", r.seq), Target: fmt.Sprintf("/%d", r.seq), Caller: "10.0.0.1:80"}
+// call returns the next request with a part from an address, or the same again if it is a request that crashes engines.
+func (r *CrashRun) call(part, caller int) *fighollow.Call {
+	c := &fighollow.Call{ID: fmt.Sprintf("r%d", r.seq), Target: fmt.Sprintf("/%d", r.seq), Caller: fmt.Sprintf("10.0.%d.1:80", caller)}
 	if part >= 0 && r.cfg.Parts[part].Request {
 		if r.calls[part] == nil {
 			c.Prompt = r.prompt(part)
 			r.calls[part] = c
 		}
 		again := *r.calls[part]
-		again.ID = c.ID
+		again.ID, again.Caller = c.ID, c.Caller
 		return &again
 	}
 	c.Prompt = r.prompt(part)
 	return c
 }
 
-// request has a caller's request served.
-func (r *CrashRun) request(part int) {
+// request has a caller's request served. One with a part may be sound.
+func (r *CrashRun) request(part, caller int, isSound bool) {
 	r.seq++
 	e := r.entries[r.rnd.IntN(len(r.entries))]
 	if r.rnd.Float64() < r.cfg.Skew {
 		e = r.entries[0]
 	}
-	req := &crashRequest{call: r.call(part), at: r.Now, part: part, mayRepeat: r.rnd.IntN(2) == 0}
+	req := &crashRequest{call: r.call(part, caller), at: r.Now, part: part, mayRepeat: r.rnd.IntN(2) == 0}
+	if isSound {
+		req.part = -1
+	}
 	r.oracle.requests = append(r.oracle.requests, req)
 	if e.decider == nil {
 		for _, other := range r.entries { // the load balancer passes it on
--- a/internal/quarantine/blame.go
+++ b/internal/quarantine/blame.go
@@ -204,6 +204,24 @@
 	}
 }
 
+// fromAnyAddress returns the key of the requests that have all but the caller's address in common with those of a blamed key. It reports false
+// unless all evidence against the blamed one speaks as much against it. Requests from other addresses would otherwise crash further engines until
+// enough crashes separate the two. A key that was answered in the last minute isn't returned, because sound requests have it.
+func fromAnyAddress(breaks []Break, blamed Key, j judge) (Key, bool) {
+	i := slices.IndexFunc(breaks, func(b Break) bool {
+		n := len(b.Fingerprints)
+		return b.Service == blamed.Service && blamed.Request && n > 1 && b.Fingerprints[n-1] == blamed.ID // the last one has the address
+	})
+	if i < 0 {
+		return Key{}, false
+	}
+	wide := Key{Service: blamed.Service, ID: breaks[i].Fingerprints[len(breaks[i].Fingerprints)-2], Request: true}
+	all := tallies(breaks, j.isSound)
+	n, w := all[blamed], all[wide]
+	ok := n != nil && w != nil && j.crashesNeeded(blamed) == minCrashes && j.crashesNeeded(wide) == minCrashes && len(w.ended) >= len(n.ended)
+	return wide, ok
+}
+
 // tallies returns the evidence against each key that was not exonerated. The breaks are ordered by time.
 func tallies(breaks []Break, isSound func(Key, time.Time) bool) map[Key]*tally {
 	all := make(map[Key]*tally)
--- a/internal/quarantine/play_test.go
+++ b/internal/quarantine/play_test.go
@@ -197,10 +197,11 @@
 	qt.Check(t, float64(got.SoundWithheld) <= 0.01*float64(got.Sound), qt.IsTrue, qt.Commentf("%d of %d", got.SoundWithheld, got.Sound))
 }
 
-// openSeeds and openRequestSeeds are the runs, of the first 800 each, in which a rule is broken or a sound part is blamed; see KNOWN-RED.txt.
+// openSeeds, openRequestSeeds and openCallerSeeds are the runs, of the first 800 each, in which a rule is broken or a sound part is blamed; see KNOWN-RED.txt.
 var (
 	openSeeds        = []uint64{19, 42, 105, 634}
 	openRequestSeeds = []uint64{101, 127, 219, 234, 309, 358, 388, 464, 482, 490, 525, 548, 566, 617, 648, 770}
+	openCallerSeeds  = []uint64{6, 67, 101, 330, 611, 621, 769}
 )
 
 // playSeeds plays runs in parallel.
@@ -233,6 +234,17 @@
 	playSeeds(t, emulator.DrawCrashRequests, regularSeeds(openRequestSeeds, 97, 116, 150, 154, 212, 244, 352, 414, 677, 693, 789))
 }
 
+// Guards against requests that crash engines and are not recognised when they come from another address, and against sound ones that are
+// withheld because they differ from these by the address alone.
+func TestRequestsFromSeveralAddressesAreFound(t *testing.T) {
+	playSeeds(t, emulator.DrawCrashCallers, regularSeeds(openCallerSeeds, 125, 209, 357, 464, 535, 679, 773))
+}
+
+// Guards against the same in the runs that are still open.
+func TestRequestsFromSeveralAddressesAreFoundInOpenSeeds(t *testing.T) {
+	playSeeds(t, emulator.DrawCrashCallers, openCallerSeeds)
+}
+
 // Guards against the same in the runs that are still open.
 func TestPartsThatCrashEnginesAreFoundInOpenSeeds(t *testing.T) {
 	playSeeds(t, emulator.DrawCrashConfig, openSeeds)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -102,7 +102,8 @@
 		return Admission{}
 	}
 	var a Admission
-	for _, key := range r.keys() {
+	keys := r.keys()
+	for _, key := range keys {
 		q := t.cases[key]
 		switch {
 		case q == nil:
@@ -115,8 +116,12 @@
 			a = Admission{Withheld: true, Key: key, RetryIn: max(q.probeAt.Sub(now), time.Second)}
 		}
 	}
-	if a.Probe {
-		t.cases[a.Key].probing = now
+	if a.Probe { // of all keys in quarantine, so that there is one at a time
+		for _, key := range keys {
+			if q := t.cases[key]; q != nil {
+				q.probing = now
+			}
+		}
 	}
 	return a
 }
@@ -270,10 +275,13 @@
 			continue
 		}
 		crashedAt, crashes := tallies(evidence, t.isSound)[key].counted()
-		t.put(key, &quarantined{
-			crashedAt: crashedAt, crashes: crashes, addedAt: now, changedAt: now, blamedAt: now, own: true, probeAt: now.Add(minHold),
-		})
+		t.begin(now, key, crashedAt, crashes)
 		added = append(added, key)
+		if wide, ok := fromAnyAddress(evidence, key, view{t, now}); ok && t.cases[wide] == nil {
+			// No crash speaks against the wide key alone, so that an entry which has seen an answer with it lately must object.
+			t.begin(now, wide, crashedAt, minCrashes)
+			added = append(added, wide)
+		}
 	}
 	for _, key := range recent {
 		if t.isExplained(now, key, evidence, added) {
@@ -283,6 +291,13 @@
 	return added
 }
 
+// begin puts a key into quarantine because of evidence that this entry has.
+func (t *Tracker) begin(now time.Time, key Key, crashedAt time.Time, crashes int) {
+	t.put(key, &quarantined{
+		crashedAt: crashedAt, crashes: crashes, addedAt: now, changedAt: now, blamedAt: now, own: true, probeAt: now.Add(minHold),
+	})
+}
+
 // isExplained reports whether other keys, against which there is more evidence, explain all crashes that speak against a key.
 func (t *Tracker) isExplained(now time.Time, key Key, evidence []Break, others []Key) bool {
 	v := view{t, now}
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -224,3 +225,89 @@
 		qt.Check(t, tr.Admit(now, often()).Withheld, qt.IsFalse, qt.Commentf("answered %v before", ago))
 	}
 }
+
+// fromAddress returns a request that has the same method, host, path and body whatever address it comes from.
+func fromAddress(ip string) *Request {
+	return NewRequest("s", &fighollow.Call{Method: "POST", Host: "h", Target: "/p", Body: []byte("body"), Caller: ip + ":5000"})
+}
+
+// Guards against a request that crashes further engines from another address because its first three crashes came from one, also where the entry
+// restarts between them, where reports of them come late and where the store is away.
+func TestRequestThatCrashedEnginesIsWithheldFromAnyAddress(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		crash func(tr *Tracker, upstream string)
+	}{
+		{"here", func(tr *Tracker, upstream string) { tr.Broke(start, upstream, fromAddress("10.0.0.1"), tookTime) }},
+		{"before a restart", func(tr *Tracker, upstream string) {
+			tr.ApplyReports(start, []fighollow.Object{reportOf(tr.self, upstream, fromAddress("10.0.0.1"))}, false)
+		}},
+		{"reported late", func(tr *Tracker, upstream string) {
+			tr.ApplyReports(start.Add(settleTimeRequest), []fighollow.Object{reportOf("b", upstream, fromAddress("10.0.0.1"))}, false)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			tr := New("a")
+			test.crash(tr, "x")
+			tr.Broke(start, "y", fromAddress("10.0.0.1"), tookTime)
+			tr.Broke(start, "z", fromAddress("10.0.0.1"), tookTime)
+			now := start.Add(2 * settleTimeRequest) // nothing is written meanwhile
+			qt.Assert(t, tr.Judge(now), qt.HasLen, 2)
+			qt.Assert(t, tr.Admit(now, fromAddress("10.0.0.1")).Withheld, qt.IsTrue)
+			qt.Assert(t, tr.Admit(now, fromAddress("10.0.0.2")).Withheld, qt.IsTrue)
+		})
+	}
+}
+
+// Guards against sound requests that are withheld because they differ by the address alone from those that crash engines, after one of them was
+// answered, and against a probe for each fingerprint of a request.
+func TestAnswerToAnotherAddressReleasesOnlyWhatItShares(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		at   time.Duration // of the answer, from the first crash
+		held bool          // the other address is withheld until the answer
+	}{
+		{"a minute before", -evidenceTime, true},
+		{"lately", -evidenceTime / 2, false},
+		{"after the judgement", 2 * settleTimeRequest, true},
+		{"by a probe", minHold + 2*settleTimeRequest, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			tr := New("a")
+			answer := func() { tr.Completed(start.Add(test.at), "w", fromAddress("10.0.0.2")) }
+			if test.at < 0 {
+				answer()
+			}
+			for _, upstream := range []string{"x", "y", "z"} {
+				tr.Broke(start, upstream, fromAddress("10.0.0.1"), tookTime)
+			}
+			now := start.Add(settleTimeRequest)
+			tr.Judge(now)
+			qt.Assert(t, tr.Admit(now, fromAddress("10.0.0.1")).Withheld, qt.IsTrue)
+			qt.Assert(t, tr.Admit(now, fromAddress("10.0.0.2")).Withheld, qt.Equals, test.held)
+			if test.at < 0 {
+				return
+			}
+			if test.at > minHold {
+				qt.Assert(t, tr.Admit(start.Add(test.at), fromAddress("10.0.0.2")).Probe, qt.IsTrue)
+				qt.Assert(t, tr.Admit(start.Add(test.at), fromAddress("10.0.0.1")).Withheld, qt.IsTrue)
+			}
+			answer()
+			now = start.Add(test.at + revokeTime)
+			tr.Writes(now)
+			tr.Judge(now.Add(judgeInterval))
+			qt.Assert(t, tr.Admit(now, fromAddress("10.0.0.2")).Withheld, qt.IsFalse)
+			a := tr.Admit(now, fromAddress("10.0.0.1"))
+			qt.Assert(t, a.Withheld || a.Probe, qt.IsTrue)
+		})
+	}
+}
+
+// reportOf returns the reports of an entry on the break of a request at start.
+func reportOf(entry, upstream string, r *Request) fighollow.Object {
+	value, err := json.Marshal(Reports(start, []Break{{At: start, SentAt: start, Service: r.Service, Upstream: upstream, Fingerprints: r.fingerprints}}))
+	if err != nil {
+		panic(err)
+	}
+	return fighollow.Object{Name: entry, Version: 7, Value: value}
+}
