--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -106,8 +106,12 @@
 		q := t.cases[key]
 		q.claimed = !q.own && now.Sub(q.probeAt) >= claimTime
 	}
-	if a.Probe {
-		t.cases[a.Key].probing = now
+	if a.Probe { // of all keys in quarantine, so that there is one at a time
+		for _, key := range r.keys() {
+			if q := t.cases[key]; q != nil {
+				q.probing = now
+			}
+		}
 	}
 	return a
 }
@@ -290,10 +294,13 @@
 			continue
 		}
 		crashedAt, crashes := tallies(evidence, t.isSound)[key].counted()
-		t.put(key, &quarantined{
-			crashedAt: crashedAt, crashes: crashes, addedAt: now, changedAt: now, blamedAt: now, own: true, probeAt: now.Add(minHold),
-		})
+		t.begin(now, key, crashedAt, crashes)
 		added = append(added, key)
+		if wide, ok := fromAnyAddress(evidence, key, view{t, now}); ok && t.cases[wide] == nil {
+			// No crash speaks against the wide key alone, so that an entry which has seen an answer with it lately must object.
+			t.begin(now, wide, crashedAt, minCrashes)
+			added = append(added, wide)
+		}
 	}
 	for _, key := range recent {
 		if t.isExplained(now, key, evidence, added) {
@@ -303,6 +310,13 @@
 	return added
 }
 
+// begin puts a key into quarantine because of evidence that this entry has.
+func (t *Tracker) begin(now time.Time, key Key, crashedAt time.Time, crashes int) {
+	t.put(key, &quarantined{
+		crashedAt: crashedAt, crashes: crashes, addedAt: now, changedAt: now, blamedAt: now, own: true, probeAt: now.Add(minHold),
+	})
+}
+
 // isExplained reports whether other keys, against which there is more evidence, explain all crashes that speak against a key.
 func (t *Tracker) isExplained(now time.Time, key Key, evidence []Break, others []Key) bool {
 	v := view{t, now}
