heldbytes: what is held for slow readers is bounded

Cause: an incomplete event (1 MiB), the beginning of a plain answer (64 KB) and the bodies of requests grew without a bound for all connections together, or with one that the garbage of growing buffers exceeded. An unread answer was held for ever: nothing ended its write after the deadline. An engine that aborted an unread answer counted as failed, because what it had sent before was still written quickly.

Change: one account counts the bytes of requests and of answers, each kind with its own bound. At the bound, long requests are refused and long events are relayed in parts. Writes end 1 s after the deadline (outcome unread). An answer that breaks off is not the engine's failure if writes were blocked for a second in the last 10 to 20 s. The soft memory limit is 0.47 of the memory instead of 0.7.

Tests: 'cut late' of TestAnswersCutForSlowCallersAreNoFailures fails if only the last write counts, as before. TestLongBodiesAreBounded is not changed; its bound at 144 MB is an upper one, and the new one is lower.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	runtimemetrics "runtime/metrics"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,7 @@
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/fairshare"
 	"github.com/fighollow/fighollow/internal/gateway"
+	"github.com/fighollow/fighollow/internal/heldbytes"
 	"github.com/fighollow/fighollow/internal/lease"
 	"github.com/fighollow/fighollow/internal/logging"
 	"github.com/fighollow/fighollow/internal/peers"
@@ -47,8 +49,8 @@
 	callerHeaderTimeout = 10 * time.Second
 	callerIdleTimeout   = 60 * time.Second
 	// memoryLimitRatio is the fraction of the instance's memory that is the soft memory limit of the Go runtime, near which
-	// garbage is collected more often.
-	memoryLimitRatio = 0.7
+	// garbage is collected more often. With 0.47 the heap stays below a third of the memory: stacks and the runtime take the rest.
+	memoryLimitRatio = 0.47
 	// stopMargin is the time left between the deadline of the last request and the platform's SIGKILL.
 	stopMargin = 700 * time.Millisecond
 	// acceptTime is how long a stopping process continues to accept connections, so that the load balancer can stop sending
@@ -108,6 +110,7 @@
 	pool         *upstream.Pool // connections of attempts
 	control      *upstream.Pool // connections of control calls
 	gateway      *gateway.Gateway
+	held         *heldbytes.Account
 	follower     *gateway.Follower
 	caches       *gateway.CachePoller
 	roster       *roster.Roster
@@ -171,9 +174,10 @@
 		recorder = p.usage.counter
 	}
 	p.revocation = workspace.Revocation{Strict: cfg.Bounds.ConfirmKeys, Within: cfg.Bounds.Revoke}
+	p.held = heldbytes.New(cfg.MemoryMB, p.registry, log)
 	p.gateway = gateway.New(gateway.Options{
 		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: p.registry, Quarantine: crashes, Streams: p.streams,
-		Revocation: p.revocation, Usage: recorder, Shares: p.shares,
+		Revocation: p.revocation, Usage: recorder, Shares: p.shares, Held: p.held,
 	}, fleet, dispatcher, log)
 	decode := gateway.Decoder{Routing: platform.DecodeRouting, Upstream: platform.DecodeUpstream}
 	p.follower = gateway.NewFollower(p.store, decode, p.gateway, fleet, gateway.Freshness{
@@ -263,7 +267,7 @@
 	}
 	callers := callerconn.NewListener(callerListener, p.callerTimeouts, p.log)
 	callerServer := &http.Server{
-		Handler:           callerconn.ResetAborted(platform.NewIngress(p.gateway, p.cfg.MemoryMB, p.stopping.Load)),
+		Handler:           callerconn.ResetAborted(platform.NewIngress(p.gateway, p.held, p.stopping.Load)),
 		ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: stdlog.New(p.log, "", 0),
 		ConnState: callers.ConnState, ConnContext: callerconn.Context,
 	}
@@ -412,6 +416,7 @@
 	}
 	gauge("upstreams.connections", func() int64 { return p.pool.Dials() + p.control.Dials() })
 	gauge("log.dropped", p.sink.Dropped)
+	gauge("process.heapBytes", heapBytes)
 	gauge("routing.version", func() int64 {
 		if routing := p.gateway.Routing(); routing != nil {
 			return int64(routing.Version)
@@ -426,6 +431,13 @@
 	})
 }
 
+// heapBytes returns the bytes of the heap that objects take, those included that are not yet collected.
+func heapBytes() int64 {
+	sample := []runtimemetrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	runtimemetrics.Read(sample)
+	return int64(sample[0].Value.Uint64())
+}
+
 func (p *gatewayProcess) serveMetrics() error {
 	p.registerGauges()
 	r := chi.NewRouter()
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -105,6 +105,7 @@
 	switch state {
 	case http.StateIdle:
 		c.answered = true
+		_ = c.SetWriteDeadline(time.Time{}) // that of the last request; the server may answer a malformed one
 	case http.StateActive:
 		c.answered = false
 		c.await(stateBusy, 0)
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -77,6 +77,7 @@
 	ScarcityEnded       = Event{8083, "scarcityEnded", zerolog.InfoLevel, "engine time of a service is no longer divided among workspaces; the line has how long that lasted and how many requests this entry refused meanwhile"}
 	SharesRefused       = Event{8084, "sharesRefused", zerolog.InfoLevel, "a service is still scarce; the line has how many requests this entry has refused since that began, and the figures of scarcityBegan as they are now"}
 	ShareMessageIgnored = Event{8085, "shareMessageIgnored", zerolog.DebugLevel, "a message of another entry about shares is malformed or absurd; it is ignored"}
+	HeldBytesFull       = Event{8090, "heldBytesFull", zerolog.WarnLevel, "the bytes of requests, or of answers, that this process holds have reached their bound: further long requests are refused, or long answers and events are relayed in parts, so that they cannot be resumed elsewhere. The line has the bytes of that kind, how many callers do not read, and how many requests and answers met the bound since the start. Logged at most every 10 s"}
 	RoleOrdered         = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is ordered to change its role; the line has the reason and the load that the decision was based on"}
 	RoleOrderEnded      = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "the engine accepted or refused an order for a role change, or its answer was lost; in the last case it may still carry out the order, and gets no other for some time"}
 	ReportMissing       = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
@@ -95,4 +96,5 @@
 	UsageClockCorrected, UsageMessageIgnored, UsageCountersLost, UsageCountersAsked,
 	WorkUnread, WorkShared, WorkDistrusted,
 	ScarcityBegan, ScarcityEnded, SharesRefused, ShareMessageIgnored,
+	HeldBytesFull,
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"github.com/fighollow/fighollow/internal/answer"
 	"github.com/fighollow/fighollow/internal/event"
+	"github.com/fighollow/fighollow/internal/heldbytes"
 	"github.com/fighollow/fighollow/internal/placement"
 	"github.com/fighollow/fighollow/internal/quarantine"
 	"github.com/fighollow/fighollow/internal/workspace"
@@ -59,13 +61,17 @@
 	retriesEnded     bool   // no further attempt is made
 	headerSent       bool   // the status and header of the answer were sent
 	streaming        bool   // an event was sent
-	callerLeft       bool   // the caller closed the connection
+	callerLeft       bool   // the caller closed the connection, or did not read
+	unread           bool   // it did not read
 	resumeAfter      string // id of the last event that the caller has
+	insideEvent      bool   // the caller has a part of an event
+	beyondLast       bool   // the caller has more than the event resumeAfter and those before it, so that the stream cannot be resumed
 	software         string // version that began the stream, which only the same can go on with; empty if none did
 	isRecorded       bool   // the stream is in the journal
 	counted          bool   // usage has the request
 	status           int
-	blocked          time.Duration // of the last write to the caller
+	held             *heldbytes.Holder // what the answer holds
+	reading          reading
 	firstByte, total time.Duration // from the arrival to the first byte and to the end of the answer
 }
 
@@ -199,15 +205,28 @@
 	return err
 }
 
-// slowCallerTime is how long a write to the caller blocks from which on an answer that breaks off next is not the upstream's failure:
-// engines cut off answers that stay unread for some seconds.
-const slowCallerTime = time.Second
+// unreadTime is the time after a request's deadline, or after the beginning of an answer that is later, until the connection of a caller
+// that does not read is closed. The last part of an answer in time is written in it.
+const unreadTime = time.Second
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// free ends what the answer holds.
+func (x *exchange) free() { _ = x.held.Hold(time.Now(), 0) } // holding less is always allowed
 
 // write writes a part of the answer to the caller, and records for how long that blocked.
 func (x *exchange) write(p []byte) error {
 	began := time.Now()
+	x.held.BeginWrite(began)
 	err := x.out.Write(p)
-	x.blocked = time.Since(began)
+	x.held.EndWrite()
+	x.reading.wrote(began, time.Now())
+	x.unread = x.unread || errors.Is(err, os.ErrDeadlineExceeded)
 	return err
 }
 
@@ -220,7 +239,7 @@
 	if ctx.Err() == nil {
 		x.recordUsage(time.Now())
 	}
-	if ctx.Err() != nil || x.blocked >= slowCallerTime {
+	if ctx.Err() != nil || x.reading.isSlow(time.Now()) {
 		result = placement.Abandoned
 	} else {
 		x.recordBreak(a, err)
@@ -323,6 +342,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return false, "timeUp"
+	case x.beyondLast:
+		return false, "insideEvent"
 	case errors.Is(err, placement.ErrNoUpstream):
 		return false, "noUpstream"
 	case errors.Is(err, placement.ErrLimited):
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fighollow/fighollow/internal/event"
+	"github.com/fighollow/fighollow/internal/heldbytes"
 	"github.com/fighollow/fighollow/internal/placement"
 	"github.com/fighollow/fighollow/internal/quarantine"
 	"github.com/fighollow/fighollow/internal/streams"
@@ -32,6 +33,7 @@
 	Usage      fighollow.UsageRecorder // counts the requests that upstreams began to run; nil for none
 	Shares     fighollow.SharePolicy   // divides scarce engine time among workspaces; nil for none
 	Revocation workspace.Revocation
+	Held       *heldbytes.Account // counts what answers hold; nil for one of this gateway's own, for an instance of unknown size
 }
 
 // Gateway serves the requests of callers. It is safe for concurrent use.
@@ -59,6 +61,12 @@
 	if opts.Quarantine == nil {
 		opts.Quarantine = quarantine.New("")
 	}
+	if opts.Registry == nil {
+		opts.Registry = metrics.NewRegistry()
+	}
+	if opts.Held == nil {
+		opts.Held = heldbytes.New(0, opts.Registry, log)
+	}
 	return &Gateway{
 		opts: opts, fleet: fleet, dispatch: dispatch, log: log, seed: maphash.MakeSeed(), metrics: newMetrics(opts.Registry),
 		fingerprints: workspace.NewFingerprinter(), entries: assumedEntries, budgets: make(map[string]*retryBudget),
@@ -198,6 +206,8 @@
 // Serve answers a request. ctx is done when the caller has left.
 func (g *Gateway) Serve(ctx context.Context, call *fighollow.Call, out fighollow.Responder) {
 	x := g.newExchange(call, out)
+	x.held = g.opts.Held.Open(heldbytes.Answer)
+	defer x.held.Close()
 	x.finish(x.serve(ctx))
 }
 
@@ -256,8 +266,14 @@
 	line.Int64("tookMs", time.Since(x.call.Arrived).Milliseconds())
 	switch {
 	case x.callerLeft:
-		x.g.metrics.countOutcome("left")
-		line.Str("outcome", "callerLeft").Str("caller", x.call.Caller).Send()
+		outcome := "callerLeft"
+		if x.unread {
+			outcome = "unread"
+			x.g.metrics.countOutcome("unread")
+		} else {
+			x.g.metrics.countOutcome("left")
+		}
+		line.Str("outcome", outcome).Str("caller", x.call.Caller).Send()
 		x.out.Abort() // a caller that only closed its sending side must not get an empty answer
 	case refusal == nil:
 		x.g.metrics.recordAnswer(x)
--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -157,6 +157,8 @@
 	return nil
 }
 
+func (c *recordingResponder) SetWriteDeadline(time.Time) {}
+
 func (c *recordingResponder) Refuse(r *fighollow.Refusal) { c.refusal = r }
 func (c *recordingResponder) Abort()                      { c.aborted = true }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/fighollow/fighollow/internal/heldbytes"
 	"github.com/fighollow/fighollow/internal/placement"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
@@ -39,7 +40,8 @@
 func (x *exchange) relayPlain(ctx context.Context, a *attempt) (bool, error) {
 	defer a.reply.Body.Close()
 	x.recordUsage(a.placed.SentAt) // its status line shows that it ran
-	buffered, err := io.ReadAll(io.LimitReader(a.body, maxBufferedAnswer+1))
+	defer x.free()
+	buffered, long, err := x.readPlain(a)
 	if err != nil {
 		return false, x.recordInterruption(ctx, a, err)
 	}
@@ -48,7 +50,6 @@
 		a.end(result, nil)
 		return false, fmt.Errorf("%w: status %d", fighollow.ErrUnknownOutcome, a.reply.Status)
 	}
-	long := len(buffered) > maxBufferedAnswer
 	if !long {
 		x.recordComplete(a)
 		a.end(result, nil) // frees the upstream's slot before the caller has read the answer
@@ -68,10 +69,37 @@
 	return true, nil
 }
 
+// readPlain reads an answer, or the beginning of one that is too long or for which too many bytes are held to buffer all of it.
+func (x *exchange) readPlain(a *attempt) (buffered []byte, long bool, err error) {
+	most := maxBufferedAnswer + 1
+	if length := a.reply.Length; length >= 0 && length < maxBufferedAnswer {
+		most = int(length) + 1 // room to read the end
+	}
+	for {
+		if len(buffered) == cap(buffered) {
+			size := heldbytes.NextSize(cap(buffered), most)
+			long = len(buffered) > maxBufferedAnswer || errors.Is(x.held.Hold(time.Now(), size), heldbytes.ErrFull)
+			if long {
+				return buffered, true, nil
+			}
+			buffered = append(make([]byte, 0, size), buffered...)
+		}
+		n, err := a.body.Read(buffered[len(buffered):cap(buffered)])
+		buffered = buffered[:len(buffered)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return buffered, false, nil
+		case err != nil:
+			return nil, false, err
+		}
+	}
+}
+
 // relayRemainder relays the remainder of a long answer as it arrives. The header has been sent, so an answer that breaks off
 // can only be aborted.
 func (x *exchange) relayRemainder(ctx context.Context, a *attempt) (bool, error) {
-	buf := make([]byte, 32<<10)
+	buf := make([]byte, heldbytes.UncountedAnswer)
+	x.free() // buf does not count
 	for {
 		n, err := a.body.Read(buf)
 		if n > 0 && x.write(buf[:n]) != nil {
@@ -122,6 +150,8 @@
 // known.
 func (x *exchange) sendHeader(r *fighollow.Reply, length int64) error {
 	x.headerSent, x.status = true, r.Status
-	x.firstByte = time.Since(x.call.Arrived)
+	now := time.Now()
+	x.firstByte = now.Sub(x.call.Arrived)
+	x.out.SetWriteDeadline(later(x.deadline, now).Add(unreadTime))
 	return x.out.Begin(r.Status, r.Header, length)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"time"
+
+	"github.com/fighollow/fighollow/internal/heldbytes"
 )
 
 const (
@@ -13,32 +15,42 @@
 	maxEventBytes = 1 << 20
 	// eventBufferBytes fits many events, so that those that arrive together are written together.
 	eventBufferBytes = 4 << 10
+	// minRead is the least room in bytes for a read, so that long events do not arrive in many short parts.
+	minRead = 512
 )
 
 var errEventTooLong = errors.New("gateway: event too long")
 
 // relayEvents relays whole events, so that a stream that breaks off can be resumed after the last of them. It returns nil at
 // the end of a complete stream.
+//
+// An event that would exceed the bytes that may be held is relayed in parts.
 func (x *exchange) relayEvents(a *attempt) error {
-	buf := make([]byte, eventBufferBytes)
-	var pending []byte // bytes of an event that is not complete yet
+	defer x.free()
+	var buf []byte // an event that is not complete yet
 	for {
-		n, err := a.body.Read(buf)
+		if cap(buf)-len(buf) < minRead {
+			var err error
+			if buf, err = x.makeRoom(a, buf); err != nil {
+				return err
+			}
+		}
+		n, err := a.body.Read(buf[len(buf):cap(buf)])
 		if a.body.Events() > 0 {
 			x.recordUsage(time.Now())
 		}
-		if end := a.body.EventEnd(); end > 0 {
-			if err := x.writeEvents(a, append(pending, buf[:end]...)); err != nil {
+		whole := len(buf) + a.body.EventEnd()
+		buf = buf[:len(buf)+n]
+		if a.body.EventEnd() > 0 {
+			if err := x.writeEvents(a, buf[:whole]); err != nil {
 				return err
 			}
-			pending = append(pending[:0], buf[end:n]...)
-		} else {
-			pending = append(pending, buf[:n]...)
+			buf = x.shrink(buf, whole)
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			if len(pending) > 0 {
-				return x.writeEvents(a, pending) // comments after the last event
+			if len(buf) > 0 {
+				return x.writeEvents(a, buf) // comments after the last event
 			}
 			return nil
 		case err != nil:
@@ -49,6 +61,34 @@
 	}
 }
 
+// makeRoom returns buf with room for another read. If it may not grow, its bytes are relayed before the rest of their event arrives.
+func (x *exchange) makeRoom(a *attempt, buf []byte) ([]byte, error) {
+	size := heldbytes.NextSize(cap(buf), maxEventBytes+eventBufferBytes)
+	if x.held.Hold(time.Now(), size) == nil {
+		return append(make([]byte, 0, size), buf...), nil
+	}
+	if err := x.beginEvents(a); err != nil {
+		return nil, err
+	}
+	x.recordBegin(a)
+	x.insideEvent, x.beyondLast = true, true
+	if err := x.write(buf); err != nil {
+		x.callerLeft = true
+		return nil, err
+	}
+	return x.shrink(buf, len(buf)), nil
+}
+
+// shrink returns the bytes of buf from an offset on, in a buffer that does not count: the next event may come much later.
+func (x *exchange) shrink(buf []byte, from int) []byte {
+	rest := buf[from:]
+	if cap(buf) <= heldbytes.UncountedAnswer || len(rest) > eventBufferBytes-minRead {
+		return buf[:copy(buf, rest)]
+	}
+	x.free()
+	return append(make([]byte, 0, eventBufferBytes), rest...)
+}
+
 // beginEvents sends the status and the header of a stream, unless an earlier attempt has.
 func (x *exchange) beginEvents(a *attempt) error {
 	if x.headerSent {
@@ -68,8 +108,10 @@
 		return err
 	}
 	x.recordBegin(a)
-	if id := lastEventID(events); id != "" {
-		x.resumeAfter = id
+	if x.insideEvent {
+		x.insideEvent = false // events begins with the rest of an event, whose id may have been in the parts before
+	} else if id := lastEventID(events); id != "" {
+		x.resumeAfter, x.beyondLast = id, false
 	}
 	if err := x.write(events); err != nil {
 		x.callerLeft = true
--- a/internal/gateway/usage_test.go
+++ b/internal/gateway/usage_test.go
@@ -104,6 +104,8 @@
 		return reply(200, events, io.EOF, ": queued\n\n", "id: 1\ndata: 1\n\n")
 	case "cut":
 		return reply(200, events, errCut, "id: 1\ndata: 1\n\n")
+	case "cut late":
+		return reply(200, events, errCut, "id: 1\ndata: 1\n\n", "id: 2\ndata: 2\n\n")
 	case "cut early":
 		return reply(200, events, errCut, ": queued\n\n", "id: 1\nda")
 	case "cut at once":
--- a/pkg/fighollow/attempt.go
+++ b/pkg/fighollow/attempt.go
@@ -165,13 +165,15 @@
 	Order(ctx context.Context, u Upstream, o RoleOrder) error
 }
 
-// Responder writes the response to one caller. It is not safe for concurrent use. An error means that the caller has
-// disconnected.
+// Responder writes the response to one caller. It is not safe for concurrent use. An error means that the
+// caller has disconnected, or has not read the response by the write deadline (os.ErrDeadlineExceeded).
 type Responder interface {
 	// Begin sends status and header. length is the body's length in bytes, or -1 if it is unknown.
 	Begin(status int, header Header, length int64) error
 	// Write sends the next part of the body. After Begin with length -1 each part is flushed at once.
 	Write(p []byte) error
+	// SetWriteDeadline sets the time at which writes fail.
+	SetWriteDeadline(t time.Time)
 	// Refuse responds with an error of the system itself. It is called instead of Begin.
 	Refuse(r *Refusal)
 	// Abort marks the response as incomplete: the connection is closed when the request's handler returns, so that the
