cmd/fighollow: a play of slow readers with real sockets

An entry in a process of its own with 144 MB in its settings; 600 callers that read nothing, 40 that send 4 MiB slowly to an engine that reads slowly, and 8 normal callers.

--- /dev/null
+++ b/cmd/fighollow/slow_test.go
@@ -0,0 +1,400 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
+
+	"github.com/fighollow/fighollow/platform"
+	"github.com/fighollow/fighollow/platform/standin"
+)
+
+// mainVariable is set for a test binary that is to run as fighollow.
+const mainVariable = "FIGHOLLOW_TEST_MAIN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(mainVariable) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	playHost = "callers.example"
+	// segmentBytes is the segment size of sockets in the play. With the 64 KB of the loopback device, the kernel buffers more than a
+	// megabyte for each connection.
+	segmentBytes  = 1448
+	slowCallers   = 600
+	longAnswer    = 1_000_000 // bytes
+	longBody      = 4 << 20   // bytes
+	shortEvents   = longAnswer / 4000
+	bodySenders   = 40
+	playDeadline  = 8 * time.Second
+	smallMemoryMB = 144
+)
+
+func smallSegments(_, _ string, c syscall.RawConn) error {
+	var err error
+	if ctlErr := c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, segmentBytes) }); ctlErr != nil {
+		return ctlErr
+	}
+	return err
+}
+
+// slowPlay is an entry in a process of its own, with stand-ins for its store and upstreams in this one.
+type slowPlay struct {
+	t       *testing.T
+	store   *standin.Store
+	cfg     standin.EntrySettings
+	metrics string // address
+	client  http.Client
+	entry   *exec.Cmd
+	log     bytes.Buffer // of the entry; read after end
+	seq     atomic.Int64
+	peak    atomic.Int64    // of the heap, in bytes
+	unread  atomic.Int64    // most callers that did not read at a time
+	held    [2]atomic.Int64 // most bytes of requests and of answers held at a time
+}
+
+// addUpstream starts an upstream of a service.
+func (p *slowPlay) addUpstream(id, role, service string, events int, f standin.EngineFaults) {
+	e := standin.NewEngine(id, role)
+	e.Events = events
+	f.RefuseControl = true // no orders for role changes
+	e.SetFaults(f)
+	l, err := (&net.ListenConfig{Control: smallSegments}).Listen(p.t.Context(), "tcp", "127.0.0.1:0")
+	qt.Assert(p.t, err, qt.IsNil)
+	s := httptest.NewUnstartedServer(e)
+	s.Listener.Close()
+	s.Listener = l
+	s.Config.ConnState = func(c net.Conn, state http.ConnState) {
+		if tcp, ok := c.(*net.TCPConn); ok && state == http.StateNew {
+			_ = tcp.SetWriteBuffer(64 << 10) // else the kernel buffers a whole answer; fails if the entry has closed the connection
+		}
+	}
+	s.Start()
+	p.t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	p.store.Put("servers", id, e.Spec(service, l.Addr().String(), "a"))
+}
+
+// configure writes a configuration with a route for each service: plain services by paths /once/SERVICE/, others by /stream/SERVICE/.
+func (p *slowPlay) configure(plain, models []string) {
+	var routes, services []map[string]any
+	for _, name := range plain {
+		routes = append(routes, map[string]any{
+			"name": name, "host": playHost, "pathPrefix": "/once/" + name + "/", "kind": "non_idempotent", "timeoutMs": playDeadline.Milliseconds(),
+			"service": name, "maxAttempts": 2,
+		})
+		services = append(services, map[string]any{"name": name, "healthCheck": "/healthz", "maxConnections": 2000})
+	}
+	for _, name := range models {
+		routes = append(routes, map[string]any{
+			"name": name, "host": playHost, "pathPrefix": "/stream/" + name + "/", "kind": "streaming", "timeoutMs": playDeadline.Milliseconds(),
+			"service": name, "maxAttempts": 2, "sessionAffinity": true, "resumable": true,
+		})
+		services = append(services, map[string]any{"name": name, "healthCheck": "/healthz", "maxConnections": 2000, "engine": map[string]any{
+			"slots": 2000, "kvCapacityTokens": 100_000_000, "kvTokenBytes": 1000, "bandwidthMbps": 1000, "handleTtlS": 5, "roleSwitchS": 3,
+		}})
+	}
+	p.store.Put("config", "main", map[string]any{
+		"version": 1, "routes": routes, "services": services,
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": longBody, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+}
+
+// start starts the entry.
+func (p *slowPlay) start() {
+	t := p.t
+	settings := filepath.Join(t.TempDir(), "settings.toml")
+	qt.Assert(t, os.WriteFile(settings, []byte(p.cfg.File()), 0o600), qt.IsNil)
+	_, port, err := net.SplitHostPort(p.metrics)
+	qt.Assert(t, err, qt.IsNil)
+	entry := exec.CommandContext(t.Context(), os.Args[0], "gateway", "--metrics-port", port, "--log", "info")
+	entry.Env = append(os.Environ(), mainVariable+"=1", platform.SettingsVariable+"="+settings)
+	entry.Stdout, entry.Stderr = &p.log, &p.log
+	qt.Assert(t, entry.Start(), qt.IsNil)
+	p.entry = entry
+	t.Cleanup(p.end)
+	await(t, "the entry is ready", func() bool {
+		return status(platform.Settings{Readiness: p.cfg.Readiness}) == http.StatusOK
+	})
+}
+
+// end ends the entry.
+func (p *slowPlay) end() {
+	_ = p.entry.Process.Kill()
+	_ = p.entry.Wait()
+}
+
+// sample returns the value of a metric of the entry; 0 if it has none.
+func (p *slowPlay) sample(name string) int64 {
+	resp, err := http.Get("http://" + p.metrics + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		if key, value, ok := strings.Cut(lines.Text(), " "); ok && key == name {
+			n, _ := strconv.ParseFloat(value, 64)
+			return int64(n)
+		}
+	}
+	return 0
+}
+
+// watch samples the entry until ctx is done.
+func (p *slowPlay) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.peak.Store(max(p.peak.Load(), p.sample("fighollow_process_heap_bytes")))
+		p.unread.Store(max(p.unread.Load(), p.sample("fighollow_held_unread_callers")))
+		for i, kind := range []string{"request", "answer"} {
+			p.held[i].Store(max(p.held[i].Load(), p.sample("fighollow_held_"+kind+"_bytes")))
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// header returns the header of a request for path.
+func (p *slowPlay) header(path string, bodyBytes int) string {
+	h := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: r%d\r\nRequest-Deadline-Ms: %d\r\nContent-Length: %d\r\n",
+		path, playHost, p.seq.Add(1), playDeadline.Milliseconds(), bodyBytes)
+	if strings.HasPrefix(path, "/stream/") {
+		h += "Model: m\r\nToken-Usage: 1460,80\r\n"
+	}
+	return h + "\r\n"
+}
+
+// dial opens a connection to the entry that holds little for a caller that does not read.
+func (p *slowPlay) dial() net.Conn {
+	c, err := (&net.Dialer{Control: smallSegments}).DialContext(p.t.Context(), "tcp", p.cfg.Ingress)
+	qt.Assert(p.t, err, qt.IsNil)
+	return c
+}
+
+// request makes a request of a normal caller, again if it is refused, as by a machine that is short of processor time. It returns how long
+// that took until the end of the answer, and whether the answer is complete.
+func (p *slowPlay) request(path string) (time.Duration, bool) {
+	start := time.Now()
+	for {
+		complete, refused := p.attempt(path)
+		if took := time.Since(start); !refused || took > playDeadline {
+			return took, complete
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+// attempt makes a request. It reports whether its answer is complete, and whether it was refused as not run.
+func (p *slowPlay) attempt(path string) (complete, refused bool) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+p.cfg.Ingress+path, nil)
+	if err != nil {
+		return false, false
+	}
+	req.Host = playHost
+	req.Header.Set("Request-Id", fmt.Sprintf("r%d", p.seq.Add(1)))
+	req.Header.Set("Request-Deadline-Ms", strconv.FormatInt(playDeadline.Milliseconds(), 10))
+	if strings.HasPrefix(path, "/stream/") {
+		req.Header.Set("Model", "m")
+		req.Header.Set("Token-Usage", "1460,80")
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		p.t.Logf("%s: %v", path, err)
+		return false, false
+	}
+	defer resp.Body.Close()
+	n, err := io.Copy(io.Discard, resp.Body)
+	complete = err == nil && resp.StatusCode == http.StatusOK && (path == normalPaths[0] || n >= longAnswer)
+	if !complete {
+		p.t.Logf("%s: status %d, %d bytes, %v", path, resp.StatusCode, n, err)
+	}
+	return complete, resp.StatusCode == http.StatusServiceUnavailable
+}
+
+// normalPaths are those of normal callers' requests: a stream of short events, a stream of one long event, and a long plain answer.
+var normalPaths = []string{"/stream/normal/x", "/stream/normal/x", "/stream/long/x", "/once/plain/x"}
+
+// normal makes the requests of normal callers for a time. It returns the median and the 90th percentile of their durations, and how many had no complete answer.
+func (p *slowPlay) normal(d time.Duration) (median, p90 time.Duration, incomplete int) {
+	var mu sync.Mutex
+	var took []time.Duration
+	var callers sync.WaitGroup
+	for i := range 8 {
+		callers.Go(func() {
+			for k, end := i, time.Now().Add(d); time.Now().Before(end); k++ {
+				t, ok := p.request(normalPaths[k%len(normalPaths)])
+				mu.Lock()
+				if took = append(took, t); !ok {
+					incomplete++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	callers.Wait()
+	slices.Sort(took)
+	return took[len(took)/2], took[len(took)*9/10], incomplete
+}
+
+// sendSlowly sends a long body in parts with pauses and reads the status of the answer.
+func (p *slowPlay) sendSlowly() string {
+	c := p.dial()
+	defer c.Close()
+	go func() {
+		_, err := io.WriteString(c, p.header("/once/slow/x", longBody))
+		for sent := 0; err == nil && sent < longBody; sent += 64 << 10 {
+			time.Sleep(30 * time.Millisecond)
+			_, err = c.Write(make([]byte, 64<<10))
+		}
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, 30))
+	return resp.Status + " " + string(text)
+}
+
+// unreadPaths are those of requests whose callers read nothing: a stream of short events, a stream of one long event, and a plain answer.
+var unreadPaths = []string{"/stream/unread/x", "/stream/unreadLong/x", "/once/plain/x"}
+
+// openUnread opens connections of callers that request long answers and read nothing.
+func (p *slowPlay) openUnread(n int) []net.Conn {
+	var conns []net.Conn
+	for i := range n {
+		c := p.dial()
+		p.t.Cleanup(func() { c.Close() })
+		qt.Assert(p.t, c.(*net.TCPConn).SetReadBuffer(4<<10), qt.IsNil)
+		_, err := io.WriteString(c, p.header(unreadPaths[i%len(unreadPaths)], 0))
+		qt.Assert(p.t, err, qt.IsNil)
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// readLate reads the answer of a caller that has read nothing so far, and returns how many events it has; -1 if it is incomplete.
+func readLate(c net.Conn) int {
+	if err := c.(*net.TCPConn).SetReadBuffer(1 << 20); err != nil {
+		return -1
+	}
+	resp, err := http.ReadResponse(bufio.NewReaderSize(c, 64<<10), nil)
+	if err != nil {
+		return -1
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return -1
+	}
+	return bytes.Count(body, []byte("\n\n"))
+}
+
+// Guards against an entry that is killed for its memory, or delays all callers, because some do not read their answers and some engines do
+// not read long requests.
+func TestSlowReadersAreBounded(t *testing.T) {
+	store := standin.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	p := &slowPlay{t: t, store: store, metrics: freeAddress(t), cfg: standin.EntrySettings{
+		Name: "n1", IP: "127.0.0.1", DataCentre: "a", Ingress: freeAddress(t), Readiness: freeAddress(t), Store: strings.TrimPrefix(server.URL, "http://"),
+		MemoryMB: smallMemoryMB, Drain: 2 * time.Second, Grace: 5 * time.Second, Config: 3 * time.Second, Stable: 3 * time.Second, Lease: 3 * time.Second,
+		RetryRatio: 0.2, RetrySlack: 50,
+	}}
+	const unreadLimit = 3 * time.Second
+	plain := []string{"plain", "slow"}
+	models := []string{"normal", "unread", "long", "unreadLong"}
+	for _, s := range models {
+		p.addUpstream("p-"+s, "prefill", s, 1, standin.EngineFaults{Delay: 20 * time.Millisecond})
+	}
+	p.addUpstream("d-normal", "decode", "normal", 10, standin.EngineFaults{Delay: 20 * time.Millisecond})
+	p.addUpstream("d-long", "decode", "long", 1, standin.EngineFaults{PartBytes: longAnswer, Delay: 100 * time.Millisecond})
+	p.addUpstream("d-unread1", "decode", "unread", shortEvents, standin.EngineFaults{PartBytes: 4000, UnreadLimit: unreadLimit})
+	p.addUpstream("d-unread2", "decode", "unread", shortEvents, standin.EngineFaults{PartBytes: 4000, UnreadLimit: unreadLimit})
+	p.addUpstream("d-unreadLong", "decode", "unreadLong", 1, standin.EngineFaults{PartBytes: longAnswer, UnreadLimit: unreadLimit})
+	p.addUpstream("s-plain", "", "plain", 0, standin.EngineFaults{PartBytes: longAnswer, Delay: 100 * time.Millisecond, UnreadLimit: unreadLimit})
+	p.addUpstream("s-slow", "", "slow", 0, standin.EngineFaults{ReadPause: 30 * time.Millisecond})
+	p.configure(plain, models)
+	p.start()
+
+	p.normal(500 * time.Millisecond)
+	median, p90, incomplete := p.normal(2 * time.Second)
+	qt.Assert(t, incomplete, qt.Equals, 0)
+	before := p.sample("fighollow_process_heap_bytes")
+
+	ctx, cancel := context.WithCancel(t.Context())
+	var watch, senders sync.WaitGroup
+	watch.Go(func() { p.watch(ctx) })
+	opened := time.Now()
+	conns := p.openUnread(slowCallers)
+	late := make([]int, 4) // events of streams that their engine has aborted before their callers read
+	var readers sync.WaitGroup
+	for i := range late {
+		readers.Go(func() {
+			time.Sleep(time.Until(opened.Add(unreadLimit + 2*time.Second)))
+			late[i] = readLate(conns[i*len(unreadPaths)])
+		})
+	}
+	var mu sync.Mutex
+	statuses := map[string]int{}
+	for range bodySenders {
+		senders.Go(func() {
+			s := p.sendSlowly()
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[s]++
+		})
+	}
+	slowMedian, slowP90, slowIncomplete := p.normal(5 * time.Second)
+	senders.Wait()
+	cancel()
+	watch.Wait()
+	readers.Wait()
+	for _, c := range conns[100:] {
+		c.Close()
+	}
+	await(t, "what is held is freed", func() bool {
+		return p.sample("fighollow_held_request_bytes") == 0 && p.sample("fighollow_held_unread_callers") == 0
+	})
+	after := p.sample("fighollow_process_heap_bytes")
+	for end := time.Now().Add(5 * time.Second); after > smallMemoryMB<<20/10 && time.Now().Before(end); after = p.sample("fighollow_process_heap_bytes") {
+		p.normal(200 * time.Millisecond) // garbage is collected as requests allocate
+	}
+	p.end()
+	t.Logf("median %v, with slow callers %v; 90th percentile %v and %v; incomplete %d", median, slowMedian, p90, slowP90, slowIncomplete)
+	t.Logf("heap %d MB before, peak %d MB; held at most %d bytes of requests and %d of answers, unread at most %d callers; bodies: %v",
+		before>>20, p.peak.Load()>>20, p.held[0].Load(), p.held[1].Load(), p.unread.Load(), statuses)
+	t.Logf("heap %d MB afterwards", after>>20)
+	qt.Check(t, late, qt.DeepEquals, []int{shortEvents, shortEvents, shortEvents, shortEvents})
+	qt.Check(t, bytes.Count(p.log.Bytes(), []byte(`"result":"failed"`)), qt.Equals, 0)
+	qt.Check(t, bytes.Count(p.log.Bytes(), []byte(`"outcome":"unread"`)) > 0, qt.IsTrue)
+	qt.Check(t, p.unread.Load() >= slowCallers*9/10, qt.IsTrue)
+	qt.Check(t, after <= smallMemoryMB<<20/10, qt.IsTrue, qt.Commentf("%d bytes", after))
+	qt.Check(t, slowIncomplete, qt.Equals, 0)
+	qt.Check(t, slowMedian <= 2*median, qt.IsTrue) // the 90th percentile depends on what else the machine does, and is logged
+	qt.Check(t, p.peak.Load() <= smallMemoryMB<<20/3, qt.IsTrue, qt.Commentf("%d bytes", p.peak.Load()))
+}
