placement: prompts that end before they are reported do not count

Cause: a report's ended prompts were applied before its placed ones, so that a prompt that had ended within the delay of a report counted until the next report of its entry, up to 1 s, or until it expired. Change: placed prompts are added first; then the ended and the unnamed ones are removed. Test that failed before: TestOthersPromptsCountUntilTheyEnd.

--- a/internal/placement/backlog_test.go
+++ b/internal/placement/backlog_test.go
@@ -56,7 +56,11 @@
 
 // placed returns the report of an entry that has placed these prompts, and nothing before that is unfinished.
 func placed(work ...placement.Work) placement.WorkReport {
-	return placement.WorkReport{Placed: work, Next: numbered + 1}
+	r := placement.WorkReport{Placed: work, Next: numbered + 1}
+	for i := range work {
+		r.Unfinished = append(r.Unfinished, work[i].Number)
+	}
+	return r
 }
 
 // ended returns the report of an entry whose prompt w has ended.
@@ -83,7 +87,7 @@
 
 	lost, late := workAt("p-a-1", 0, 100), workAt("p-a-1", 0, 50)
 	f.AddWork(start, "other", placed(lost))
-	f.AddWork(start, "other", placement.WorkReport{Placed: []placement.Work{late}, Next: numbered + 1}) // lost has ended since
+	f.AddWork(start, "other", placed(late)) // lost has ended since
 	qt.Assert(t, pending(f, start), qt.Equals, 50.0)
 	old := placement.WorkReport{Next: late.Number} // was sent before late was placed
 	f.AddWork(start, "other", old)
@@ -95,9 +99,14 @@
 		qt.Assert(t, pending(f, start.Add(time.Duration(s)*time.Second)), qt.Equals, 50.0)
 	}
 	qt.Assert(t, pending(f, start.Add(11*time.Second)), qt.Equals, 0.0, qt.Commentf("the entry has failed"))
-	f.AddWork(start.Add(11*time.Second), "other", placement.WorkReport{Placed: []placement.Work{late}, Next: late.Number + 1})
+	f.AddWork(start.Add(11*time.Second), "other", placed(late))
 	f.AddWork(start.Add(21500*time.Millisecond), "other", unfinished)
 	qt.Assert(t, pending(f, start.Add(22*time.Second)), qt.Equals, 0.0, qt.Commentf("unfinished for longer than any caller waits"))
+
+	short := placed(workAt("p-a-1", 0, 100)) // has ended before it was reported
+	short.Unfinished, short.Ended = nil, []placement.Work{{Number: numbered, Ended: true}}
+	f.AddWork(start.Add(30*time.Second), "other", short)
+	qt.Assert(t, pending(f, start.Add(30*time.Second)), qt.Equals, 0.0)
 }
 
 // Guards against shared parts that are computed again because another entry had them computed, and against long prompts that go to an engine
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -8,10 +8,13 @@
 )
 
 const (
-	// minSharingEntries is the number of entries from which on they share what they place, and keepSharingEntries the number down to which
-	// they continue. Fewer entries see enough of the work themselves; two values prevent frequent changes.
-	minSharingEntries  = 8
-	keepSharingEntries = 6
+	// minSharingEntries and maxSharingEntries are the least and the largest number of entries that begin to share what they place. Fewer entries
+	// see enough of the work themselves. What an entry receives grows with the number, and engines whose work is reported to some entries only
+	// look idle to the others. Entries that share continue down to minStillSharing and up to maxStillSharing, which prevents frequent changes.
+	minSharingEntries = 8
+	maxSharingEntries = 40
+	minStillSharing   = 6
+	maxStillSharing   = 48
 	// senderShare bounds the rate of work that one entry can report, as a multiple of the engine time per entry: load balancers spread
 	// requests unevenly. An entry that reports more is faulty, and its reports are ignored for senderPause, so that it cannot make engines
 	// look busy. senderBurst is how much can be reported at once, and minSenderBurstMs the least, for long prompts in small fleets.
@@ -23,25 +26,18 @@
 	maxSenders = 1024
 	// countInterval is the pause between two counts of the engines.
 	countInterval = time.Second
-	// longPromptMs is the typical time of a prompt from which on the entries share what they place in a service, and shortPromptMs the one down
-	// to which they continue. What others report is 20 to 60 ms old; of shorter prompts, most that are reported as unfinished have ended.
+	// longPromptMs is the typical time of a prompt from which on the entries share what they place in a service, and shortPromptMs the time down
+	// to which they continue. What others report is 20 to 60 ms old; shorter prompts have mostly ended by then.
 	longPromptMs  = 60
 	shortPromptMs = 40
 	// typicalPrompts is the number of recent prompts that their typical time weighs most.
 	typicalPrompts = 32
-	// maxSharingEntries is the number of entries up to which they share what they place, and keepManySharing the number up to which they continue.
-	// What an entry receives grows with the number. To report to the engine's data centre only makes engines elsewhere look idle, or as busy
-	// as is assumed of them; tenterbrook-uw-large, with 103 entries, fell by 0.044 with it.
-	maxSharingEntries = 40
-	keepManySharing   = 48
+	// maxPromptsPerEntry bounds the unfinished prompts of one entry that are counted in a service. An entry has some tens.
+	maxPromptsPerEntry = 256
+	// maxPrefixParts bounds the parts of a prompt that its entry reports. Prompts have two or three that others share.
+	maxPrefixParts = 4
 )
 
-// maxPromptsPerEntry bounds the unfinished prompts of one entry that are counted in a service. An entry has some tens.
-const maxPromptsPerEntry = 256
-
-// maxPrefixParts bounds the parts of a prompt that its entry reports. Prompts have two or three that others share.
-const maxPrefixParts = 4
-
 // Work is a prompt that was placed at an engine, or that has ended there, as its entry reports it.
 type Work struct {
 	Number  uint32 // of the prompt among those of the entry; it increases
@@ -60,7 +56,7 @@
 	Placed []Work
 	Ended  []Work // only Number, Computed and Ratio are set
 	// Next is above the numbers of all prompts that the entry had placed when it sent the report, and Unfinished has the numbers of those that
-	// were unfinished. So a lost report is repaired by the next one.
+	// were unfinished, those of Placed too. So a lost report is repaired by the next one.
 	Next       uint32
 	Unfinished []uint32
 }
@@ -68,7 +64,7 @@
 // sharesWork reports whether so many entries share what they place; on is whether they did so far.
 func sharesWork(entries int, on bool) bool {
 	if on {
-		return entries >= keepSharingEntries && entries <= keepManySharing
+		return entries >= minStillSharing && entries <= maxStillSharing
 	}
 	return entries >= minSharingEntries && entries <= maxSharingEntries
 }
@@ -202,12 +198,7 @@
 	if !p.sharing {
 		return 0, 0
 	}
-	prompts := p.reported.of(from)
-	for i := range r.Ended {
-		p.endReported(now, prompts, &r.Ended[i])
-	}
-	p.confirmReported(now, prompts, r)
-	mean := p.pace.mean()
+	prompts, mean := p.reported.of(from), p.pace.mean()
 	for i := range r.Placed {
 		w := &r.Placed[i]
 		inst := p.byHash[w.Engine]
@@ -225,6 +216,11 @@
 		added++
 		ms += rp.ms * mean
 	}
+	// A prompt can have ended before it was reported to have been placed.
+	for i := range r.Ended {
+		p.endReported(now, prompts, &r.Ended[i])
+	}
+	p.confirmReported(now, prompts, r)
 	return added, ms
 }
 
