faults: the play of slow readers is a process test

Cause: as a unit test of cmd/fighollow it ran its entry with the race detector, beside the other packages' tests. Change: it runs the built program, as the other process tests do, after the unit tests. Checks and bounds are the same.

--- a/cmd/fighollow/slow_test.go
+++ b/internal/faults/slow_test.go
@@ -1,4 +1,4 @@
-package main
+package faults_test
 
 import (
 	"bufio"
@@ -28,17 +28,6 @@
 	"github.com/fighollow/fighollow/platform/standin"
 )
 
-// mainVariable is set for a test binary that is to run as fighollow.
-const mainVariable = "FIGHOLLOW_TEST_MAIN"
-
-func TestMain(m *testing.M) {
-	if os.Getenv(mainVariable) != "" {
-		main()
-		return
-	}
-	os.Exit(m.Run())
-}
-
 const (
 	playHost = "callers.example"
 	// segmentBytes is the segment size of sockets in the play. With the 64 KB of the loopback device, the kernel buffers more than a
@@ -132,17 +121,26 @@
 	qt.Assert(t, os.WriteFile(settings, []byte(p.cfg.File()), 0o600), qt.IsNil)
 	_, port, err := net.SplitHostPort(p.metrics)
 	qt.Assert(t, err, qt.IsNil)
-	entry := exec.CommandContext(t.Context(), os.Args[0], "gateway", "--metrics-port", port, "--log", "info")
-	entry.Env = append(os.Environ(), mainVariable+"=1", platform.SettingsVariable+"="+settings)
+	entry := exec.CommandContext(t.Context(), filepath.Join(binaries, "fighollow"), "gateway", "--metrics-port", port, "--log", "info")
+	entry.Env = append(os.Environ(), platform.SettingsVariable+"="+settings)
 	entry.Stdout, entry.Stderr = &p.log, &p.log
 	qt.Assert(t, entry.Start(), qt.IsNil)
 	p.entry = entry
 	t.Cleanup(p.end)
-	for end := time.Now().Add(20 * time.Second); status(platform.Settings{Readiness: p.cfg.Readiness}) != http.StatusOK; time.Sleep(10 * time.Millisecond) {
+	for end := time.Now().Add(20 * time.Second); !p.isReady(); time.Sleep(10 * time.Millisecond) {
 		qt.Assert(t, time.Now().Before(end), qt.IsTrue, qt.Commentf("the entry is not ready"))
 	}
 }
 
+func (p *slowPlay) isReady() bool {
+	resp, err := http.Get("http://" + p.cfg.Readiness + platform.ReadinessPath)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 // end ends the entry.
 func (p *slowPlay) end() {
 	_ = p.entry.Process.Kill()
@@ -320,8 +318,8 @@
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
 	t.Cleanup(server.CloseClientConnections)
-	p := &slowPlay{t: t, store: store, metrics: freeAddress(t), cfg: standin.EntrySettings{
-		Name: "n1", IP: "127.0.0.1", DataCentre: "a", Ingress: freeAddress(t), Readiness: freeAddress(t), Store: strings.TrimPrefix(server.URL, "http://"),
+	p := &slowPlay{t: t, store: store, metrics: freeAddr(t), cfg: standin.EntrySettings{
+		Name: "n1", IP: "127.0.0.1", DataCentre: "a", Ingress: freeAddr(t), Readiness: freeAddr(t), Store: strings.TrimPrefix(server.URL, "http://"),
 		MemoryMB: smallMemoryMB, Drain: 2 * time.Second, Grace: 5 * time.Second, Config: 3 * time.Second, Stable: 3 * time.Second, Lease: 3 * time.Second,
 		RetryRatio: 0.2, RetrySlack: 50,
 	}}
@@ -377,9 +375,9 @@
 	for _, c := range conns[100:] {
 		c.Close()
 	}
-	await(t, "what is held is freed", func() bool {
-		return p.sample("fighollow_held_request_bytes") == 0 && p.sample("fighollow_held_unread_callers") == 0
-	})
+	for end := time.Now().Add(5 * time.Second); p.sample("fighollow_held_request_bytes") != 0 || p.sample("fighollow_held_unread_callers") != 0; time.Sleep(10 * time.Millisecond) {
+		qt.Assert(t, time.Now().Before(end), qt.IsTrue, qt.Commentf("what is held is not freed within 5 s"))
+	}
 	after := p.sample("fighollow_process_heap_bytes")
 	for end := time.Now().Add(5 * time.Second); after > smallMemoryMB<<20/10 && time.Now().Before(end); after = p.sample("fighollow_process_heap_bytes") {
 		p.normal(200 * time.Millisecond) // garbage is collected as requests allocate
