callerconn: the connections of callers are bounded, and stalled ones make room

What callers saw: 600 callers that were silent, or kept back the last byte of a body, took all descriptors of an entry. With 512 descriptors, no ordinary request was answered for 60 s while bodies without their last byte were held (their requests named a deadline of 10 minutes), and the process opened 512 files and sockets of 512.

Cause: nothing bounded connections. The header timeout, the idle timeout and the deadline, which the caller names, end a connection some time later; until then there was no descriptor for another caller, nor for the store and the upstreams. The readiness and the metrics port had no bound at all.

When it is full, the connection that has waited for its caller for longest is closed: first those with an unfinished request or an unread answer and no progress for 1 s, then idle ones, then the others. Callers that wait for an answer keep theirs; if all wait, a new connection is closed unread.

Why it works: a caller that sends nothing is always older than one that has just connected and sends its request, so that a new request is read before its connection is the oldest one.

Evidence: TestCrowds, an entry in its own process with 512 descriptors.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	stdlog "log"
 	"net"
 	"net/http"
 	"os"
@@ -250,29 +249,22 @@
 	}
 	defer p.pool.Close()
 	defer p.control.Close()
-	callerListener, err := net.Listen("tcp", p.cfg.Ingress)
+	callerServer, callers, err := p.listenForCallers()
 	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
+		return err
 	}
-	readinessListener, err := net.Listen("tcp", p.cfg.Readiness)
+	readinessServer, probes, err := p.listenForProbes(p.cfg.Readiness, p.readiness())
 	if err != nil {
 		return fmt.Errorf("listen for readiness checks: %w", err)
 	}
 	if err := p.peers.Listen(p.cfg.Address, p.cfg.PeerPorts[0], p.cfg.PeerPorts[1]); err != nil {
 		return fmt.Errorf("listen for other entries: %w", err)
 	}
-	callers := callerconn.NewListener(callerListener, p.callerTimeouts, p.log)
-	callerServer := &http.Server{
-		Handler:           callerconn.ResetAborted(platform.NewIngress(p.gateway, p.held, p.stopping.Load)),
-		ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: stdlog.New(p.log, "", 0),
-		ConnState: callers.ConnState, ConnContext: callerconn.Context,
-	}
-	readinessServer := &http.Server{Handler: p.readiness(), ReadHeaderTimeout: callerHeaderTimeout}
 	serverErrs := make(chan error, 3)
 	go func() { serverErrs <- callerServer.Serve(callers) }()
-	go func() { serverErrs <- readinessServer.Serve(readinessListener) }()
+	go func() { serverErrs <- readinessServer.Serve(probes) }()
 	if p.flags.metricsPort > 0 {
-		go func() { serverErrs <- p.serveMetrics() }()
+		go func() { serverErrs <- p.serveMetrics(callers) }()
 	}
 	bgCtx, cancelBg := context.WithCancel(context.Background())
 	defer cancelBg()
@@ -367,12 +359,12 @@
 	}
 }
 
-// callerTimeouts returns the operator's timeouts of callers' connections, or zeros until the configuration is loaded.
-func (p *gatewayProcess) callerTimeouts() callerconn.Timeouts {
+// callerLimits returns the operator's limits of callers' connections, or zeros until the configuration is loaded.
+func (p *gatewayProcess) callerLimits() callerconn.Limits {
 	if r := p.gateway.Routing(); r != nil {
-		return callerconn.Timeouts{Header: r.Limits.HeaderTimeout, Idle: r.Limits.IdleTimeout}
+		return callerconn.Limits{Header: r.Limits.HeaderTimeout, Idle: r.Limits.IdleTimeout}
 	}
-	return callerconn.Timeouts{}
+	return callerconn.Limits{}
 }
 
 // isReady reports whether the process accepts new connections.
@@ -394,7 +386,7 @@
 }
 
 // registerGauges registers the values that parts of the process maintain themselves.
-func (p *gatewayProcess) registerGauges() {
+func (p *gatewayProcess) registerGauges(callers *callerconn.Listener) {
 	gauge := func(name string, value func() int64) {
 		_ = p.registry.Register(name, metrics.NewFunctionalGauge(value)) // each name is registered once
 	}
@@ -411,6 +403,9 @@
 		gauge("usage.oldestMs", p.usage.reporter.OldestMs)
 	}
 	gauge("upstreams.connections", func() int64 { return p.pool.Dials() + p.control.Dials() })
+	gauge("callers.connections", func() int64 { return int64(callers.Stats().Open) })
+	gauge("callers.evicted", func() int64 { return callers.Stats().Evicted })
+	gauge("callers.turnedAway", func() int64 { return callers.Stats().Refused })
 	gauge("log.dropped", p.sink.Dropped)
 	gauge("process.heapBytes", heapBytes)
 	gauge("routing.version", func() int64 {
@@ -434,15 +429,14 @@
 	return int64(sample[0].Value.Uint64())
 }
 
-func (p *gatewayProcess) serveMetrics() error {
-	p.registerGauges()
+func (p *gatewayProcess) serveMetrics(callers *callerconn.Listener) error {
+	p.registerGauges(callers)
 	r := chi.NewRouter()
 	r.Get("/metrics", admin.MetricsHandler(p.registry))
 	r.Get(explainPath, p.gateway.ExplainHandler(explainDecoder()))
-	address := net.JoinHostPort(p.cfg.Address, strconv.Itoa(p.flags.metricsPort))
-	s := &http.Server{Addr: address, Handler: r, ReadHeaderTimeout: callerHeaderTimeout}
-	if err := s.ListenAndServe(); err != nil {
-		return fmt.Errorf("serve metrics: %w", err)
+	s, l, err := p.listenForProbes(net.JoinHostPort(p.cfg.Address, strconv.Itoa(p.flags.metricsPort)), r)
+	if err == nil {
+		err = s.Serve(l)
 	}
-	return nil
+	return fmt.Errorf("serve metrics: %w", err)
 }
--- a/cmd/fighollow/stop_test.go
+++ b/cmd/fighollow/stop_test.go
@@ -27,7 +27,7 @@
 		gateway: gateway.New(gateway.Options{Registry: metrics.NewRegistry()}, nil, nil, zerolog.Nop()), log: zerolog.Nop(),
 	}
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	callers := callerconn.NewListener(s.Listener, func() callerconn.Timeouts { return callerconn.Timeouts{} }, zerolog.Nop())
+	callers := callerconn.NewListener(s.Listener, callerconn.Options{Limits: func() callerconn.Limits { return callerconn.Limits{} }}, zerolog.Nop())
 	s.Listener = callers
 	s.Config.ConnState = func(nc net.Conn, state http.ConnState) {
 		if state == http.StateActive {
--- a/internal/callerconn/drain_test.go
+++ b/internal/callerconn/drain_test.go
@@ -16,7 +16,7 @@
 
 // Guards against a drain that cuts a request which is being read or served, or that keeps idle connections open.
 func TestDrainEndsIdleConnectionsOnly(t *testing.T) {
-	l := listen(t, callerconn.Timeouts{Header: 5 * time.Second, Idle: 5 * time.Second})
+	l := listen(t, callerconn.Limits{Header: 5 * time.Second, Idle: 5 * time.Second})
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/slow" {
 			time.Sleep(300 * time.Millisecond)
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -16,12 +16,18 @@
 	"github.com/fighollow/fighollow/internal/event"
 )
 
-// Timeouts bound how long a caller may take. A timeout of zero does not apply.
-type Timeouts struct {
+// Limits bound how long a caller may take. A limit of zero does not apply.
+type Limits struct {
 	Header time.Duration // from the connection, or from the first byte of a later request, to the end of the header
 	Idle   time.Duration // from the end of an answer to the first byte of the next request, blank lines aside
 }
 
+// Options are the bounds of a Listener's connections.
+type Options struct {
+	Limits   func() Limits // those of each wait that begins
+	MaxConns int           // connections at a time; 0 for no bound
+}
+
 // unreadDelay is how long a timeout waits for the server to read bytes that have arrived before it expired.
 const unreadDelay = 100 * time.Millisecond
 
@@ -37,20 +43,21 @@
 // time ends no request that is there already. It is safe for concurrent use.
 type Listener struct {
 	net.Listener
-	timeouts func() Timeouts
-	log      zerolog.Logger
-	close    func() error // closes net.Listener once: both Drain and the server close it
+	opts  Options
+	log   zerolog.Logger
+	close func() error // closes net.Listener once: both Drain and the server close it
 
 	mu        sync.Mutex
 	accepting int // calls of Accept that may return a connection
 	conns     map[*Conn]struct{}
+	waiting   waitLists
 	draining  bool
+	full      fullReport
 }
 
-// NewListener returns a Listener for the TCP connections of l. Each wait is bounded by the result of timeouts at its start. The
-// server of the connections must call ConnState.
-func NewListener(l net.Listener, timeouts func() Timeouts, log zerolog.Logger) *Listener {
-	return &Listener{Listener: l, timeouts: timeouts, log: log, close: sync.OnceValue(l.Close), conns: map[*Conn]struct{}{}}
+// NewListener returns a Listener for the TCP connections of l. The server of the connections must call ConnState.
+func NewListener(l net.Listener, opts Options, log zerolog.Logger) *Listener {
+	return &Listener{Listener: l, opts: opts, log: log, close: sync.OnceValue(l.Close), conns: map[*Conn]struct{}{}}
 }
 
 // Close implements net.Listener.
@@ -65,33 +72,44 @@
 	}
 	l.accepting++
 	l.mu.Unlock()
-	nc, err := l.accept()
+	nc, err := l.acceptWithinBound()
 	l.mu.Lock()
 	l.accepting--
-	if c, ok := nc.(*Conn); ok {
-		l.conns[c] = struct{}{}
-	}
 	return nc, err
 }
 
-func (l *Listener) accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+// acceptWithinBound returns the next connection for which there is room.
+func (l *Listener) acceptWithinBound() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.makeRoom() {
+			return l.accepted(nc), nil
+		}
+		_ = nc.Close() // nothing of it was read
 	}
+}
+
+// accepted returns the connection that the server gets for nc.
+func (l *Listener) accepted(nc net.Conn) net.Conn {
 	tcp, ok := nc.(*net.TCPConn)
 	if !ok {
-		return nc, nil
+		return nc
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return nc, nil //nolint:nilerr // an error of one connection must not end the server
+		return nc // an error of one connection must not end the server
 	}
 	c := &Conn{TCPConn: tcp, raw: raw, l: l, accepted: time.Now()}
+	l.mu.Lock()
+	l.conns[c] = struct{}{}
+	l.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.await(stateHeader, l.timeouts().Header)
-	return c, nil
+	c.await(stateHeader, l.opts.Limits().Header)
+	return c
 }
 
 // ConnState is the callback for http.Server.ConnState.
@@ -165,6 +183,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.conns, c)
+	l.waiting.remove(c)
 }
 
 // connState is what a Conn waits for.
@@ -174,6 +193,7 @@
 	stateBusy   connState = iota // nothing: a request is being served
 	stateHeader                  // the rest of a header
 	stateIdle                    // the first byte of a request
+	stateBody                    // the rest of a body
 )
 
 func (s connState) String() string {
@@ -182,6 +202,8 @@
 		return "header"
 	case stateIdle:
 		return "idle"
+	case stateBody:
+		return "body"
 	}
 	return "busy"
 }
@@ -256,11 +278,13 @@
 	raw      rawConn
 	l        *Listener
 	accepted time.Time
+	entry    waitEntry // under the lock of l
 
 	mu       sync.Mutex // also held while bytes are taken from the socket, so that what has arrived is either unread or counted
 	state    connState
 	answered bool // the server has ended a request and has not read since; it may hold the next request already
 	closed   bool // nothing is read any more
+	writing  bool
 	header   header
 	ahead    ahead
 	timer    *time.Timer
@@ -269,7 +293,8 @@
 
 // await starts to wait for the bytes of the next request. c.mu must be held.
 func (c *Conn) await(s connState, timeout time.Duration) {
-	c.state, c.header = s, header{}
+	c.header = header{}
+	c.setState(s)
 	c.startTimer(timeout, timeout)
 }
 
@@ -281,11 +306,11 @@
 	}
 	c.answered = false
 	if c.ahead.next.begun && !c.ahead.complete {
-		c.await(stateHeader, c.l.timeouts().Header)
+		c.await(stateHeader, c.l.opts.Limits().Header)
 		c.header = c.ahead.next
 		return
 	}
-	c.await(stateIdle, c.l.timeouts().Idle)
+	c.await(stateIdle, c.l.opts.Limits().Idle)
 }
 
 // startTimer replaces the timer, which expires after delay; zero stops it. The wait that it ends was bounded by timeout. c.mu must
@@ -333,19 +358,23 @@
 	if len(p) == 0 {
 		return
 	}
-	if c.state == stateBusy {
+	if c.state == stateBody {
+		c.setState(stateBody) // progress
+	}
+	if c.state == stateBusy || c.state == stateBody {
 		c.ahead.scan(p)
 		return
 	}
 	if n, ended := c.header.scan(p); ended {
-		c.state, c.ahead = stateBusy, ahead{body: c.header.body}
+		c.ahead = ahead{body: c.header.body}
+		c.setState(stateBusy)
 		c.ahead.scan(p[n:])
 		c.startTimer(0, 0)
 		return
 	}
 	if c.state == stateIdle && c.header.begun { // until then the idle timeout goes on
-		c.state = stateHeader
-		timeout := c.l.timeouts().Header
+		c.setState(stateHeader)
+		timeout := c.l.opts.Limits().Header
 		c.startTimer(timeout, timeout)
 	}
 }
--- a/internal/callerconn/listener_test.go
+++ b/internal/callerconn/listener_test.go
@@ -19,11 +19,11 @@
 
 func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
 
-func listen(t *testing.T, timeouts callerconn.Timeouts) *callerconn.Listener {
+func listen(t *testing.T, limits callerconn.Limits) *callerconn.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { l.Close() })
-	return callerconn.NewListener(l, func() callerconn.Timeouts { return timeouts }, zerolog.Nop())
+	return callerconn.NewListener(l, callerconn.Options{Limits: func() callerconn.Limits { return limits }}, zerolog.Nop())
 }
 
 func dial(t *testing.T, l net.Listener) net.Conn {
@@ -37,7 +37,7 @@
 // Guards against a timer that closes a connection on which a request has arrived and waits for a stalled process.
 func TestUnreadRequestSurvivesItsTimeout(t *testing.T) {
 	const timeout = 100 * time.Millisecond
-	l := listen(t, callerconn.Timeouts{Header: timeout, Idle: timeout})
+	l := listen(t, callerconn.Limits{Header: timeout, Idle: timeout})
 	caller := dial(t, l)
 	nc, err := l.Accept()
 	qt.Assert(t, err, qt.IsNil)
@@ -63,7 +63,7 @@
 
 // Guards against a header that arrives byte by byte and holds a connection for ever, on a new connection or a kept one.
 func TestSlowHeaderEndsItsConnection(t *testing.T) {
-	l := listen(t, callerconn.Timeouts{Header: 150 * time.Millisecond, Idle: 5 * time.Second})
+	l := listen(t, callerconn.Limits{Header: 150 * time.Millisecond, Idle: 5 * time.Second})
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	s.Listener, s.Config.ConnState = l, l.ConnState
 	s.Start()
@@ -96,7 +96,7 @@
 // Guards against an idle timer that runs while a request is served which arrived together with the one before.
 func TestPipelinedRequestIsNotIdle(t *testing.T) {
 	const idle = 100 * time.Millisecond
-	l := listen(t, callerconn.Timeouts{Idle: idle})
+	l := listen(t, callerconn.Limits{Idle: idle})
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/slow" {
 			time.Sleep(3 * idle)
@@ -127,7 +127,7 @@
 		time.Sleep(100 * time.Millisecond)
 		return len(p), nil
 	}))
-	l := callerconn.NewListener(inner, func() callerconn.Timeouts { return callerconn.Timeouts{Header: 100 * time.Millisecond} }, log)
+	l := callerconn.NewListener(inner, callerconn.Options{Limits: func() callerconn.Limits { return callerconn.Limits{Header: 100 * time.Millisecond} }}, log)
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	s.Listener, s.Config.ConnState = l, l.ConnState
 	s.Start()
@@ -146,7 +146,7 @@
 // notice it.
 func TestPipelinedRequestSurvivesTheIdleTimeout(t *testing.T) {
 	const idle = 100 * time.Millisecond
-	l := listen(t, callerconn.Timeouts{Idle: idle})
+	l := listen(t, callerconn.Limits{Idle: idle})
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	s.Listener = l
 	n := 0
@@ -174,7 +174,7 @@
 // Guards against a blank line after a body, which servers ignore, being taken for the start of a header: the connection would
 // end at the header timeout although the caller may use it until the idle timeout.
 func TestBlankLineBetweenRequestsIsIdle(t *testing.T) {
-	l := listen(t, callerconn.Timeouts{Header: 100 * time.Millisecond, Idle: 5 * time.Second})
+	l := listen(t, callerconn.Limits{Header: 100 * time.Millisecond, Idle: 5 * time.Second})
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }))
 	s.Listener, s.Config.ConnState = l, l.ConnState
 	s.Start()
@@ -197,7 +197,7 @@
 // Guards against blank lines that keep an idle connection open for ever.
 func TestBlankLinesDoNotKeepAConnection(t *testing.T) {
 	const idle = 200 * time.Millisecond
-	l := listen(t, callerconn.Timeouts{Header: 5 * time.Second, Idle: idle})
+	l := listen(t, callerconn.Limits{Header: 5 * time.Second, Idle: idle})
 	c := dial(t, l)
 	nc, err := l.Accept()
 	qt.Assert(t, err, qt.IsNil)
@@ -230,7 +230,7 @@
 		lines <- string(p)
 		return len(p), nil
 	}))
-	l := callerconn.NewListener(inner, func() callerconn.Timeouts { return callerconn.Timeouts{Header: timeout} }, log)
+	l := callerconn.NewListener(inner, callerconn.Options{Limits: func() callerconn.Limits { return callerconn.Limits{Header: timeout} }}, log)
 	c := dial(t, l)
 	nc, err := l.Accept()
 	qt.Assert(t, err, qt.IsNil)
@@ -260,7 +260,7 @@
 // playPipelined sends a request and the beginning of another one at once, and the rest after the first answer.
 func playPipelined(t *testing.T, first string) {
 	const idle = 100 * time.Millisecond
-	l := listen(t, callerconn.Timeouts{Idle: idle})
+	l := listen(t, callerconn.Limits{Idle: idle})
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	s.Listener = l
 	n := 0
--- a/internal/callerconn/socket_test.go
+++ b/internal/callerconn/socket_test.go
@@ -17,7 +17,7 @@
 // Guards against errors that http.Server answers with 400, because they differ from those of net's own connections.
 func TestReadErrorsAreThoseOfAConnection(t *testing.T) {
 	const timeout = 100 * time.Millisecond
-	l := listen(t, callerconn.Timeouts{Header: timeout})
+	l := listen(t, callerconn.Limits{Header: timeout})
 	read := func(prepare func(caller, nc net.Conn)) error {
 		caller := dial(t, l)
 		nc, err := l.Accept()
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -78,6 +78,7 @@
 	SharesRefused       = Event{8084, "sharesRefused", zerolog.InfoLevel, "a service is still scarce; the line has how many requests this entry has refused since that began, and the figures of scarcityBegan as they are now"}
 	ShareMessageIgnored = Event{8085, "shareMessageIgnored", zerolog.DebugLevel, "a message of another entry about shares is malformed or absurd; it is ignored"}
 	HeldBytesFull       = Event{8090, "heldBytesFull", zerolog.WarnLevel, "the bytes of requests, or of answers, that this process holds have reached their bound: further long requests are refused, or long answers and events are relayed in parts, so that they cannot be resumed elsewhere. The line has the bytes of that kind, how many callers do not read, and how many requests and answers met the bound since the start. Logged at most every 10 s"}
+	CallersFull         = Event{8091, "callersFull", zerolog.WarnLevel, "a listener has as many connections as its bound: the one that has waited for its caller for longest is closed for each new one, or the new one if all callers wait for answers. The line has how many have an unfinished request or are idle now, and how many were closed and refused since the start. Logged at most every 10 s"}
 	RoleOrdered         = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is ordered to change its role; the line has the reason and the load that the decision was based on"}
 	RoleOrderEnded      = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "the engine accepted or refused an order for a role change, or its answer was lost; in the last case it may still carry out the order, and gets no other for some time"}
 	ReportMissing       = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
@@ -96,5 +97,5 @@
 	UsageClockCorrected, UsageMessageIgnored, UsageCountersLost, UsageCountersAsked,
 	WorkUnread, WorkShared, WorkDistrusted,
 	ScarcityBegan, ScarcityEnded, SharesRefused, ShareMessageIgnored,
-	HeldBytesFull,
+	HeldBytesFull, CallersFull,
 }
--- /dev/null
+++ b/internal/faults/crowd_test.go
@@ -0,0 +1,231 @@
+package faults_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
+
+	"github.com/fighollow/fighollow/platform"
+	"github.com/fighollow/fighollow/platform/standin"
+)
+
+const (
+	// crowdTime is how long a crowd stays.
+	crowdTime = 4 * time.Second
+	// crowdDeadline is the deadline that the requests of a crowd name.
+	crowdDeadline = 10 * time.Minute
+	// ordinaryTime bounds the time until an ordinary request is answered, also on a slow machine.
+	ordinaryTime = 60 * time.Second
+	// reservedFiles is the part of an instance's descriptors that is not for sockets.
+	reservedFiles = 200
+)
+
+// crowd is a number of callers that send what ordinary ones do not. Each has one connection at a time.
+type crowd struct {
+	name        string
+	callers     int
+	descriptors int                            // of the entry's settings and its process
+	address     func(p *slowPlay) string       // nil for that of callers
+	send        func(p *slowPlay, c io.Writer) // ends early if the connection does
+}
+
+func readinessAddress(p *slowPlay) string { return p.cfg.Readiness }
+
+// head returns the header of a request without the blank line that ends it.
+func (p *slowPlay) head(path, fields string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: r%d\r\nRequest-Deadline-Ms: %d\r\n%s",
+		path, playHost, p.seq.Add(1), crowdDeadline.Milliseconds(), fields)
+}
+
+// unfinishedBody sends a body of n bytes that has a length and stops before its last byte, in writes of size bytes.
+func unfinishedBody(path string, n, size int) func(p *slowPlay, c io.Writer) {
+	return func(p *slowPlay, c io.Writer) {
+		_, err := io.WriteString(c, p.head(path, fmt.Sprintf("Content-Length: %d\r\n\r\n", n)))
+		for sent := 0; err == nil && sent < n-1; sent += size {
+			_, err = c.Write(make([]byte, min(size, n-1-sent)))
+		}
+	}
+}
+
+const (
+	plainPath = "/once/plain/x"
+)
+
+var crowds = []crowd{
+	{name: "silent", callers: 600, descriptors: 512, send: func(*slowPlay, io.Writer) {}},
+	{name: "silentForReadiness", callers: 600, descriptors: 512, address: readinessAddress, send: func(*slowPlay, io.Writer) {}},
+	{name: "lastByteMissing", callers: 600, descriptors: 512, send: unfinishedBody(plainPath, 10, 9)},
+	{name: "lastByteMissingForReadiness", callers: 600, descriptors: 512, address: readinessAddress, send: unfinishedBody(platform.ReadinessPath, 10, 9)},
+	{name: "slowHeader", callers: 600, descriptors: 512, send: func(p *slowPlay, c io.Writer) {
+		_, err := io.WriteString(c, p.head(plainPath, ""))
+		for err == nil {
+			time.Sleep(100 * time.Millisecond)
+			_, err = io.WriteString(c, "a")
+		}
+	}},
+}
+
+// join keeps one caller of the crowd connected until ctx ends, with a new connection whenever one is closed.
+func (k *crowd) join(ctx context.Context, p *slowPlay) {
+	address := p.cfg.Ingress
+	if k.address != nil {
+		address = k.address(p)
+	}
+	for ctx.Err() == nil {
+		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		if err != nil {
+			wait(ctx.Done(), 50*time.Millisecond)
+			continue
+		}
+		stop := context.AfterFunc(ctx, func() { c.Close() })
+		go func() {
+			_, _ = io.Copy(io.Discard, c) // until the entry closes the connection
+			c.Close()
+		}()
+		k.send(p, c)
+		_, _ = c.Read(make([]byte, 1)) // until either side closes the connection
+		stop()
+		c.Close()
+		wait(ctx.Done(), 5*time.Millisecond)
+	}
+}
+
+// resources are what the entry has of its instance.
+type resources struct {
+	resident, queued int64 // bytes; queued are those of its sockets in the kernel
+	descriptors      int
+}
+
+// resources reads what the entry has now. It fails the test if the entry has ended.
+func (p *slowPlay) resources() resources {
+	pid := p.entry.Process.Pid
+	r := resources{resident: p.memory("VmRSS")}
+	files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	qt.Assert(p.t, err, qt.IsNil)
+	r.descriptors = len(files)
+	sockets, err := os.ReadFile("/proc/net/tcp")
+	qt.Assert(p.t, err, qt.IsNil)
+	local, remote := ports(p.cfg.Ingress, p.cfg.Readiness, p.metrics), ports(p.upstreams...)
+	const listening = "0A"
+	for line := range strings.Lines(string(sockets)) {
+		f := strings.Fields(line) // number, local address, remote address, state, bytes to send:bytes to read, ...
+		if !local[f[1]] && !remote[f[2]] || f[3] == listening {
+			continue
+		}
+		for queue := range strings.SplitSeq(f[4], ":") {
+			n, _ := strconv.ParseInt(queue, 16, 64)
+			r.queued += n
+		}
+	}
+	return r
+}
+
+// ports returns loopback addresses as the kernel writes them.
+func ports(addresses ...string) map[string]bool {
+	out := make(map[string]bool)
+	for _, a := range addresses {
+		_, port, _ := net.SplitHostPort(a)
+		n, _ := strconv.Atoi(port)
+		out[fmt.Sprintf("0100007F:%04X", n)] = true
+	}
+	return out
+}
+
+// memory returns a value of the entry's status in bytes. It fails the test if the entry has ended.
+func (p *slowPlay) memory(name string) int64 {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.entry.Process.Pid))
+	qt.Assert(p.t, err, qt.IsNil)
+	_, value, ok := strings.Cut(string(status), name+":")
+	qt.Assert(p.t, ok, qt.IsTrue, qt.Commentf("the entry has ended: %s", p.log.String()))
+	kB, err := strconv.ParseInt(strings.Fields(value)[0], 10, 64)
+	qt.Assert(p.t, err, qt.IsNil)
+	return kB << 10
+}
+
+// assertOrdinary makes an ordinary request on a new connection until it is answered.
+func (p *slowPlay) assertOrdinary(when string) {
+	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for end := time.Now().Add(ordinaryTime); ; time.Sleep(100 * time.Millisecond) {
+		req, err := http.NewRequest(http.MethodPost, "http://"+p.cfg.Ingress+plainPath, strings.NewReader("ordinary"))
+		qt.Assert(p.t, err, qt.IsNil)
+		req.Host = playHost
+		req.Header.Set("Request-Id", fmt.Sprintf("r%d", p.seq.Add(1)))
+		req.Header.Set("Request-Deadline-Ms", "5000")
+		resp, err := client.Do(req)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			if err == nil && resp.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		qt.Assert(p.t, time.Now().Before(end), qt.IsTrue, qt.Commentf("no ordinary request is answered %s: %v", when, err))
+	}
+}
+
+// Guards against an entry that exceeds the memory or the descriptors of its instance, ends, or stops to serve, because of callers that do not
+// keep within the limits, or use them up. Only one crowd plays at a time.
+func TestCrowds(t *testing.T) {
+	for _, k := range crowds {
+		t.Run(k.name, func(t *testing.T) { k.play(t) })
+	}
+}
+
+func (k crowd) play(t *testing.T) {
+	if k.descriptors == 0 {
+		k.descriptors = 2048
+	}
+	store := standin.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	p := &slowPlay{t: t, store: store, metrics: freeAddr(t), cfg: standin.EntrySettings{
+		Name: "n1", IP: "127.0.0.1", DataCentre: "a", Ingress: freeAddr(t), Readiness: freeAddr(t), Store: strings.TrimPrefix(server.URL, "http://"),
+		MemoryMB: smallMemoryMB, Descriptors: k.descriptors, Drain: 2 * time.Second, Grace: 5 * time.Second, Config: 3 * time.Second,
+		Stable: 3 * time.Second, Lease: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 50,
+	}}
+	p.addUpstream("s-plain", "", "plain", 0, standin.EngineFaults{})
+	p.addUpstream("s-slow", "", "slow", 0, standin.EngineFaults{Delay: time.Second})
+	p.addUpstream("s-long", "", "long", 0, standin.EngineFaults{PartBytes: longAnswer})
+	p.configure([]string{"plain", "slow", "long"}, nil)
+	p.start()
+	limit := unix.Rlimit{Cur: uint64(k.descriptors), Max: uint64(k.descriptors)} //nolint:gosec // positive
+	qt.Assert(t, unix.Prlimit(p.entry.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil), qt.IsNil)
+	p.assertOrdinary("before the crowd")
+
+	ctx, cancel := context.WithCancel(t.Context())
+	var callers sync.WaitGroup
+	for range k.callers {
+		callers.Go(func() { k.join(ctx, p) })
+	}
+	var peak resources
+	var most int64
+	for end := time.Now().Add(crowdTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		r := p.resources()
+		most = max(most, r.resident+r.queued)
+		peak = resources{max(peak.resident, r.resident), max(peak.queued, r.queued), max(peak.descriptors, r.descriptors)}
+	}
+	p.assertOrdinary("beside the crowd")
+	cancel()
+	callers.Wait()
+	p.assertOrdinary("after the crowd")
+	for end := time.Now().Add(ordinaryTime); !p.isReady(); time.Sleep(100 * time.Millisecond) {
+		qt.Assert(t, time.Now().Before(end), qt.IsTrue, qt.Commentf("the entry is not ready after the crowd"))
+	}
+	most = max(most, p.memory("VmHWM"))
+	t.Logf("at most %d MB, %d resident and %d in the kernel at a time; %d descriptors", most>>20, peak.resident>>20, peak.queued>>20, peak.descriptors)
+	qt.Check(t, most <= smallMemoryMB<<20, qt.IsTrue, qt.Commentf("%d MB of %d", most>>20, smallMemoryMB))
+	qt.Check(t, peak.descriptors <= k.descriptors-reservedFiles, qt.IsTrue, qt.Commentf("%d of %d", peak.descriptors, k.descriptors-reservedFiles))
+}
--- a/internal/faults/slow_test.go
+++ b/internal/faults/slow_test.go
@@ -52,17 +52,18 @@
 
 // slowPlay is an entry in a process of its own, with stand-ins for its store and upstreams in this one.
 type slowPlay struct {
-	t       *testing.T
-	store   *standin.Store
-	cfg     standin.EntrySettings
-	metrics string // address
-	client  http.Client
-	entry   *exec.Cmd
-	log     bytes.Buffer // of the entry; read after end
-	seq     atomic.Int64
-	peak    atomic.Int64    // of the heap, in bytes
-	unread  atomic.Int64    // most callers that did not read at a time
-	held    [2]atomic.Int64 // most bytes of requests and of answers held at a time
+	t         *testing.T
+	store     *standin.Store
+	cfg       standin.EntrySettings
+	metrics   string   // address
+	upstreams []string // addresses
+	client    http.Client
+	entry     *exec.Cmd
+	log       bytes.Buffer // of the entry; read after end
+	seq       atomic.Int64
+	peak      atomic.Int64    // of the heap, in bytes
+	unread    atomic.Int64    // most callers that did not read at a time
+	held      [2]atomic.Int64 // most bytes of requests and of answers held at a time
 }
 
 // addUpstream starts an upstream of a service.
@@ -86,6 +87,7 @@
 		s.CloseClientConnections()
 		s.Close()
 	})
+	p.upstreams = append(p.upstreams, l.Addr().String())
 	p.store.Put("servers", id, e.Spec(service, l.Addr().String(), "a"))
 }
 
