callerconn: headers are bounded while they arrive, by their parsed size too

What callers saw: 200 callers whose headers of short fields did not end took an entry with 144 MB to 1,247 MB, on the readiness port to 1,730 MB, on the metrics port to 1,238 MB. 1,000 callers with headers inside maxHeaderBytes, 3,000 short fields each, took it to 162 MB, and to 294 MB if they did not end. On a machine of that size the process would have been killed.

Cause: net/http reads up to 1 MB of a header before the handler checks its length, and a field of five bytes takes some 160 bytes once it is parsed (measured with http.ReadRequest and the copy that is forwarded: 449 KB live, 601 KB allocated for 16 KB in 2,892 fields). Headers were counted only when they were complete, and by their bytes on the wire.

Change: callerconn.Conn counts the header while it is read. Above maxHeaderBytes and 4 KB it is answered with 431. What the parsed header takes, estimated by its bytes, fields and list elements, counts in heldbytes until the request has ended, with a bound of its own (a twelfth of the memory, 16 KB of each connection aside); beyond it, the answer is 503 with Retry-After, not run.

Why it works: what the server parses can no longer exceed what was counted before, on any port; a header inside the limits and a single one of many fields still fit.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -359,12 +359,12 @@
 	}
 }
 
-// callerLimits returns the operator's limits of callers' connections, or zeros until the configuration is loaded.
+// callerLimits returns the operator's limits of callers' connections; until the configuration is loaded, there are no timeouts.
 func (p *gatewayProcess) callerLimits() callerconn.Limits {
 	if r := p.gateway.Routing(); r != nil {
-		return callerconn.Limits{Header: r.Limits.HeaderTimeout, Idle: r.Limits.IdleTimeout}
+		return callerconn.Limits{Header: r.Limits.HeaderTimeout, Idle: r.Limits.IdleTimeout, HeaderBytes: platform.MaxHeaderBytes(r)}
 	}
-	return callerconn.Limits{}
+	return callerconn.Limits{HeaderBytes: platform.MaxHeaderBytes(nil)}
 }
 
 // isReady reports whether the process accepts new connections.
--- a/cmd/fighollow/listeners.go
+++ b/cmd/fighollow/listeners.go
@@ -14,6 +14,8 @@
 const (
 	// probeTimeout bounds each request to the readiness and the metrics server, and the writing of its answer.
 	probeTimeout = 10 * time.Second
+	// probeHeaderBytes bounds the header of such a request.
+	probeHeaderBytes = 8 << 10
 	// probeShare divides the connections of callers: the readiness server and the metrics server have one part more each.
 	probeShare = 16
 	// minProbeConns is the least number of connections of these servers.
@@ -27,7 +29,7 @@
 		return nil, nil, fmt.Errorf("listen for callers: %w", err)
 	}
 	callers := callerconn.NewListener(l, callerconn.Options{
-		Limits: p.callerLimits, MaxConns: callerconn.MaxConns(p.cfg.MemoryMB, p.cfg.Descriptors),
+		Limits: p.callerLimits, MaxConns: callerconn.MaxConns(p.cfg.MemoryMB, p.cfg.Descriptors), Held: p.held,
 	}, p.log)
 	return &http.Server{
 		Handler:           callerconn.ResetAborted(platform.NewIngress(p.gateway, p.held, p.stopping.Load)),
@@ -48,9 +50,9 @@
 	}
 	probes := callerconn.NewListener(l, callerconn.Options{
 		Limits: func() callerconn.Limits {
-			return callerconn.Limits{Header: callerHeaderTimeout, Idle: callerIdleTimeout}
+			return callerconn.Limits{Header: callerHeaderTimeout, Idle: callerIdleTimeout, HeaderBytes: probeHeaderBytes}
 		},
-		MaxConns: conns,
+		MaxConns: conns, Held: p.held,
 	}, p.log)
 	return &http.Server{
 		Handler: callerconn.RefuseBodies(h), ReadTimeout: probeTimeout, WriteTimeout: probeTimeout, IdleTimeout: callerIdleTimeout,
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -14,18 +14,22 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fighollow/fighollow/internal/event"
+	"github.com/fighollow/fighollow/internal/heldbytes"
+	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
-// Limits bound how long a caller may take. A limit of zero does not apply.
+// Limits bound what a caller may send and how long it may take. A limit of zero does not apply.
 type Limits struct {
-	Header time.Duration // from the connection, or from the first byte of a later request, to the end of the header
-	Idle   time.Duration // from the end of an answer to the first byte of the next request, blank lines aside
+	Header      time.Duration // from the connection, or from the first byte of a later request, to the end of the header
+	Idle        time.Duration // from the end of an answer to the first byte of the next request, blank lines aside
+	HeaderBytes int           // of a header as it is sent; some more are accepted, so that a server can judge what it counts otherwise
 }
 
 // Options are the bounds of a Listener's connections.
 type Options struct {
-	Limits   func() Limits // those of each wait that begins
-	MaxConns int           // connections at a time; 0 for no bound
+	Limits   func() Limits      // those of each wait that begins
+	MaxConns int                // connections at a time; 0 for no bound
+	Held     *heldbytes.Account // counts headers; nil if they are not counted
 }
 
 // unreadDelay is how long a timeout waits for the server to read bytes that have arrived before it expired.
@@ -123,6 +127,7 @@
 	switch state {
 	case http.StateIdle:
 		c.answered = true
+		c.release()
 		_ = c.SetWriteDeadline(time.Time{}) // that of the last request; the server may answer a malformed one
 	case http.StateActive:
 		c.answered = false
@@ -208,6 +213,16 @@
 	return "busy"
 }
 
+const (
+	// headerSlack is how much longer than its limit a header may be before the server sees it.
+	headerSlack = 4 << 10
+	// Memory that a parsed header takes until its request has ended, garbage included: for each field, for each part of a list, and for
+	// each byte.
+	fieldBytes = 250
+	partBytes  = 64
+	byteBytes  = 2
+)
+
 // maxFieldBytes is how much of a header line is kept to find the length of the body.
 const maxFieldBytes = 128
 
@@ -217,13 +232,22 @@
 	lineBytes int    // of the line that has not ended yet, without a CR
 	line      []byte // its beginning
 	body      int64  // length in bytes, or unknownLength
+	size      int    // bytes so far
+	lines     int    // that have ended
+	commas    int
 }
 
+// memory returns how many bytes the parsed header takes so far.
+func (h *header) memory() int { return h.size*byteBytes + h.lines*fieldBytes + h.commas*partBytes }
+
 const unknownLength = -1
 
 // scan reads the next part. It returns the number of bytes that belong to the header, and whether the header ends in them.
 func (h *header) scan(p []byte) (n int, ended bool) {
 	for i, b := range p {
+		if h.begun {
+			h.size++
+		}
 		switch {
 		case b == '\n' && h.lineBytes == 0 && h.begun:
 			return i + 1, true
@@ -231,6 +255,9 @@
 			h.endLine()
 		case b != '\r':
 			h.begun = true
+			if b == ',' {
+				h.commas++
+			}
 			if h.lineBytes++; len(h.line) < maxFieldBytes {
 				h.line = append(h.line, b)
 			}
@@ -241,6 +268,7 @@
 
 // endLine reads the line that has ended, if it is a field that tells the length of the body.
 func (h *header) endLine() {
+	h.lines++
 	if name, value, ok := strings.Cut(string(h.line), ":"); ok && h.body != unknownLength {
 		switch strings.ToLower(name) {
 		case "transfer-encoding":
@@ -285,6 +313,8 @@
 	answered bool // the server has ended a request and has not read since; it may hold the next request already
 	closed   bool // nothing is read any more
 	writing  bool
+	rejected *fighollow.Refusal // why nothing is read any more; answered by Read
+	held     *heldbytes.Holder  // of the header in progress and of the one whose request is being served; nil until it counts
 	header   header
 	ahead    ahead
 	timer    *time.Timer
@@ -365,7 +395,14 @@
 		c.ahead.scan(p)
 		return
 	}
-	if n, ended := c.header.scan(p); ended {
+	n, ended := c.header.scan(p)
+	if c.rejected = c.checkHeader(time.Now()); c.rejected != nil {
+		c.closed = true
+		c.release()
+		c.startTimer(0, 0)
+		return
+	}
+	if ended {
 		c.ahead = ahead{body: c.header.body}
 		c.setState(stateBusy)
 		c.ahead.scan(p[n:])
@@ -383,6 +420,7 @@
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	c.closed = true
+	c.release()
 	c.startTimer(0, 0)
 	c.mu.Unlock() // a Read that waits for the lock would keep TCPConn.Close from returning
 	c.l.remove(c)
--- /dev/null
+++ b/internal/callerconn/reject_test.go
@@ -0,0 +1,91 @@
+package callerconn_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/fighollow/fighollow/internal/callerconn"
+	"github.com/fighollow/fighollow/internal/heldbytes"
+)
+
+// limitedServer returns a server whose callers' headers are bounded, and which counts them in held.
+func limitedServer(t *testing.T, headerBytes int, held *heldbytes.Account, h http.HandlerFunc) *callerconn.Listener {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	l := callerconn.NewListener(inner, callerconn.Options{
+		Limits: func() callerconn.Limits { return callerconn.Limits{HeaderBytes: headerBytes} }, Held: held,
+	}, zerolog.Nop())
+	s := httptest.NewUnstartedServer(h)
+	s.Listener, s.Config.ConnState, s.Config.ConnContext = l, l.ConnState, callerconn.Context
+	s.Start()
+	t.Cleanup(s.Close)
+	return l
+}
+
+// Guards against a header that is held without an end, and against a rejection that its caller cannot read.
+func TestHeaderAboveTheLimitIsRejected(t *testing.T) {
+	l := limitedServer(t, 1<<10, nil, func(http.ResponseWriter, *http.Request) {})
+	c := dial(t, l)
+	legal := "GET / HTTP/1.1\r\nHost: h\r\nLong: " + strings.Repeat("x", 900) + "\r\n\r\n"
+	for range 20 { // the limit is that of each header
+		sendText(t, c, legal)
+		assertAnswered(t, c)
+	}
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\n")
+		for i := 0; err == nil && i < 1000; i++ {
+			_, err = io.WriteString(c, strings.Repeat("a:\r\n", 20))
+		}
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	qt.Assert(t, err, qt.IsNil)
+	resp.Body.Close()
+	qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+	qt.Assert(t, resp.Close, qt.IsTrue)
+	<-sent
+}
+
+// Guards against headers of many fields that take more memory than may be held, against a rejection that names no time to come back, and
+// against memory that stays counted after the request.
+func TestParsedHeadersAreBounded(t *testing.T) {
+	release, arrived := make(chan struct{}), make(chan struct{}, 10)
+	held := heldbytes.New(12, metrics.NewRegistry(), zerolog.Nop()) // 1 MiB for headers
+	l := limitedServer(t, 16<<10, held, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			arrived <- struct{}{}
+			<-release
+		}
+	})
+	fields := strings.Repeat("a:\r\n", 3000) // some 780 KB
+	first := dial(t, l)
+	sendText(t, first, "GET /wait HTTP/1.1\r\nHost: h\r\n"+fields+"\r\n")
+	<-arrived
+	second := dial(t, l)
+	sendText(t, second, "GET / HTTP/1.1\r\nHost: h\r\n"+fields)
+	resp, err := http.ReadResponse(bufio.NewReader(second), nil)
+	qt.Assert(t, err, qt.IsNil)
+	resp.Body.Close()
+	qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, resp.Header.Get("Retry-After"), qt.Equals, "0.500")
+	qt.Assert(t, resp.Close, qt.IsTrue)
+	ordinary := dial(t, l)
+	sendText(t, ordinary, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a:\r\n", 50)+"\r\n")
+	assertAnswered(t, ordinary)
+	close(release)
+	assertAnswered(t, first)
+	for end := time.Now().Add(10 * time.Second); held.Used(heldbytes.Header) != 0; time.Sleep(time.Millisecond) {
+		qt.Assert(t, time.Now().Before(end), qt.IsTrue)
+	}
+}
--- a/internal/callerconn/socket_linux.go
+++ b/internal/callerconn/socket_linux.go
@@ -8,6 +8,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
 type rawConn = syscall.RawConn
@@ -18,6 +20,7 @@
 		return 0, nil
 	}
 	n, readErr := 0, error(nil)
+	var rejected *fighollow.Refusal
 	err := c.raw.Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -32,8 +35,13 @@
 		}
 		n = max(n, 0)
 		c.received(p[:n])
+		rejected = c.rejected
 		return true
 	})
+	if rejected != nil {
+		c.answerRejected(rejected)
+		return 0, c.readError(net.ErrClosed)
+	}
 	switch {
 	case err != nil:
 		return 0, c.readError(err)
--- a/internal/faults/crowd_test.go
+++ b/internal/faults/crowd_test.go
@@ -30,6 +30,8 @@
 	ordinaryTime = 60 * time.Second
 	// reservedFiles is the part of an instance's descriptors that is not for sockets.
 	reservedFiles = 200
+	// callersHeaderBytes fills the limit of the play's configuration, and leaves some bytes for the request line.
+	callersHeaderBytes = 16000
 )
 
 // crowd is a number of callers that send what ordinary ones do not. Each has one connection at a time.
@@ -42,6 +44,7 @@
 }
 
 func readinessAddress(p *slowPlay) string { return p.cfg.Readiness }
+func metricsAddress(p *slowPlay) string   { return p.metrics }
 
 // head returns the header of a request without the blank line that ends it.
 func (p *slowPlay) head(path, fields string) string {
@@ -49,6 +52,27 @@
 		path, playHost, p.seq.Add(1), crowdDeadline.Milliseconds(), fields)
 }
 
+// shortFields returns header fields of so many bytes, each with another name and no value.
+func shortFields(n int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < n; i++ {
+		b.WriteString(strconv.FormatInt(int64(i), 36) + ":\r\n")
+	}
+	return b.String()
+}
+
+var manyFields = shortFields(1 << 20)
+
+// endlessHeader sends a header of short fields that does not end.
+func endlessHeader(path string) func(p *slowPlay, c io.Writer) {
+	return func(p *slowPlay, c io.Writer) {
+		_, err := io.WriteString(c, p.head(path, ""))
+		for err == nil {
+			_, err = io.WriteString(c, manyFields)
+		}
+	}
+}
+
 // unfinishedBody sends a body of n bytes that has a length and stops before its last byte, in writes of size bytes.
 func unfinishedBody(path string, n, size int) func(p *slowPlay, c io.Writer) {
 	return func(p *slowPlay, c io.Writer) {
@@ -61,9 +85,23 @@
 
 const (
 	plainPath = "/once/plain/x"
+	slowPath  = "/once/slow/x"
 )
 
 var crowds = []crowd{
+	{name: "endlessHeader", callers: 200, send: endlessHeader(plainPath)},
+	{name: "endlessHeaderForReadiness", callers: 200, address: readinessAddress, send: endlessHeader(platform.ReadinessPath)},
+	{name: "endlessHeaderForMetrics", callers: 200, address: metricsAddress, send: endlessHeader("/metrics")},
+	{name: "manyFields", callers: 1000, send: func(p *slowPlay, c io.Writer) {
+		var err error
+		for err == nil {
+			_, err = io.WriteString(c, p.head(slowPath, shortFields(callersHeaderBytes-200)+"\r\n"))
+			time.Sleep(300 * time.Millisecond)
+		}
+	}},
+	{name: "manyFieldsUnfinished", callers: 1000, send: func(p *slowPlay, c io.Writer) {
+		_, _ = io.WriteString(c, p.head(slowPath, shortFields(callersHeaderBytes-200)))
+	}},
 	{name: "silent", callers: 600, descriptors: 512, send: func(*slowPlay, io.Writer) {}},
 	{name: "silentForReadiness", callers: 600, descriptors: 512, address: readinessAddress, send: func(*slowPlay, io.Writer) {}},
 	{name: "lastByteMissing", callers: 600, descriptors: 512, send: unfinishedBody(plainPath, 10, 9)},
--- a/internal/heldbytes/account.go
+++ b/internal/heldbytes/account.go
@@ -18,6 +18,9 @@
 // use up the bound.
 const UncountedAnswer = 8 << 10
 
+// UncountedHeader is the same for parsed headers.
+const UncountedHeader = 16 << 10
+
 const (
 	// uncountedRequest is the same for requests, so that short ones are served.
 	uncountedRequest = 16 << 10
@@ -34,10 +37,13 @@
 const (
 	Request Kind = iota
 	Answer
+	Header // parsed, until its request has ended
 	kinds
 )
 
-func (k Kind) String() string { return [...]string{Request: "request", Answer: "answer"}[k] }
+func (k Kind) String() string {
+	return [...]string{Request: "request", Answer: "answer", Header: "header"}[k]
+}
 
 // bounds of each kind: the bytes of a connection that do not count, the most bytes on an instance of any size, and the divisor of an
 // instance's memory. The heap has to stay below a third of the memory: of 48 MB, 600 connections whose callers do not read take 20 MB
@@ -45,6 +51,7 @@
 var bounds = [kinds]struct{ uncounted, most, divisor int64 }{
 	Request: {uncountedRequest, 96 << 20, 12},
 	Answer:  {UncountedAnswer, 32 << 20, 36},
+	Header:  {UncountedHeader, 96 << 20, 12},
 }
 
 // ErrFull is returned for bytes beyond the bound.
@@ -149,7 +156,7 @@
 	a.mu.Unlock()
 	if due {
 		event.HeldBytesFull.Log(&a.log).Str("kind", h.kind.String()).Int64("bytes", used).Int64("bound", bound).Int("unread", unread).
-			Int64("requests", a.full[Request].Count()).Int64("answers", a.full[Answer].Count()).Send()
+			Int64("requests", a.full[Request].Count()).Int64("answers", a.full[Answer].Count()).Int64("headers", a.full[Header].Count()).Send()
 	}
 	return ErrFull
 }
