callerconn, upstream: the kernel buffers little for a connection

What callers saw: 300 callers that sent bodies of legal size up to the last byte, or far more than the limit, or that sent requests ahead for long answers and read nothing, took an entry with 144 MB to 299 to 629 MB, of which the process itself held 53 to 77: the remainder, up to 575 MB, was in the buffers of its sockets. Closed connections that were renewed took all 2,048 descriptors.

Cause: the kernel enlarges the buffers of a connection up to 6 MB for bytes that a process does not read, and up to 4 MB for those that a caller does not read. A body that is refused is not read to its end.

The server's own answers, to malformed requests, have a write deadline of 10 s: one that a caller does not read kept its connection for ever.

Evidence: TestCrowds, 13 crowds (two of them with 1,000 callers since then).

--- a/cmd/fighollow/listeners.go
+++ b/cmd/fighollow/listeners.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	stdlog "log"
-	"net"
 	"net/http"
 	"time"
 
@@ -24,7 +23,7 @@
 
 // listenForCallers returns the server for callers and its listener.
 func (p *gatewayProcess) listenForCallers() (*http.Server, *callerconn.Listener, error) {
-	l, err := net.Listen("tcp", p.cfg.Ingress)
+	l, err := callerconn.Listen(p.cfg.Ingress)
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen for callers: %w", err)
 	}
@@ -40,7 +39,7 @@
 
 // listenForProbes returns a server for requests without a body, such as readiness checks, and its listener.
 func (p *gatewayProcess) listenForProbes(address string, h http.Handler) (*http.Server, *callerconn.Listener, error) {
-	l, err := net.Listen("tcp", address)
+	l, err := callerconn.Listen(address)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -38,6 +38,8 @@
 const (
 	// newConnTime is how long a draining Listener waits for the first byte of a connection, as http.Server.Shutdown does.
 	newConnTime = 5 * time.Second
+	// malformedTime bounds the writing of the server's own answers.
+	malformedTime = 10 * time.Second
 	// drainInterval is the time between two checks for connections that have become idle.
 	drainInterval = 10 * time.Millisecond
 )
@@ -128,8 +130,10 @@
 	case http.StateIdle:
 		c.answered = true
 		c.release()
-		_ = c.SetWriteDeadline(time.Time{}) // that of the last request; the server may answer a malformed one
 	case http.StateActive:
+		// Replaces that of the last request. The server answers a malformed one itself, also if its caller does not read; handlers set
+		// their own.
+		_ = c.SetWriteDeadline(time.Now().Add(malformedTime)) // fails only if the connection has ended
 		c.answered = false
 		c.await(stateBusy, 0)
 		if c.ahead.complete { // the server has begun to serve the request that follows
--- a/internal/callerconn/socket_linux.go
+++ b/internal/callerconn/socket_linux.go
@@ -1,6 +1,7 @@
 package callerconn
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -14,6 +15,28 @@
 
 type rawConn = syscall.RawConn
 
+// Bytes of a connection that the kernel holds for a process that does not read, and for a caller that does not. The kernel reserves twice as
+// many, for its own data.
+const (
+	receiveBytes = 16 << 10
+	sendBytes    = 16 << 10
+)
+
+// Listen listens for TCP connections of which the kernel buffers little. By default it buffers megabytes, which count as memory of the instance.
+func Listen(address string) (net.Listener, error) {
+	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		controlErr := raw.Control(func(fd uintptr) {
+			err = errors.Join(
+				unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes),
+				unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBytes),
+			)
+		})
+		return errors.Join(controlErr, err)
+	}}
+	return lc.Listen(context.Background(), "tcp", address)
+}
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	if len(p) == 0 {
--- a/internal/faults/crowd_test.go
+++ b/internal/faults/crowd_test.go
@@ -41,6 +41,7 @@
 	descriptors int                            // of the entry's settings and its process
 	address     func(p *slowPlay) string       // nil for that of callers
 	send        func(p *slowPlay, c io.Writer) // ends early if the connection does
+	unread      bool                           // no answer is read
 }
 
 func readinessAddress(p *slowPlay) string { return p.cfg.Readiness }
@@ -83,9 +84,32 @@
 	}
 }
 
+// chunkedBody sends a body of n bytes in chunks of size bytes and leaves out the chunk that ends it.
+func chunkedBody(path string, n, size int) func(p *slowPlay, c io.Writer) {
+	return func(p *slowPlay, c io.Writer) {
+		_, err := io.WriteString(c, p.head(path, "Transfer-Encoding: chunked\r\n\r\n"))
+		chunk := fmt.Appendf(nil, "%x\r\n%s\r\n", size, strings.Repeat("x", size))
+		for sent := 0; err == nil && sent < n; sent += size {
+			_, err = c.Write(chunk)
+		}
+	}
+}
+
+// pipelined sends requests ahead without an end.
+func pipelined(path string) func(p *slowPlay, c io.Writer) {
+	return func(p *slowPlay, c io.Writer) {
+		var err error
+		for err == nil {
+			_, err = io.WriteString(c, strings.Repeat(p.head(path, "\r\n"), 100)) // without a body
+		}
+	}
+}
+
 const (
-	plainPath = "/once/plain/x"
-	slowPath  = "/once/slow/x"
+	plainPath   = "/once/plain/x"
+	slowPath    = "/once/slow/x"
+	longPath    = "/once/long/x"
+	nowherePath = "/nowhere/x"
 )
 
 var crowds = []crowd{
@@ -102,6 +126,19 @@
 	{name: "manyFieldsUnfinished", callers: 1000, send: func(p *slowPlay, c io.Writer) {
 		_, _ = io.WriteString(c, p.head(slowPath, shortFields(callersHeaderBytes-200)))
 	}},
+	{name: "unfinishedBody", callers: 1000, descriptors: 4096, send: unfinishedBody(plainPath, longBody, longBody)},
+	{name: "unfinishedBodyInPieces", callers: 300, send: unfinishedBody(plainPath, longBody, 1000)},
+	{name: "unfinishedChunks", callers: 300, send: chunkedBody(plainPath, longBody, 8<<10)},
+	{name: "unfinishedSmallChunks", callers: 300, send: chunkedBody(plainPath, 1<<20, 1)},
+	{name: "unfinishedBodyWithoutRoute", callers: 300, send: unfinishedBody(nowherePath, longBody, longBody)},
+	{name: "unfinishedChunksWithoutRoute", callers: 300, send: chunkedBody(nowherePath, longBody, 8<<10)},
+	{name: "unfinishedBodyForReadiness", callers: 300, address: readinessAddress, send: unfinishedBody(platform.ReadinessPath, longBody, longBody)},
+	{name: "endlessChunks", callers: 300, send: chunkedBody(plainPath, 1<<40, 64<<10)},
+	{name: "hugeBody", callers: 300, send: unfinishedBody(plainPath, 1<<40, 1<<20)},
+	{name: "pipelined", callers: 300, send: pipelined(plainPath), unread: true},
+	{name: "pipelinedWithoutRoute", callers: 300, send: pipelined(nowherePath), unread: true},
+	{name: "pipelinedForReadiness", callers: 300, address: readinessAddress, send: pipelined(platform.ReadinessPath), unread: true},
+	{name: "pipelinedLongAnswers", callers: 1000, descriptors: 4096, send: pipelined(longPath), unread: true},
 	{name: "silent", callers: 600, descriptors: 512, send: func(*slowPlay, io.Writer) {}},
 	{name: "silentForReadiness", callers: 600, descriptors: 512, address: readinessAddress, send: func(*slowPlay, io.Writer) {}},
 	{name: "lastByteMissing", callers: 600, descriptors: 512, send: unfinishedBody(plainPath, 10, 9)},
@@ -128,12 +165,16 @@
 			continue
 		}
 		stop := context.AfterFunc(ctx, func() { c.Close() })
-		go func() {
-			_, _ = io.Copy(io.Discard, c) // until the entry closes the connection
-			c.Close()
-		}()
+		if !k.unread {
+			go func() {
+				_, _ = io.Copy(io.Discard, c) // until the entry closes the connection
+				c.Close()
+			}()
+		}
 		k.send(p, c)
-		_, _ = c.Read(make([]byte, 1)) // until either side closes the connection
+		if !k.unread {
+			_, _ = c.Read(make([]byte, 1)) // until either side closes the connection
+		}
 		stop()
 		c.Close()
 		wait(ctx.Done(), 5*time.Millisecond)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -50,6 +50,9 @@
 	// maxHeadBytes bounds the head of a response, with the informational responses before it. An upstream may echo the fields
 	// of its request, 64 KB of which callers may send by default, and adds a few of its own.
 	maxHeadBytes = 128 << 10
+	// receiveBytes bounds what the kernel buffers of an answer whose caller does not read; it reserves twice as much, for its own data. By
+	// default it buffers megabytes, which count as memory of the instance.
+	receiveBytes = 16 << 10
 	// maxInlineBody is the size of the largest body that is written before the response is read. An upstream may respond
 	// before it has read a larger one.
 	maxInlineBody = 8 << 10
@@ -67,7 +70,9 @@
 
 // New returns an empty Pool.
 func New() *Pool {
-	return &Pool{dialer: Dialer(dialTimeout), idle: make(map[string][]*conn)}
+	d := Dialer(dialTimeout)
+	d.Control = setAttemptOptions
+	return &Pool{dialer: d, idle: make(map[string][]*conn)}
 }
 
 // Dialer returns a dialer with the given connect timeout. Its connections are closed when the peer stops
--- a/internal/upstream/socket_linux.go
+++ b/internal/upstream/socket_linux.go
@@ -18,6 +18,20 @@
 	return err
 }
 
+// setAttemptOptions sets the options of a connection of an attempt.
+func setAttemptOptions(network, address string, c syscall.RawConn) error {
+	if err := setUserTimeout(network, address, c); err != nil {
+		return err
+	}
+	var err error
+	if ctlErr := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes)
+	}); ctlErr != nil {
+		return ctlErr
+	}
+	return err
+}
+
 // isOpenAndSilent reports whether the peer has neither closed the connection nor sent data that is still unread.
 func isOpenAndSilent(nc net.Conn) bool {
 	sc, ok := nc.(syscall.Conn)
