platform, gateway: unfinished bodies do not keep the memory for other requests

What callers saw: 30 callers that sent all but the last byte of a 4 MiB body filled what an entry with 144 MB may hold of bodies, and for as long as their requests named as deadline (10 minutes): no ordinary request of 100 KB was answered in 60 s, each was refused with 503. On a path without a route such a body was read, held and waited for before the 404.

Cause: a body was awaited until the deadline that its caller names, and the route was looked up afterwards unless keys are required.

Why it works: callers that stop half-way hold memory only while nobody needs it, and the operator's timeout at most. A slow caller that goes on sending keeps its request until the timeout of its route.

Evidence: TestCrowds/fewUnfinishedBodies, before "no ordinary request of 102400 bytes is answered beside the crowd"; it passes now, beside the crowd and after it.

--- a/internal/callerconn/reject.go
+++ b/internal/callerconn/reject.go
@@ -53,6 +53,9 @@
 // writes nothing on this connection any more.
 func (c *Conn) answerRejected(r *fighollow.Refusal) {
 	status := http.StatusServiceUnavailable
+	if r.Code == fighollow.CodeOverloaded {
+		c.l.closeStalled(time.Now()) // so that there are bytes for those that come back
+	}
 	if r.Code == fighollow.CodeHeaderTooLarge {
 		status = http.StatusRequestHeaderFieldsTooLarge
 	}
--- a/internal/callerconn/reject_test.go
+++ b/internal/callerconn/reject_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -88,3 +89,25 @@
 		qt.Assert(t, time.Now().Before(end), qt.IsTrue)
 	}
 }
+
+// Guards against an unread header that is cut, and against callers whose unfinished headers keep the memory for others.
+func TestStalledHeadersMakeRoomForOthers(t *testing.T) {
+	held := heldbytes.New(12, metrics.NewRegistry(), zerolog.Nop())
+	l := limitedServer(t, 16<<10, held, func(http.ResponseWriter, *http.Request) {})
+	fields := strings.Repeat("a:\r\n", 3000)
+	stalled := dial(t, l)
+	sendText(t, stalled, "GET / HTTP/1.1\r\nHost: h\r\n"+fields)
+	time.Sleep(1500 * time.Millisecond)
+	var c net.Conn
+	statuses := []int{}
+	for range 2 {
+		c = dial(t, l)
+		sendText(t, c, "GET / HTTP/1.1\r\nHost: h\r\n"+fields+"\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		qt.Assert(t, err, qt.IsNil)
+		resp.Body.Close()
+		statuses = append(statuses, resp.StatusCode)
+		assertClosed(t, stalled)
+	}
+	qt.Assert(t, statuses, qt.DeepEquals, []int{http.StatusServiceUnavailable, http.StatusOK})
+}
--- a/internal/callerconn/wait.go
+++ b/internal/callerconn/wait.go
@@ -192,6 +192,38 @@
 	}
 }
 
+// CloseStalled closes the connections of the same Listener whose unfinished requests made no progress for some time, because the memory for
+// requests is used up. It has no effect without Context.
+func CloseStalled(ctx context.Context, now time.Time) {
+	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+		c.l.closeStalled(now)
+	}
+}
+
+func (l *Listener) closeStalled(now time.Time) {
+	for _, c := range l.stalled(now) {
+		if c.evict(true) {
+			l.countFull(now, true)
+			_ = c.TCPConn.Close() // the server's read fails, and it calls Close
+		}
+	}
+}
+
+// stalled returns the connections with an unfinished request that made no progress for stalledAfter.
+func (l *Listener) stalled(now time.Time) []*Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*Conn
+	for e := l.waiting.unfinished.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*Conn)
+		if !c.stalled(now, stalledAfter) {
+			break
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
 // setReceiving records whether the body of the request that is being served is incomplete.
 func (c *Conn) setReceiving(receiving bool) {
 	c.mu.Lock()
--- a/internal/faults/crowd_test.go
+++ b/internal/faults/crowd_test.go
@@ -28,6 +28,8 @@
 	crowdDeadline = 10 * time.Minute
 	// ordinaryTime bounds the time until an ordinary request is answered, also on a slow machine.
 	ordinaryTime = 60 * time.Second
+	// ordinaryBytes is the length of a body that an ordinary caller sends, of a tenth of what the entry may hold of them.
+	ordinaryBytes = 100 << 10
 	// reservedFiles is the part of an instance's descriptors that is not for sockets.
 	reservedFiles = 200
 	// callersHeaderBytes fills the limit of the play's configuration, and leaves some bytes for the request line.
@@ -139,6 +141,7 @@
 	{name: "pipelinedWithoutRoute", callers: 300, send: pipelined(nowherePath), unread: true},
 	{name: "pipelinedForReadiness", callers: 300, address: readinessAddress, send: pipelined(platform.ReadinessPath), unread: true},
 	{name: "pipelinedLongAnswers", callers: 1000, descriptors: 4096, send: pipelined(longPath), unread: true},
+	{name: "fewUnfinishedBodies", callers: 30, send: unfinishedBody(plainPath, longBody, longBody)},
 	{name: "silent", callers: 600, descriptors: 512, send: func(*slowPlay, io.Writer) {}},
 	{name: "silentForReadiness", callers: 600, descriptors: 512, address: readinessAddress, send: func(*slowPlay, io.Writer) {}},
 	{name: "lastByteMissing", callers: 600, descriptors: 512, send: unfinishedBody(plainPath, 10, 9)},
@@ -233,11 +236,16 @@
 	return kB << 10
 }
 
-// assertOrdinary makes an ordinary request on a new connection until it is answered.
+// assertOrdinary makes ordinary requests on new connections until a short and a longer one are answered.
 func (p *slowPlay) assertOrdinary(when string) {
+	p.assertAnswered(when, "ordinary")
+	p.assertAnswered(when, strings.Repeat("ordinary", ordinaryBytes/len("ordinary")))
+}
+
+func (p *slowPlay) assertAnswered(when, body string) {
 	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for end := time.Now().Add(ordinaryTime); ; time.Sleep(100 * time.Millisecond) {
-		req, err := http.NewRequest(http.MethodPost, "http://"+p.cfg.Ingress+plainPath, strings.NewReader("ordinary"))
+		req, err := http.NewRequest(http.MethodPost, "http://"+p.cfg.Ingress+plainPath, strings.NewReader(body))
 		qt.Assert(p.t, err, qt.IsNil)
 		req.Host = playHost
 		req.Header.Set("Request-Id", fmt.Sprintf("r%d", p.seq.Add(1)))
@@ -250,7 +258,7 @@
 				return
 			}
 		}
-		qt.Assert(p.t, time.Now().Before(end), qt.IsTrue, qt.Commentf("no ordinary request is answered %s: %v", when, err))
+		qt.Assert(p.t, time.Now().Before(end), qt.IsTrue, qt.Commentf("no ordinary request of %d bytes is answered %s: %v", len(body), when, err))
 	}
 }
 
--- a/internal/gateway/identity.go
+++ b/internal/gateway/identity.go
@@ -13,22 +13,34 @@
 )
 
 // Admit checks a request whose body has not been read yet: that there are a configuration and a route, and that it has a key if keys are
-// required. It sets call.Identity, which Serve uses whatever becomes of the key meanwhile. It returns false if it has refused the request.
+// required. It sets call.Identity, which Serve uses whatever becomes of the key meanwhile, and ends call.Deadline with
+// the route's timeout. It returns false if it has refused the request.
 func (g *Gateway) Admit(call *fighollow.Call, out fighollow.Responder) bool {
 	t := g.table.Load()
 	if t != nil && !t.routing.KeysRequired {
-		return true // Serve checks the route, after the limits of callers
+		if route := t.find(call.Host, call.Target); route != nil {
+			boundDeadline(call, route)
+			return true
+		}
 	}
 	x := g.newExchange(call, out)
 	if refusal := x.identify(t, time.Now()); refusal != nil {
 		x.finish(refusal)
 		return false
 	}
+	boundDeadline(call, x.route)
 	identity := x.identity // without the rest of x
 	call.Identity = &identity
 	return true
 }
 
+// boundDeadline sets the deadline of a call to the end of its route's timeout if that is earlier, so that it holds for the body too.
+func boundDeadline(call *fighollow.Call, route *fighollow.Route) {
+	if limit := call.Arrived.Add(route.Timeout); route.Timeout > 0 && limit.Before(call.Deadline) {
+		call.Deadline = limit
+	}
+}
+
 // identify finds the route and the workspace of the request, unless Admit has found the latter. t is nil if there is no configuration.
 func (x *exchange) identify(t *routeTable, now time.Time) *fighollow.Refusal {
 	return x.identifyBy(t, now, func() (string, workspace.Reason) { return t.keys.Find(x.call.Credentials) })
