callerconn, upstream: smaller buffers and more connections

What callers saw: of 600 callers that read their answers late, beside 48 others, an entry with 144 MB closed those that had not read for 1 s (TestSlowReadersAreBounded failed on the commit before: 528 of 600 unread callers at a time, streams that are read late broken).

Cause: the bound on connections, 576 at 144 MB, was below what such an entry had served.

Change: a connection counts 96 KB instead of 128 KB, which allows 768 at 144 MB; the buffers of the kernel are 12 KB for what callers send and 8 KB for what they and the upstreams are sent, instead of 16 KB each, so that the sum stays within the memory. A body of 4 MiB takes 0.7 s at a round trip of 2 ms, a long answer 8 KB in each.

Evidence: TestSlowReadersAreBounded passes (600 unread callers, heap 41 MB); TestCrowds/pipelinedLongAnswers, which fills the buffers of all connections, 121 MB of 144 (135 MB with 16 KB for what callers send).

--- a/internal/callerconn/bound.go
+++ b/internal/callerconn/bound.go
@@ -7,7 +7,7 @@
 	callerShare = 2
 	// connBytes is what a connection takes of the memory before what is counted: the stacks and buffers of its server, the part of a
 	// header and of a body that does not count, and the buffers of the kernel, those of a connection to an upstream included.
-	connBytes = 128 << 10
+	connBytes = 96 << 10
 	// connMemoryShare divides an instance's memory: one part is for connections.
 	connMemoryShare = 2
 	// minConns is the least bound.
--- a/internal/callerconn/socket_linux.go
+++ b/internal/callerconn/socket_linux.go
@@ -18,8 +18,8 @@
 // Bytes of a connection that the kernel holds for a process that does not read, and for a caller that does not. The kernel reserves twice as
 // many, for its own data.
 const (
-	receiveBytes = 16 << 10
-	sendBytes    = 16 << 10
+	receiveBytes = 12 << 10
+	sendBytes    = 8 << 10
 )
 
 // Listen listens for TCP connections of which the kernel buffers little. By default it buffers megabytes, which count as memory of the instance.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -52,7 +52,7 @@
 	maxHeadBytes = 128 << 10
 	// receiveBytes bounds what the kernel buffers of an answer whose caller does not read; it reserves twice as much, for its own data. By
 	// default it buffers megabytes, which count as memory of the instance.
-	receiveBytes = 16 << 10
+	receiveBytes = 8 << 10
 	// maxInlineBody is the size of the largest body that is written before the response is read. An upstream may respond
 	// before it has read a larger one.
 	maxInlineBody = 8 << 10
