callerconn: a body that arrives byte by byte does not keep its connection

Cause: each byte counted as progress, so that no connection was old enough to be closed, and the wait for one had no end.

Change: 16 KB of a body count as progress. A new connection waits for 200 ms at most and is closed unread if all others still make progress.

Why it works: a caller below 16 KB/s counts as stalled after 1 s, which matters only while the listener is full.

--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -312,17 +312,18 @@
 	accepted time.Time
 	entry    waitEntry // under the lock of l
 
-	mu       sync.Mutex // also held while bytes are taken from the socket, so that what has arrived is either unread or counted
-	state    connState
-	answered bool // the server has ended a request and has not read since; it may hold the next request already
-	closed   bool // nothing is read any more
-	writing  bool
-	rejected *fighollow.Refusal // why nothing is read any more; answered by Read
-	held     *heldbytes.Holder  // of the header in progress and of the one whose request is being served; nil until it counts
-	header   header
-	ahead    ahead
-	timer    *time.Timer
-	timerID  uint64 // of the timer that counts
+	mu        sync.Mutex // also held while bytes are taken from the socket, so that what has arrived is either unread or counted
+	state     connState
+	answered  bool // the server has ended a request and has not read since; it may hold the next request already
+	closed    bool // nothing is read any more
+	writing   bool
+	bodyBytes int                // of a body, since the last progress
+	rejected  *fighollow.Refusal // why nothing is read any more; answered by Read
+	held      *heldbytes.Holder  // of the header in progress and of the one whose request is being served; nil until it counts
+	header    header
+	ahead     ahead
+	timer     *time.Timer
+	timerID   uint64 // of the timer that counts
 }
 
 // await starts to wait for the bytes of the next request. c.mu must be held.
@@ -393,7 +394,10 @@
 		return
 	}
 	if c.state == stateBody {
-		c.setState(stateBody) // progress
+		if c.bodyBytes += len(p); c.bodyBytes >= minProgress {
+			c.bodyBytes = 0
+			c.setState(stateBody)
+		}
 	}
 	if c.state == stateBusy || c.state == stateBody {
 		c.ahead.scan(p)
--- a/internal/callerconn/wait.go
+++ b/internal/callerconn/wait.go
@@ -12,6 +12,9 @@
 	// stalledAfter is the time without progress after which a connection with an unfinished request is closed before one that is
 	// idle between two requests.
 	stalledAfter = time.Second
+	// minProgress is how many bytes of a body count as progress. Fewer would let a caller that sends a byte now and then keep its connection
+	// for as long as one that sends steadily.
+	minProgress = 16 << 10
 	// minStay is the least time that a connection stays open without progress. It bounds the processor time that callers cost who
 	// connect again at once: a Listener with n connections accepts n in this time.
 	minStay = 200 * time.Millisecond
@@ -103,11 +106,12 @@
 }
 
 // makeRoom closes a connection that waits for its caller if there are as many as may be. It reports whether there is room for another one:
-// there is none if all callers wait for answers, or if the Listener drains.
+// there is none if all callers wait for answers or send without a pause, or if the Listener drains.
 func (l *Listener) makeRoom() bool {
 	if l.opts.MaxConns == 0 {
 		return true
 	}
+	start := time.Now()
 	for skips := 0; ; {
 		now := time.Now()
 		l.mu.Lock()
@@ -119,7 +123,7 @@
 		draining := l.draining
 		l.mu.Unlock()
 		switch {
-		case c == nil || draining:
+		case c == nil || draining || early && now.Sub(start) >= minStay:
 			l.countFull(now, false)
 			return false
 		case early:
@@ -230,6 +234,7 @@
 	defer c.mu.Unlock()
 	switch {
 	case receiving && c.state == stateBusy:
+		c.bodyBytes = 0
 		c.setState(stateBody)
 	case !receiving && c.state == stateBody:
 		c.setState(stateBusy)
--- a/internal/faults/crowd_test.go
+++ b/internal/faults/crowd_test.go
@@ -142,6 +142,13 @@
 	{name: "pipelinedForReadiness", callers: 300, address: readinessAddress, send: pipelined(platform.ReadinessPath), unread: true},
 	{name: "pipelinedLongAnswers", callers: 1000, descriptors: 4096, send: pipelined(longPath), unread: true},
 	{name: "fewUnfinishedBodies", callers: 30, send: unfinishedBody(plainPath, longBody, longBody)},
+	{name: "slowBody", callers: 600, descriptors: 512, send: func(p *slowPlay, c io.Writer) {
+		_, err := io.WriteString(c, p.head(plainPath, "Content-Length: 100000\r\n\r\n"))
+		for err == nil {
+			time.Sleep(100 * time.Millisecond)
+			_, err = io.WriteString(c, "a")
+		}
+	}},
 	{name: "silent", callers: 600, descriptors: 512, send: func(*slowPlay, io.Writer) {}},
 	{name: "silentForReadiness", callers: 600, descriptors: 512, address: readinessAddress, send: func(*slowPlay, io.Writer) {}},
 	{name: "lastByteMissing", callers: 600, descriptors: 512, send: unfinishedBody(plainPath, 10, 9)},
