--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -49,7 +49,7 @@
 run_tests "-race -count=1 -timeout 5m" $(grep -v '^./internal/faults$' <<<"$packages")
 if [ -d internal/faults ]; then
   echo "== process tests"
-  run_tests "-count=1 -timeout 5m" ./internal/faults
+  run_tests "-count=1 -timeout 10m" ./internal/faults
 fi
 echo "== fault soak"
 bin/soak --seed 1 --seeds 8 --parallel 4 --duration 10s --gateway bin/fighollow
