callerconn: few connections wait to be accepted

Cause: up to 4,096 connections wait in the kernel to be accepted, and their callers send already. While the listener is full, they wait longer.

Change: half as many connections as the listener may have wait. Further ones are not answered, and their callers try again.

Connections that are closed for lack of memory are no longer logged as a full listener.

--- a/cmd/fighollow/listeners.go
+++ b/cmd/fighollow/listeners.go
@@ -23,12 +23,13 @@
 
 // listenForCallers returns the server for callers and its listener.
 func (p *gatewayProcess) listenForCallers() (*http.Server, *callerconn.Listener, error) {
-	l, err := callerconn.Listen(p.cfg.Ingress)
+	conns := callerconn.MaxConns(p.cfg.MemoryMB, p.cfg.Descriptors)
+	l, err := callerconn.Listen(p.cfg.Ingress, conns)
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen for callers: %w", err)
 	}
 	callers := callerconn.NewListener(l, callerconn.Options{
-		Limits: p.callerLimits, MaxConns: callerconn.MaxConns(p.cfg.MemoryMB, p.cfg.Descriptors), Held: p.held,
+		Limits: p.callerLimits, MaxConns: conns, Held: p.held,
 	}, p.log)
 	return &http.Server{
 		Handler:           callerconn.ResetAborted(platform.NewIngress(p.gateway, p.held, p.stopping.Load)),
@@ -39,14 +40,14 @@
 
 // listenForProbes returns a server for requests without a body, such as readiness checks, and its listener.
 func (p *gatewayProcess) listenForProbes(address string, h http.Handler) (*http.Server, *callerconn.Listener, error) {
-	l, err := callerconn.Listen(address)
-	if err != nil {
-		return nil, nil, err
-	}
 	conns := callerconn.MaxConns(p.cfg.MemoryMB, p.cfg.Descriptors)
 	if conns > 0 {
 		conns = max(minProbeConns, conns/probeShare)
 	}
+	l, err := callerconn.Listen(address, conns)
+	if err != nil {
+		return nil, nil, err
+	}
 	probes := callerconn.NewListener(l, callerconn.Options{
 		Limits: func() callerconn.Limits {
 			return callerconn.Limits{Header: callerHeaderTimeout, Idle: callerIdleTimeout, HeaderBytes: probeHeaderBytes}
--- a/internal/callerconn/socket_linux.go
+++ b/internal/callerconn/socket_linux.go
@@ -22,8 +22,13 @@
 	sendBytes    = 8 << 10
 )
 
+// backlogShare divides the bound on connections: so many wait to be accepted.
+const backlogShare = 2
+
 // Listen listens for TCP connections of which the kernel buffers little. By default it buffers megabytes, which count as memory of the instance.
-func Listen(address string) (net.Listener, error) {
+// The queue of connections that are not accepted yet, whose callers may send already, holds half as many as maxConns, the bound of a Listener;
+// the kernel's default if that is 0.
+func Listen(address string, maxConns int) (net.Listener, error) {
 	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var err error
 		controlErr := raw.Control(func(fd uintptr) {
@@ -34,7 +39,24 @@
 		})
 		return errors.Join(controlErr, err)
 	}}
-	return lc.Listen(context.Background(), "tcp", address)
+	l, err := lc.Listen(context.Background(), "tcp", address)
+	if err != nil || maxConns == 0 {
+		return l, err
+	}
+	if err := setBacklog(l.(*net.TCPListener), max(1, maxConns/backlogShare)); err != nil {
+		return nil, errors.Join(err, l.Close())
+	}
+	return l, nil
+}
+
+// setBacklog bounds the queue of connections that are not accepted yet, which the net package sets to the system's maximum.
+func setBacklog(l *net.TCPListener, n int) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	controlErr := raw.Control(func(fd uintptr) { err = unix.Listen(int(fd), n) })
+	return errors.Join(controlErr, os.NewSyscallError("listen", err))
 }
 
 // Read implements net.Conn.
--- a/internal/callerconn/wait.go
+++ b/internal/callerconn/wait.go
@@ -207,7 +207,7 @@
 func (l *Listener) closeStalled(now time.Time) {
 	for _, c := range l.stalled(now) {
 		if c.evict(true) {
-			l.countFull(now, true)
+			l.countEvicted()
 			_ = c.TCPConn.Close() // the server's read fails, and it calls Close
 		}
 	}
@@ -244,7 +244,7 @@
 // Stats are counts of a Listener's connections.
 type Stats struct {
 	Open    int
-	Evicted int64 // closed to make room, since the start
+	Evicted int64 // closed for others, since the start
 	Refused int64 // closed at once for lack of room, since the start
 }
 
@@ -261,6 +261,13 @@
 	nextLine         time.Time // of the log
 }
 
+// countEvicted counts a connection that was closed for others.
+func (l *Listener) countEvicted() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.full.evicted++
+}
+
 // countFull counts a connection that was closed to make room, or a new one for which there was none.
 func (l *Listener) countFull(now time.Time, evicted bool) {
 	l.mu.Lock()
