--- a/internal/callerconn/body.go
+++ b/internal/callerconn/body.go
@@ -1,10 +1,32 @@
 package callerconn
 
 import (
+	"context"
 	"net/http"
 	"time"
 )
 
+// Receiving records whether the rest of the body of the request with the context ctx is awaited from its caller, so that its connection can be
+// closed for another one. It has no effect without Context.
+func Receiving(ctx context.Context, receiving bool) {
+	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+		c.setReceiving(receiving)
+	}
+}
+
+// setReceiving records whether the body of the request that is being served is incomplete.
+func (c *Conn) setReceiving(receiving bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case receiving && c.state == stateBusy:
+		c.bodyBytes = 0
+		c.setState(stateBody)
+	case !receiving && c.state == stateBody:
+		c.setState(stateBusy)
+	}
+}
+
 // RefuseBodies wraps the handler h of requests without a body. A request with one is answered with status 413, and its connection is closed
 // without reading the body.
 func RefuseBodies(h http.Handler) http.Handler {
--- a/internal/callerconn/reset.go
+++ b/internal/callerconn/reset.go
@@ -1,4 +1,5 @@
-// Package callerconn ends the connections of callers so that an aborted response cannot be taken for a complete one.
+// Package callerconn bounds the connections of callers: their number, the time that they may take, their headers and the buffers of the
+// kernel. It ends them so that an aborted response cannot be taken for a complete one.
 package callerconn
 
 import (
