callerconn: a caller that is refused for lack of memory keeps its connection for the answer

What callers saw: a caller that had been slow for 1 s, and whose header or body then met the full account, got a reset instead of its 503.

Cause: the connections that are closed for others included its own, and those on which the answer to a rejected header was being written.

Change: both are left out.

Evidence: TestStalledHeadersMakeRoomForOthers has such a caller; it failed before ("connection reset by peer") and passes, with the race detector too.

--- a/internal/callerconn/reject.go
+++ b/internal/callerconn/reject.go
@@ -54,7 +54,7 @@
 func (c *Conn) answerRejected(r *fighollow.Refusal) {
 	status := http.StatusServiceUnavailable
 	if r.Code == fighollow.CodeOverloaded {
-		c.l.closeStalled(time.Now()) // so that there are bytes for those that come back
+		c.closeOthersStalled(time.Now()) // so that there are bytes for those that come back
 	}
 	if r.Code == fighollow.CodeHeaderTooLarge {
 		status = http.StatusRequestHeaderFieldsTooLarge
--- a/internal/callerconn/reject_test.go
+++ b/internal/callerconn/reject_test.go
@@ -90,19 +90,22 @@
 	}
 }
 
-// Guards against an unread header that is cut, and against callers whose unfinished headers keep the memory for others.
+// Guards against a rejected caller that loses its answer because it is closed for others, and against callers whose unfinished headers keep the memory for others.
 func TestStalledHeadersMakeRoomForOthers(t *testing.T) {
 	held := heldbytes.New(12, metrics.NewRegistry(), zerolog.Nop())
 	l := limitedServer(t, 16<<10, held, func(http.ResponseWriter, *http.Request) {})
 	fields := strings.Repeat("a:\r\n", 3000)
+	const begin = "GET / HTTP/1.1\r\nHost: h\r\n"
 	stalled := dial(t, l)
-	sendText(t, stalled, "GET / HTTP/1.1\r\nHost: h\r\n"+fields)
+	sendText(t, stalled, begin+fields)
+	slow := dial(t, l) // it is stalled itself, and reads its answer all the same
+	sendText(t, slow, begin)
 	time.Sleep(1500 * time.Millisecond)
-	var c net.Conn
+	fresh := dial(t, l)
+	sendText(t, fresh, begin)
 	statuses := []int{}
-	for range 2 {
-		c = dial(t, l)
-		sendText(t, c, "GET / HTTP/1.1\r\nHost: h\r\n"+fields+"\r\n")
+	for _, c := range []net.Conn{slow, fresh} {
+		sendText(t, c, fields+"\r\n")
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		qt.Assert(t, err, qt.IsNil)
 		resp.Body.Close()
--- a/internal/callerconn/room.go
+++ b/internal/callerconn/room.go
@@ -49,13 +49,24 @@
 	}
 }
 
-// evict ends the reading of c if it still waits for its caller. If bytes have arrived, they count as progress unless skipUnread is false.
+// evict ends the reading of c if it still waits for its caller, or reports that it has ended: c has expired or was rejected. See stopReading.
 func (c *Conn) evict(skipUnread bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.closed || c.stopReading(skipUnread)
+}
+
+// evictOpen is evict for a connection that has not expired and was not rejected, so that the answer to a rejected header is not lost.
+func (c *Conn) evictOpen() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closed && c.stopReading(true)
+}
+
+// stopReading ends the reading of c if it still waits for its caller. If bytes have arrived, they count as progress unless skipUnread is false.
+// c.mu must be held.
+func (c *Conn) stopReading(skipUnread bool) bool {
 	switch {
-	case c.closed:
-		return true // it has expired or was rejected
 	case c.state == stateBusy && !c.writing:
 		return false
 	case skipUnread && !c.writing && c.hasUnread():
@@ -67,19 +78,19 @@
 	return true
 }
 
-// CloseStalled closes the connections of the same Listener whose unfinished requests made no progress for some time, because the memory for
+// CloseStalled closes the other connections of the same Listener whose unfinished requests made no progress for some time, because the memory for
 // requests is used up. It has no effect without Context.
 func CloseStalled(ctx context.Context, now time.Time) {
 	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
-		c.l.closeStalled(now)
+		c.closeOthersStalled(now)
 	}
 }
 
-func (l *Listener) closeStalled(now time.Time) {
-	for _, c := range l.stalled(now) {
-		if c.evict(true) {
-			l.countEvicted()
-			_ = c.TCPConn.Close() // the server's read fails, and it calls Close
+func (c *Conn) closeOthersStalled(now time.Time) {
+	for _, other := range c.l.stalled(now) {
+		if other != c && other.evictOpen() {
+			c.l.countEvicted()
+			_ = other.TCPConn.Close() // the server's read fails, and it calls Close
 		}
 	}
 }
