--- a/internal/faults/crowd_test.go
+++ b/internal/faults/crowd_test.go
@@ -1,6 +1,7 @@
 package faults_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -50,8 +51,7 @@
 
 // head returns the header of a request without the blank line that ends it.
 func (p *entryPlay) head(path, fields string) string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: r%d\r\nRequest-Deadline-Ms: %d\r\n%s",
-		path, playHost, p.seq.Add(1), crowdDeadline.Milliseconds(), fields)
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s%s", path, playHost, standin.RequestFields(p.nextID(), crowdDeadline), fields)
 }
 
 // shortFields returns header fields of so many bytes, each with another name and no value.
@@ -258,8 +258,8 @@
 		req, err := http.NewRequest(http.MethodPost, "http://"+p.cfg.Ingress+plainPath, strings.NewReader(body))
 		qt.Assert(p.t, err, qt.IsNil)
 		req.Host = playHost
-		req.Header.Set("Request-Id", fmt.Sprintf("r%d", p.seq.Add(1)))
-		req.Header.Set("Request-Deadline-Ms", "5000")
+		req.Header.Set(standin.HeaderRequest, p.nextID())
+		req.Header.Set(standin.HeaderDeadline, "5000")
 		resp, err := client.Do(req)
 		if err == nil {
 			_, err = io.Copy(io.Discard, resp.Body)
@@ -319,3 +319,44 @@
 	qt.Check(t, most <= smallMemoryMB<<20, qt.IsTrue, qt.Commentf("%d MB of %d", most>>20, smallMemoryMB))
 	qt.Check(t, peak.descriptors <= k.descriptors-reservedFiles, qt.IsTrue, qt.Commentf("%d of %d", peak.descriptors, k.descriptors-reservedFiles))
 }
+
+// Guards against a bound on connections that ordinary callers meet: each has a connection that is idle for less than the idle timeout, and
+// must be able to use it again.
+func TestManyIdleConnectionsAreReused(t *testing.T) {
+	const callers = 1200
+	p := newEntryPlay(t)
+	p.cfg.Descriptors = 3075
+	p.addUpstream("s-plain", "", "plain", 0, standin.EngineFaults{})
+	p.configure([]string{"plain"}, nil)
+	p.start()
+	conns := make([]net.Conn, callers)
+	for round := range 2 {
+		answered := 0
+		for i := range conns {
+			if round == 0 {
+				c, err := net.Dial("tcp", p.cfg.Ingress)
+				qt.Assert(t, err, qt.IsNil)
+				defer c.Close()
+				conns[i] = c
+			}
+			if p.isAnswered(conns[i]) {
+				answered++
+			}
+		}
+		qt.Check(t, answered, qt.Equals, callers, qt.Commentf("requests on connections in round %d", round))
+	}
+}
+
+// isAnswered makes a request on an open connection.
+func (p *entryPlay) isAnswered(c net.Conn) bool {
+	if _, err := io.WriteString(c, p.head(plainPath, "\r\n")); err != nil {
+		return false
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
--- a/internal/faults/play_test.go
+++ b/internal/faults/play_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -158,3 +159,6 @@
 		RetryRatio: 0.2, RetrySlack: 50,
 	}}
 }
+
+// nextID returns the id of another request.
+func (p *entryPlay) nextID() string { return fmt.Sprintf("r%d", p.seq.Add(1)) }
--- a/internal/faults/slow_test.go
+++ b/internal/faults/slow_test.go
@@ -48,10 +48,10 @@
 
 // header returns the header of a request for path.
 func (p *entryPlay) header(path string, bodyBytes int) string {
-	h := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: r%d\r\nRequest-Deadline-Ms: %d\r\nContent-Length: %d\r\n",
-		path, playHost, p.seq.Add(1), playDeadline.Milliseconds(), bodyBytes)
+	h := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%sContent-Length: %d\r\n",
+		path, playHost, standin.RequestFields(p.nextID(), playDeadline), bodyBytes)
 	if strings.HasPrefix(path, "/stream/") {
-		h += "Model: m\r\nToken-Usage: 1460,80\r\n"
+		h += standin.HeaderModel + ": m\r\n" + standin.HeaderTokens + ": 1460,80\r\n"
 	}
 	return h + "\r\n"
 }
@@ -83,11 +83,11 @@
 		return false, false
 	}
 	req.Host = playHost
-	req.Header.Set("Request-Id", fmt.Sprintf("r%d", p.seq.Add(1)))
-	req.Header.Set("Request-Deadline-Ms", strconv.FormatInt(playDeadline.Milliseconds(), 10))
+	req.Header.Set(standin.HeaderRequest, p.nextID())
+	req.Header.Set(standin.HeaderDeadline, strconv.FormatInt(playDeadline.Milliseconds(), 10))
 	if strings.HasPrefix(path, "/stream/") {
-		req.Header.Set("Model", "m")
-		req.Header.Set("Token-Usage", "1460,80")
+		req.Header.Set(standin.HeaderModel, "m")
+		req.Header.Set(standin.HeaderTokens, "1460,80")
 	}
 	resp, err := p.client.Do(req)
 	if err != nil {
