emulator, quarantine: parts that crash engines among many streams, a play that fails

The plays had few answers on each engine when it crashed: 0.7 s of answers, no callers that send again, at most one repeat.

--- a/internal/emulator/crashes.go
+++ b/internal/emulator/crashes.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -24,8 +25,9 @@
 type CrashDecider interface {
 	// Allow reports whether a request may be sent to an engine now. It is called for each attempt.
 	Allow(now time.Time, call *fighollow.Call) bool
-	// Began tells that an attempt is sent, and Ended how it ended. The id of an engine is new after each of its starts. A request
-	// is at one engine at a time. The attempts of one that crashes end one after the other.
+	// Sent tells that an attempt is sent, Began that its answer has begun, and Ended how it ended. The id of an engine is new after each of
+	// its starts. A request is at one engine at a time. The attempts of one that crashes end one after the other.
+	Sent(now time.Time, engine string, call *fighollow.Call)
 	Began(now time.Time, engine string, call *fighollow.Call)
 	Ended(now time.Time, engine string, call *fighollow.Call, outcome CrashOutcome)
 	// Publish returns what the entry writes to the store. A change is written at once, and any value again with each renewal.
@@ -48,6 +50,7 @@
 func AllowAll(string) CrashDecider { return allowAll{} }
 
 func (allowAll) Allow(time.Time, *fighollow.Call) bool                  { return true }
+func (allowAll) Sent(time.Time, string, *fighollow.Call)                {}
 func (allowAll) Began(time.Time, string, *fighollow.Call)               {}
 func (allowAll) Ended(time.Time, string, *fighollow.Call, CrashOutcome) {}
 func (allowAll) Publish(time.Time) []byte                               { return nil }
@@ -108,6 +111,10 @@
 	MiddleParts      int
 	SubjectParts     int
 	DownTime         time.Duration // of an engine that crashed
+	FirstTime        time.Duration // mean time until an answer begins; 0 for crashFirstTime
+	AnswerTime       time.Duration // mean time of the rest of an answer; 0 for crashAnswerTime
+	MaxAttempts      int           // of a request; 0 for maxCrashAttempts
+	CallerRepeats    int           // times that a caller sends a request again whose answer broke off, each within callerPause
 	Parts            []CrashPart
 	Entry            []EntryDisruption
 	Engine           []EngineEnd
@@ -194,6 +201,23 @@
 	return cfg
 }
 
+// DrawCrashStreams draws a run with many long answers on each engine when a part crashes it. Those that break off go on at other engines, and
+// callers send again what was not answered.
+func DrawCrashStreams(seed uint64) CrashConfig {
+	cfg := DrawCrashConfig(seed)
+	rnd := rand.New(rand.NewPCG(seed, 23))
+	seconds := func(from, to float64) time.Duration {
+		return time.Duration((from + rnd.Float64()*(to-from)) * float64(time.Second))
+	}
+	perEngine := 10 + 50*rnd.Float64()
+	cfg.Slots = 256
+	cfg.FirstTime, cfg.AnswerTime = seconds(0.02, 0.2), seconds(1, 6)
+	cfg.PerSecond = min(float64(cfg.Engines)*perEngine/cfg.AnswerTime.Seconds(), maxStreamsPerSecond)
+	cfg.MaxAttempts, cfg.CallerRepeats = 2+rnd.IntN(3), 1+rnd.IntN(2)
+	cfg.SubjectParts = 50 + rnd.IntN(1000)
+	return cfg
+}
+
 // Times of a CrashRun.
 const (
 	crashStable         = 3 * time.Second // after a disruption, and after a part's fifth crash, until the rules hold
@@ -222,6 +246,8 @@
 	wrongBlameRefused   = 2 // refused requests of an entry within wrongBlameSlot that show a wrongly blamed part
 	wrongBlameSlot      = 2 * time.Second
 	minSoundRequests    = 30 // of which a share is judged
+	maxStreamsPerSecond = 120
+	callerPause         = time.Second // longest time until a caller sends a request again
 )
 
 // CrashRun simulates entries that send requests to engines, some of which crash them. The entries decide by a CrashDecider each;
@@ -280,6 +306,7 @@
 	at        time.Time
 	part      int // index of its crashing part in the configuration, or -1
 	mayRepeat bool
+	repeats   int // times that its caller will send it again
 	attempts  int
 	arrived   bool
 	began     bool
@@ -434,10 +461,15 @@
 	if r.rnd.Float64() < r.cfg.Skew {
 		e = r.entries[0]
 	}
-	req := &crashRequest{call: r.call(part, caller), at: r.Now, part: part, mayRepeat: r.rnd.IntN(2) == 0}
+	req := &crashRequest{call: r.call(part, caller), at: r.Now, part: part, mayRepeat: r.rnd.IntN(2) == 0, repeats: r.cfg.CallerRepeats}
 	if isSound {
 		req.part = -1
 	}
+	r.serve(e, req)
+}
+
+// serve has a request served by an entry, or by another one if its process does not run.
+func (r *CrashRun) serve(e *crashEntry, req *crashRequest) {
 	r.oracle.requests = append(r.oracle.requests, req)
 	if e.decider == nil {
 		for _, other := range r.entries { // the load balancer passes it on
@@ -453,6 +485,20 @@
 	r.attempt(e, req)
 }
 
+// repeat has a caller send a request again whose answer broke off.
+func (r *CrashRun) repeat(req *crashRequest) {
+	if req.repeats == 0 {
+		return
+	}
+	r.After(time.Duration(r.rnd.Int64N(int64(callerPause))), func() {
+		r.seq++
+		call := *req.call
+		call.ID = fmt.Sprintf("r%d", r.seq)
+		again := &crashRequest{call: &call, at: r.Now, part: req.part, mayRepeat: req.mayRepeat, repeats: req.repeats - 1}
+		r.serve(r.entries[r.rnd.IntN(len(r.entries))], again)
+	})
+}
+
 func (r *CrashRun) maxTokens() float64 {
 	return repeatSlackShare * repeatSlack / float64(r.cfg.Entries)
 }
@@ -481,7 +527,7 @@
 			continue
 		}
 		e.running[i]++
-		e.decider.Began(r.Now, a.id, req.call)
+		e.decider.Sent(r.Now, a.id, req.call)
 		sent := r.Now
 		r.After(crashSendTime, func() { r.reach(a, sent) })
 		return
@@ -515,7 +561,7 @@
 		return
 	}
 	x.running[a] = true
-	r.After(r.exp(crashFirstTime), func() {
+	r.After(r.exp(cmp.Or(r.cfg.FirstTime, crashFirstTime)), func() {
 		if a.done {
 			return
 		}
@@ -525,7 +571,10 @@
 			return
 		}
 		req.began = true
-		r.After(r.exp(crashAnswerTime), func() {
+		if a.entry.life == a.life {
+			a.entry.decider.Began(r.Now, a.id, req.call)
+		}
+		r.After(r.exp(cmp.Or(r.cfg.AnswerTime, crashAnswerTime)), func() {
 			if !a.done {
 				delete(x.running, a)
 				r.end(a, AttemptCompleted)
@@ -551,8 +600,12 @@
 		return
 	}
 	e.rest[a.engine] = r.Now.Add(crashRest)
-	if a.req.attempts < maxCrashAttempts && (outcome == AttemptFailed || a.req.mayRepeat && e.mayRepeat(r.Now, a.req)) {
+	if a.req.attempts < cmp.Or(r.cfg.MaxAttempts, maxCrashAttempts) && (outcome == AttemptFailed || a.req.mayRepeat && e.mayRepeat(r.Now, a.req)) {
 		r.attempt(e, a.req)
+		return
+	}
+	if outcome == AttemptCrashed {
+		r.repeat(a.req)
 	}
 }
 
--- a/internal/emulator/crashes_test.go
+++ b/internal/emulator/crashes_test.go
@@ -22,6 +22,7 @@
 	return !slices.ContainsFunc(call.Prompt, func(p fighollow.PromptPart) bool { return f.withheld[p.ID] })
 }
 
+func (f *partFilter) Sent(time.Time, string, *fighollow.Call)  {}
 func (f *partFilter) Began(time.Time, string, *fighollow.Call) {}
 
 func (f *partFilter) Ended(_ time.Time, _ string, call *fighollow.Call, outcome emulator.CrashOutcome) {
--- a/internal/quarantine/play_test.go
+++ b/internal/quarantine/play_test.go
@@ -97,7 +97,9 @@
 	return !e.tracker.Admit(now, request(call)).Withheld
 }
 
-func (e *entry) Began(now time.Time, _ string, call *fighollow.Call) { e.sent[call.ID] = now }
+func (e *entry) Sent(now time.Time, _ string, call *fighollow.Call) { e.sent[call.ID] = now }
+
+func (e *entry) Began(time.Time, string, *fighollow.Call) {}
 
 func (e *entry) Ended(now time.Time, engine string, call *fighollow.Call, outcome emulator.CrashOutcome) {
 	switch outcome {
@@ -240,6 +242,11 @@
 	playSeeds(t, emulator.DrawCrashCallers, regularSeeds(openCallerSeeds, 125, 209, 357, 464, 535, 679, 773))
 }
 
+// Guards against sound requests that are blamed, in place of the part that crashes engines, because their answers often break off.
+func TestPartsThatCrashEnginesAreFoundAmongManyStreams(t *testing.T) {
+	playSeeds(t, emulator.DrawCrashStreams, regularSeeds(nil))
+}
+
 // Guards against the same in the runs that are still open.
 func TestRequestsFromSeveralAddressesAreFoundInOpenSeeds(t *testing.T) {
 	playSeeds(t, emulator.DrawCrashCallers, openCallerSeeds)
