quarantine, gateway: streams that had gone on are no evidence, and answers exonerate when they begin

Cause: every attempt that broke off with an engine counted as evidence. They go on at other engines, which crash next, and after three crashes the request is taken for the cause; as requests were judged first, the evidence of the same crashes against the part was dropped. The class: evidence that does not tell the causes of a failure from its victims.

Change: - An answer that had begun 0.5 s or longer before the break shows that its request does not crash engines. It is no evidence, and one that began shortly before is looked at only where the rest explains nothing. - The beginning of an answer exonerates, not only its end.

--- a/internal/emulator/crashes.go
+++ b/internal/emulator/crashes.go
@@ -115,6 +115,7 @@
 	AnswerTime       time.Duration // mean time of the rest of an answer; 0 for crashAnswerTime
 	MaxAttempts      int           // of a request; 0 for maxCrashAttempts
 	CallerRepeats    int           // times that a caller sends a request again whose answer broke off, each within callerPause
+	CrashDelay       time.Duration // longest time from the beginning of an answer until an engine crashes under it; 0 if none begins
 	Parts            []CrashPart
 	Entry            []EntryDisruption
 	Engine           []EngineEnd
@@ -215,6 +216,9 @@
 	cfg.PerSecond = min(float64(cfg.Engines)*perEngine/cfg.AnswerTime.Seconds(), maxStreamsPerSecond)
 	cfg.MaxAttempts, cfg.CallerRepeats = 2+rnd.IntN(3), 1+rnd.IntN(2)
 	cfg.SubjectParts = 50 + rnd.IntN(1000)
+	if rnd.IntN(4) == 0 {
+		cfg.CrashDelay = seconds(0.02, 0.2)
+	}
 	return cfg
 }
 
@@ -566,8 +570,7 @@
 			return
 		}
 		if now := r.Now.Sub(r.start); req.part >= 0 && r.cfg.Parts[req.part].Crashing.contains(now) {
-			r.oracle.crashed(now, req.part)
-			r.crash(a.engine, r.cfg.DownTime)
+			r.crashUnder(a)
 			return
 		}
 		req.began = true
@@ -583,6 +586,25 @@
 	})
 }
 
+// crashUnder has an attempt crash its engine, which may begin to answer before.
+func (r *CrashRun) crashUnder(a *crashAttempt) {
+	crash := func() {
+		if a.done {
+			return
+		}
+		r.oracle.crashed(r.Now.Sub(r.start), a.req.part)
+		r.crash(a.engine, r.cfg.DownTime)
+	}
+	if r.cfg.CrashDelay == 0 {
+		crash()
+		return
+	}
+	if a.entry.life == a.life {
+		a.entry.decider.Began(r.Now, a.id, a.req.call)
+	}
+	r.After(time.Duration(r.rnd.Int64N(int64(r.cfg.CrashDelay))), crash)
+}
+
 func (r *CrashRun) exp(mean time.Duration) time.Duration {
 	return time.Duration(r.rnd.ExpFloat64() * float64(mean))
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -103,6 +103,7 @@
 	body       *answer.Reader // reads reply.Body
 	streaming  bool           // the first event was relayed
 	firstEvent time.Duration  // from the dispatch to the first event
+	answered   bool           // see recordAnswer
 	ended      bool
 }
 
@@ -287,7 +288,7 @@
 		line.Err(err)
 	}
 	if r == placement.Failed {
-		a.logIdentity(line)
+		a.logIdentity(line.Bool("began", a.streaming))
 	}
 	line.Send()
 }
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -167,7 +167,7 @@
 		return x.recordInterruption(ctx, a, err)
 	}
 	x.total = time.Since(x.call.Arrived)
-	x.recordComplete(a)
+	x.recordAnswer(a)
 	a.end(placement.Answered, nil)
 	return nil
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -51,7 +51,7 @@
 		return false, fmt.Errorf("%w: status %d", fighollow.ErrUnknownOutcome, a.reply.Status)
 	}
 	if !long {
-		x.recordComplete(a)
+		x.recordAnswer(a)
 		a.end(result, nil) // frees the upstream's slot before the caller has read the answer
 	}
 	length := a.reply.Length
@@ -110,7 +110,7 @@
 			a.end(placement.Abandoned, err)
 			return true, nil
 		case errors.Is(err, io.EOF):
-			x.recordComplete(a)
+			x.recordAnswer(a)
 			a.end(a.statusResult(), nil)
 			x.total = time.Since(x.call.Arrived)
 			return true, nil
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -38,13 +38,23 @@
 		return
 	}
 	now := time.Now()
-	x.g.opts.Quarantine.Broke(now, a.upstream.Incarnation(), x.subject, now.Sub(a.placed.SentAt))
+	sent := now.Sub(a.placed.SentAt)
+	if a.streaming {
+		x.g.opts.Quarantine.Interrupted(now, a.upstream.Incarnation(), x.subject, sent, sent-a.firstEvent)
+		return
+	}
+	x.g.opts.Quarantine.Broke(now, a.upstream.Incarnation(), x.subject, sent)
 }
 
-// recordComplete records that an upstream completed the answer. A failure of an engine can come before it has begun to work on the prompt.
-func (x *exchange) recordComplete(a *attempt) {
+// recordAnswer records that a stream began or that another answer is complete. A failure of an engine can come before it has begun to work on
+// the prompt.
+func (x *exchange) recordAnswer(a *attempt) {
+	if a.answered {
+		return
+	}
+	a.answered = true
 	if a.reply.Status == http.StatusOK || x.traits.Engine == nil && a.reply.Status < http.StatusInternalServerError {
-		x.g.opts.Quarantine.Completed(time.Now(), a.upstream.Incarnation(), x.subject)
+		x.g.opts.Quarantine.Answered(time.Now(), a.upstream.Incarnation(), x.subject)
 	}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -131,6 +131,7 @@
 	if !a.streaming {
 		a.streaming = true
 		a.firstEvent = time.Since(a.placed.SentAt)
+		x.recordAnswer(a)
 		x.pool.Started(time.Now(), a.placed)
 		x.recordComputed(a)
 	}
--- a/internal/quarantine/blame_test.go
+++ b/internal/quarantine/blame_test.go
@@ -26,6 +26,8 @@
 	return minCrashes
 }
 
+func (fixedJudge) isCommon(Key) bool { return false }
+
 func (fixedJudge) isSettled(Key, time.Time) bool { return true }
 
 // crash returns the breaks of prompts at an engine after some milliseconds.
--- a/internal/quarantine/publish.go
+++ b/internal/quarantine/publish.go
@@ -92,7 +92,7 @@
 						t.exonerate(key, q.crashedAt)
 					}
 				} else {
-					t.sound.set(key, soundness{at: now, before: now})
+					t.sound.set(key, soundness{at: now, settled: now})
 				}
 				delete(t.cases, key)
 				ended = append(ended, key)
@@ -136,7 +136,7 @@
 func (t *Tracker) exonerate(key Key, crash time.Time) {
 	s := t.sound.get(key)
 	if at := crash.Add(time.Nanosecond - soundMargin); at.After(s.at) {
-		s.at = at
+		s.at, s.settled = at, at
 		t.sound.set(key, s)
 	}
 }
@@ -180,9 +180,10 @@
 	}
 	crashedAt := now.Add(-time.Duration(s.AgeMs) * time.Millisecond)
 	// An answer since the first crash shows that it had another cause. One before makes few crashes a coincidence, which is said once.
-	isAnswered := t.sound.get(key).at.After(crashedAt)
+	t.sound.settle(now)
+	isAnswered := t.sound.get(key).settled.After(crashedAt)
 	isCoincidence := s.Crashes < minCrashesSound && q == nil && t.hasSoundHistory(now, key) && !t.isDoubted(now, key)
-	if isAnswered || isCoincidence {
+	if isAnswered || isCoincidence || q == nil && !key.Request && t.sound.isCommon(now, key) {
 		t.doubt(now, key)
 		t.lifts[key], t.liftAt[key] = version, now.Add(t.objectionDelay(key))
 		delete(t.cases, key)
@@ -219,9 +220,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Write
+	t.sound.settle(now)
 	for key, q := range t.cases {
 		switch {
-		case !q.sound.at.IsZero() && now.Sub(q.sound.at) >= revokeTime:
+		case t.sound.get(key).settled.After(q.addedAt):
 			t.lift(now, key)
 		case now.Sub(q.changedAt) > caseLapse:
 			t.drop(key)
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -30,6 +30,7 @@
 	Fingerprints []uint64 `json:"fingerprints,omitempty"`
 	AgeMs        int64    `json:"ageMs"`
 	TookMs       int64    `json:"tookMs"` // from the sending of the attempt to the break
+	Began        bool     `json:"began,omitempty"`
 }
 
 // Reports returns the breaks as published at now.
@@ -37,7 +38,7 @@
 	var out []Report
 	for _, b := range breaks {
 		out = append(out, Report{
-			b.Service, b.Upstream, b.Prompt, b.Parts, b.Fingerprints, now.Sub(b.At).Milliseconds(), b.At.Sub(b.SentAt).Milliseconds(),
+			b.Service, b.Upstream, b.Prompt, b.Parts, b.Fingerprints, now.Sub(b.At).Milliseconds(), b.At.Sub(b.SentAt).Milliseconds(), b.Began,
 		})
 	}
 	return out
@@ -53,7 +54,7 @@
 		at := published.Add(-time.Duration(r.AgeMs) * time.Millisecond)
 		out = append(out, Break{
 			At: at, SentAt: at.Add(-time.Duration(r.TookMs) * time.Millisecond), Service: r.Service, Upstream: r.Upstream, Prompt: r.Prompt,
-			Parts: r.Parts, Fingerprints: r.Fingerprints,
+			Parts: r.Parts, Fingerprints: r.Fingerprints, Began: r.Began,
 		})
 	}
 	return out
@@ -235,7 +236,7 @@
 
 // sortByStrength orders breaks by the strongest evidence against one of their keys, the newest first where it is the same.
 func (t *Tracker) sortByStrength(breaks, evidence []Break) {
-	against := tallies(evidence, t.isSound)
+	against := tallies(evidence, nil, t.isSound)
 	strength := func(b Break) (most float64) {
 		for _, key := range b.keys() {
 			if c := against[key]; c != nil {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -44,8 +45,9 @@
 	mu      sync.Mutex
 	breaks  []Break // of this entry, oldest first
 	reports reports // of all entries
-	sound   soundMemory
+	sound   *soundMemory
 	alive   map[string]time.Time // when each upstream last replied to this entry
+	crashed map[string]time.Time // when an answer of each upstream first broke off midway
 	cases   map[Key]*quarantined
 	judged  time.Time         // when the evidence was last judged
 	newsAt  time.Time         // when an attempt last broke off, here or by a report of another entry
@@ -68,13 +70,12 @@
 	probes    int       // that crashed engines
 	probeAt   time.Time // when the next one is due
 	probing   time.Time // when the last one was sent
-	sound     soundness // the answer that ends the quarantine unless its engine crashes; zero if there is none
 }
 
 // New returns an empty Tracker for an entry; self is its name.
 func New(self string) *Tracker {
 	return &Tracker{
-		self: self, reports: newReports(), sound: newSoundMemory(), alive: make(map[string]time.Time), cases: make(map[Key]*quarantined),
+		self: self, reports: newReports(), sound: newSoundMemory(), alive: make(map[string]time.Time), crashed: make(map[string]time.Time), cases: make(map[Key]*quarantined),
 		lifts: make(map[Key]uint64), liftAt: make(map[Key]time.Time), entries: 1,
 	}
 }
@@ -159,7 +160,7 @@
 	if !t.brokeAtTwo(keys) {
 		return true // as after most failures, so that the evidence need not be judged
 	}
-	for key, c := range tallies(t.evidence(now), t.isSound) {
+	for key, c := range tallies(t.evidence(now), slices.Collect(maps.Keys(t.cases)), t.seemsSound) {
 		if slices.Contains(keys, key) && c.isConclusive(minCrashes-1) {
 			return false
 		}
@@ -190,24 +191,47 @@
 	return slices.ContainsFunc(t.breaks, isSecond)
 }
 
-// Completed records that an engine completed an answer.
-func (t *Tracker) Completed(now time.Time, upstream string, r *Request) {
+// Answered records that the answer of an upstream to a request began. One that it crashes under never begins.
+func (t *Tracker) Answered(now time.Time, upstream string, r *Request) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.sound.add(now, r, upstream)
+	t.sound.forget(now)
+}
+
+// Interrupted records that the connection of an attempt broke whose answer had begun, so long after it was sent and after its answer began. An
+// answer that had gone on for some time is no evidence: what crashes engines does so when they begin to answer it.
+func (t *Tracker) Interrupted(now time.Time, upstream string, r *Request, sent, begun time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if begun < revokeTime {
+		t.broke(now, upstream, r, sent, true)
+		return
+	}
+	t.sound.revoke(now, upstream)
 	for _, key := range r.keys() {
-		s := t.sound.add(now, key, upstream)
-		if q := t.cases[key]; q != nil {
-			q.sound = s
+		if q := t.cases[key]; q != nil && q.own {
+			q.probing = time.Time{}
 		}
 	}
-	t.sound.forget(now)
+	if _, ok := t.crashed[upstream]; ok {
+		return
+	}
+	if len(t.crashed) >= maxAlive {
+		clear(t.crashed)
+	}
+	t.crashed[upstream] = now
 }
 
-// Broke records that the connection of an attempt broke while the engine worked on it, so long after it was sent.
+// Broke records that the connection of an attempt broke before its answer began, so long after it was sent.
 func (t *Tracker) Broke(now time.Time, upstream string, r *Request, after time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.revoke(now, upstream)
+	t.broke(now, upstream, r, after, false)
+}
+
+func (t *Tracker) broke(now time.Time, upstream string, r *Request, after time.Duration, began bool) {
+	t.sound.revoke(now, upstream)
 	for _, key := range r.keys() {
 		if q := t.cases[key]; q != nil && q.own && !q.probing.IsZero() {
 			q.probes++
@@ -216,7 +240,7 @@
 		}
 	}
 	t.breaks = append(t.breaks, Break{
-		At: now, SentAt: now.Add(-after), Service: r.Service, Upstream: upstream, Prompt: r.own, Parts: r.parts, Fingerprints: r.fingerprints,
+		At: now, SentAt: now.Add(-after), Service: r.Service, Upstream: upstream, Prompt: r.own, Parts: r.parts, Fingerprints: r.fingerprints, Began: began,
 	})
 	t.newsAt, t.reports.isDue = now, true
 	if len(t.breaks) > maxBreaks {
@@ -227,16 +251,6 @@
 	}
 }
 
-// revoke takes back what answers say that an engine completed just before it crashed.
-func (t *Tracker) revoke(now time.Time, upstream string) {
-	t.sound.revoke(now, upstream)
-	for _, q := range t.cases {
-		if q.sound.isRevoked(now, upstream) {
-			q.sound = soundness{}
-		}
-	}
-}
-
 // Judge judges the evidence if that is due, and returns the keys that are in quarantine because of it.
 func (t *Tracker) Judge(now time.Time) []Key {
 	t.mu.Lock()
@@ -260,6 +274,10 @@
 	return minCrashes
 }
 
+// isCommon implements judge. Without the requests that have such a part few are left to be served, and what has crashed engines since it came
+// is rarely what many answers have had.
+func (v view) isCommon(key Key) bool { return !key.Request && v.sound.isCommon(v.now, key) }
+
 // isSettled implements judge.
 func (v view) isSettled(key Key, crash time.Time) bool {
 	if key.Request {
@@ -271,7 +289,7 @@
 // hasSoundHistory reports whether an answer to a request with the key was completed lately.
 func (t *Tracker) hasSoundHistory(now time.Time, key Key) bool {
 	s := t.sound.get(key)
-	return !s.at.IsZero() && now.Sub(s.at) < evidenceTime
+	return !s.settled.IsZero() && now.Sub(s.settled) < evidenceTime
 }
 
 // judge puts parts and requests into quarantine. It releases those that this entry has blamed lately and whose crashes a newly blamed one explains.
@@ -293,7 +311,7 @@
 		if t.cases[key] != nil {
 			continue
 		}
-		crashedAt, crashes := tallies(evidence, t.isSound)[key].counted()
+		crashedAt, crashes := tallies(evidence, nil, t.isSound)[key].counted()
 		t.begin(now, key, crashedAt, crashes)
 		added = append(added, key)
 		if wide, ok := fromAnyAddress(evidence, key, view{t, now}); ok && t.cases[wide] == nil {
@@ -320,18 +338,19 @@
 // isExplained reports whether other keys, against which there is more evidence, explain all crashes that speak against a key.
 func (t *Tracker) isExplained(now time.Time, key Key, evidence []Break, others []Key) bool {
 	v := view{t, now}
-	all := tallies(evidence, t.isSound)
+	all := tallies(evidence, nil, t.isSound)
 	own := all[key]
 	if own == nil || !own.isConclusive(minCrashes) {
 		return false // the evidence has lapsed
 	}
-	rest := evidence
+	var stronger []Key
 	for _, other := range others {
 		if c := all[other]; c != nil && c.strength() > own.strength() && v.crashesNeeded(other) <= v.crashesNeeded(key) {
-			rest = unexplained(rest, other)
+			stronger = append(stronger, other)
 		}
 	}
-	return tallies(rest, t.isSound)[key] == nil
+	rest := tallies(evidence, stronger, t.isSound)[key]
+	return rest == nil || rest.isUnder(stronger)
 }
 
 // put adds a key, in place of the one that has not changed for longest if there are too many.
@@ -363,13 +382,14 @@
 
 // evidence returns the breaks that count, oldest first.
 func (t *Tracker) evidence(now time.Time) []Break {
+	t.sound.settle(now)
 	isVoid := func(b Break) bool {
 		return now.Sub(b.At) > evidenceTime || t.alive[b.Upstream].Sub(b.At) > aliveMargin
 	}
 	t.breaks = slices.DeleteFunc(t.breaks, isVoid)
 	out := slices.Concat(t.breaks, t.reports.breaks(t.self, isVoid))
 	slices.SortFunc(out, compareBreaks)
-	ended := make(map[string]time.Time) // by upstream, when it crashed
+	ended := maps.Clone(t.crashed) // by upstream, when it crashed
 	return slices.DeleteFunc(out, func(b Break) bool {
 		at, ok := ended[b.Upstream]
 		if !ok {
@@ -387,13 +407,19 @@
 	)
 }
 
+// isSound reports whether an answer shows that a key did not cause a break at this time.
 func (t *Tracker) isSound(key Key, at time.Time) bool {
+	return t.sound.get(key).settled.After(at.Add(-soundMargin))
+}
+
+// seemsSound is isSound for answers too that can still be revoked.
+func (t *Tracker) seemsSound(key Key, at time.Time) bool {
 	return t.sound.get(key).at.After(at.Add(-soundMargin))
 }
 
 // lift ends the quarantine of a key that was answered.
 func (t *Tracker) lift(now time.Time, key Key) {
-	t.sound.set(key, soundness{at: now, before: now})
+	t.sound.set(key, soundness{at: now, settled: now})
 	t.drop(key)
 }
 
