upstream: an answer that ends with its connection is whole only if the request was written

What callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written.

Cause: the error of a reset is reported once. If a write of the request takes it, the read sees the regular end of a connection.

Change: at the end of such an answer the result of the write is awaited for 0.1 s. The answer counts as broken off unless the request was written to its end. An upstream that closes without having read the request is treated alike, as the two cannot be told apart.

Evidence: TestResetWhileTheRequestIsWrittenIsAnError failed before (body "part", no error) and passes, 20 uploads of 3 MiB each with and without an interim answer; TestBodyOfALongRequestEndsWithConnection shows that whole answers still are. Answers with a length or chunks were never affected.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -10,8 +10,14 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/fighollow/fighollow/internal/answer"
+	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
+// writeWait is how long after the end of an answer its request may be found to have been written.
+const writeWait = 100 * time.Millisecond
+
 // errInvalidStatus is the reason why a response is not used.
 var errInvalidStatus = errors.New("upstream: response with an invalid status")
 
@@ -165,16 +171,39 @@
 	writeResult <-chan error
 	stop        func() bool
 	ended       bool
+	truncated   bool
 }
 
 func (b *body) Read(p []byte) (int, error) {
+	if b.truncated {
+		return 0, io.ErrUnexpectedEOF
+	}
 	n, err := b.rc.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.release()
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
+	// The error of a reset is reported once. If a write has taken it, the read sees the regular end of a connection.
+	if answer.FramingOf(b.resp) == fighollow.FramingConnection && !b.ended && !b.isRequestWritten() {
+		b.truncated = true
+		_ = b.Close() // the answer is lost anyway
+		return n, io.ErrUnexpectedEOF
+	}
+	b.release()
 	return n, err
 }
 
+// isRequestWritten reports whether the request was written to its end.
+func (b *body) isRequestWritten() bool {
+	timer := time.NewTimer(writeWait)
+	defer timer.Stop()
+	select {
+	case err := <-b.writeResult:
+		return err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
 // Close closes the connection if the body was not read to its end.
 func (b *body) Close() error {
 	if !b.ended {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -219,6 +219,42 @@
 	qt.Assert(t, err, qt.IsNotNil, qt.Commentf("body %q", got))
 }
 
+// Guards against a part of an answer being taken for the whole where a write has taken the error of the reset: the read then sees an orderly end.
+func TestResetWhileTheRequestIsWrittenIsAnError(t *testing.T) {
+	for name, prefix := range map[string]string{"plain": "", "afterContinue": "HTTP/1.1 100 Continue\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			peer := newPeer(t, func(_ *peer, _ int64, c net.Conn, r *bufio.Reader) {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, prefix+"HTTP/1.1 200 OK\r\nId: "+req.Header.Get("Id")+"\r\n\r\npart")
+				_ = c.(*net.TCPConn).SetLinger(0)
+			})
+			pool := upstream.New()
+			defer pool.Close()
+			for range 20 {
+				got, err := do(pool, peer.addr, "POST", "a", strings.Repeat("x", 3<<20))
+				qt.Assert(t, err, qt.IsNotNil, qt.Commentf("body %q", got))
+			}
+		})
+	}
+}
+
+// Guards against whole answers being rejected because the end of a long request is written while they arrive.
+func TestBodyOfALongRequestEndsWithConnection(t *testing.T) {
+	peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+p.read(r)+"\r\n\r\nwhole")
+	})
+	pool := upstream.New()
+	defer pool.Close()
+	for range 20 {
+		got, err := do(pool, peer.addr, "POST", "a", strings.Repeat("x", 3<<20))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got, qt.Equals, "whole")
+	}
+}
+
 func TestBodyEndsWithConnection(t *testing.T) {
 	peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+p.read(r)+"\r\n\r\nwhole")
