upstream: a status above 599 is no answer

Evidence: TestInvalidStatusIsBroken failed for 600 and 999 before. The other seven values of it were rejected before too.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -15,8 +15,12 @@
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
-// writeWait is how long after the end of an answer its request may be found to have been written.
-const writeWait = 100 * time.Millisecond
+const (
+	// maxStatus is the largest status that HTTP allows.
+	maxStatus = 599
+	// writeWait is how long after the end of an answer its request may be found to have been written.
+	writeWait = 100 * time.Millisecond
+)
 
 // errInvalidStatus is the reason why a response is not used.
 var errInvalidStatus = errors.New("upstream: response with an invalid status")
@@ -133,8 +137,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusOK {
-			// net/http cannot write a status below 100, and no request asks for another protocol.
+		if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+			// net/http cannot write a status below 100, no request asks for another protocol, and HTTP defines no class above.
 			return nil, fmt.Errorf("%w %d", errInvalidStatus, resp.StatusCode)
 		}
 		if matches(resp) {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -266,6 +266,21 @@
 	qt.Assert(t, got, qt.Equals, "whole")
 }
 
+// Guards against an answer with a status that HTTP does not define being passed on.
+func TestInvalidStatusIsBroken(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999", "0200", "2OO", "-01", "+20"} {
+		t.Run(status, func(t *testing.T) {
+			peer := newPeer(t, func(p *peer, _ int64, c net.Conn, r *bufio.Reader) {
+				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" x\r\nId: "+p.read(r)+"\r\nContent-Length: 0\r\n\r\n")
+			})
+			pool := upstream.New()
+			defer pool.Close()
+			_, err := do(pool, peer.addr, "POST", "a", "x")
+			qt.Assert(t, err, qt.ErrorIs, upstream.ErrBroken)
+		})
+	}
+}
+
 // Guards against the rest of a long request body being parsed as a new request by an upstream that responded early.
 func TestEarlyResponseClosesTheConnection(t *testing.T) {
 	peer := newPeer(t, func(p *peer, n int64, c net.Conn, r *bufio.Reader) {
