gateway: a stopping process refuses what may not be repeated and may outlast it

Cause: until the load balancer can have noticed the stop, requests were accepted whatever their deadline.

Change: one that may not be repeated is accepted only if its deadline is before the end.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,19 +82,19 @@
 	deadline time.Time // when requests that are still open are aborted
 }
 
-// deregistrationDelay is how long a stopping process accepts requests of any length. The load balancer needs two missed
+// deregistrationDelay is how long a stopping process accepts requests of any length that may be repeated. The load balancer needs two missed
 // health checks, a second apart, to send connections elsewhere.
 const deregistrationDelay = 2500 * time.Millisecond
 
-// Stop begins a graceful shutdown at now. Requests that are still open at end are aborted. A request that arrives
-// deregistrationDelay after now or later is refused unless its deadline is before end.
+// Stop begins a graceful shutdown at now. Requests that are still open at end are aborted. A request whose deadline is not before end is refused
+// if it may not be repeated, or arrives deregistrationDelay after now or later.
 func (g *Gateway) Stop(now, end time.Time) { g.shutdown.Store(&shutdown{start: now, deadline: end}) }
 
-// canFinish reports whether to accept a request: no shutdown has begun, the load balancer may not have noticed it yet, or
-// the deadline of the request is before the process ends.
-func (g *Gateway) canFinish(arrived, deadline time.Time) bool {
+// canFinish reports whether to accept a request: no shutdown has begun, the deadline of the request is before the process ends, or the load
+// balancer may not have noticed it yet and the request may be repeated if it is aborted.
+func (g *Gateway) canFinish(arrived, deadline time.Time, repeat fighollow.Repeat) bool {
 	s := g.shutdown.Load()
-	return s == nil || arrived.Sub(s.start) < deregistrationDelay || deadline.Before(s.deadline)
+	return s == nil || deadline.Before(s.deadline) || repeat != fighollow.RepeatNever && arrived.Sub(s.start) < deregistrationDelay
 }
 
 // Apply puts a configuration in force, unless one with the same or a higher version is. It reports whether it did.
@@ -263,7 +263,7 @@
 
 // stopRefusal returns the refusal for a request that cannot end before the process does; nil if it can.
 func (x *exchange) stopRefusal() *fighollow.Refusal {
-	if x.g.canFinish(x.call.Arrived, x.deadline) {
+	if x.g.canFinish(x.call.Arrived, x.deadline, x.route.Repeat) {
 		return nil
 	}
 	r := fighollow.NotRunRefusal(fighollow.CodeStopping, "the process is stopping")
