quarantine: keys are judged in one order

What callers saw: nothing yet.

Cause: compare is not transitive since (a request goes before its own parts), and the strongest evidence was looked for in the order of a map.

Change: keys are compared in their order.

--- a/internal/quarantine/blame.go
+++ b/internal/quarantine/blame.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -206,10 +207,14 @@
 func compare(a, b *tally) int {
 	return cmp.Or(
 		compareBool(b.isRequestWith(a.key), a.isRequestWith(b.key)), cmp.Compare(a.needed, b.needed), cmp.Compare(b.strength(), a.strength()),
-		compareBool(b.key.Request, a.key.Request), cmp.Compare(b.depth, a.depth), cmp.Compare(a.key.Service, b.key.Service), cmp.Compare(a.key.ID, b.key.ID),
+		compareBool(b.key.Request, a.key.Request), cmp.Compare(b.depth, a.depth), compareKeys(a.key, b.key),
 	)
 }
 
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), compareBool(a.Request, b.Request), cmp.Compare(a.ID, b.ID))
+}
+
 // isUnder reports whether all crashes that count against a part were under requests among these keys, which explain them.
 func (t *tally) isUnder(requests []Key) bool {
 	for prompt := range t.prompts {
@@ -267,7 +272,9 @@
 	explained = slices.Clone(known)
 	for {
 		var best *tally
-		for key, t := range tallies(breaks, explained, j.isSound) {
+		all := tallies(breaks, explained, j.isSound)
+		for _, key := range slices.SortedFunc(maps.Keys(all), compareKeys) { // as compare is not transitive, and entries should agree
+			t := all[key]
 			t.needed = j.crashesNeeded(key)
 			if t.isConclusive(t.needed) && !j.isCommon(key) && (best == nil || compare(t, best) < 0) {
 				best = t
