--- a/internal/faults/play_test.go
+++ b/internal/faults/play_test.go
@@ -49,7 +49,7 @@
 }
 
 // addUpstream starts an upstream of a service.
-func (p *entryPlay) addUpstream(id, role, service string, events int, f standin.EngineFaults) {
+func (p *entryPlay) addUpstream(id, role, service string, events int, f standin.EngineFaults) *standin.Engine {
 	e := standin.NewEngine(id, role)
 	e.Events = events
 	f.RefuseControl = true // no orders for role changes
@@ -71,6 +71,7 @@
 	})
 	p.upstreams = append(p.upstreams, l.Addr().String())
 	p.store.Put("servers", id, e.Spec(service, l.Addr().String(), "a"))
+	return e
 }
 
 // configure writes a configuration with a route for each service: plain services by paths /once/SERVICE/, others by /stream/SERVICE/.
