--- /dev/null
+++ b/review/harness/engine.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// engine is a model engine, or an instance of a plain service if it has no stage.
+type engine struct {
+	id, service, zone, stage, address string
+	slots                             int
+	version                           string
+	born                              int64
+	sequence                          atomic.Uint64
+	st                                *store
+
+	mu      sync.Mutex
+	runs    []engineRun
+	handles map[string]bool
+	next    int
+	handle  func(w http.ResponseWriter, r *http.Request, body string) bool // takes a request over; nil for none
+}
+
+// engineRun is a request that the engine began to run.
+type engineRun struct {
+	id, path, after string
+	at              time.Time
+}
+
+// startEngine starts an engine and registers it in the store, which it writes each 1.2 s.
+func startEngine(st *store, id, service, zone, stage, ip string, slots int) *engine {
+	e := &engine{
+		id: id, service: service, zone: zone, stage: stage, slots: slots, version: "v1", born: time.Now().UnixMilli(), st: st,
+		handles: make(map[string]bool),
+	}
+	e.address, _ = serve(ip, e)
+	e.register("ready")
+	return e
+}
+
+func (e *engine) register(state string) {
+	spec := map[string]any{
+		"service": e.service, "address": e.address, "zone": e.zone, "version": e.version, "slots": e.slots, "state": state,
+		"coldRemainingMs": 0, "sequence": e.sequence.Load(), "born": e.born,
+	}
+	if e.stage != "" {
+		spec["stage"], spec["models"] = e.stage, []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}
+	}
+	e.st.put("servers", e.id, spec)
+}
+
+// began returns the requests that the engine began to run.
+func (e *engine) began() []engineRun {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]engineRun(nil), e.runs...)
+}
+
+func (e *engine) signature(id string) string { return "sig." + e.id + "." + id }
+
+// ServeHTTP implements http.Handler.
+func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != e.id {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch {
+	case r.URL.Path == "/api/report":
+		reply(w, http.StatusOK, map[string]any{
+			"stage": e.stage, "models": []any{}, "busy": false, "sequence": e.sequence.Load(), "born": e.born, "queued": 0, "active": 1,
+			"kvUsed": 1000, "kvTotal": 532628, "kvHandles": 0,
+		})
+		return
+	case r.URL.Path == "/api/kv-events":
+		reply(w, http.StatusOK, map[string]any{"epoch": e.born, "next": 0, "lost": false, "events": []any{}})
+		return
+	case r.URL.Path == "/api/order":
+		e.sequence.Add(1)
+		w.WriteHeader(http.StatusOK)
+		return
+	case strings.HasPrefix(r.URL.Path, "/api/kv-handle/"):
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	if r.Header.Get("Inference-Stage") == "prefill" {
+		e.mu.Lock()
+		e.next++
+		handle := fmt.Sprintf("%s%06x", e.id, e.next)
+		e.handles[handle] = true
+		e.mu.Unlock()
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(map[string]any{"handle": handle, "tokens": 10, "version": 1})
+		return
+	}
+	e.mu.Lock()
+	e.runs = append(e.runs, engineRun{id, r.URL.Path, r.Header.Get("Last-Event-Id"), time.Now()})
+	e.mu.Unlock()
+	w.Header().Set("Server-Signature", e.signature(id))
+	if e.handle != nil && e.handle(w, r, string(data)) {
+		return
+	}
+	if e.stage == "" {
+		fmt.Fprintf(w, "answer to %s", id)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := 1; n <= 3; n++ {
+		fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", n, n, id)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// newConfig returns a configuration like that of a small deployment.
+func newConfig(version int) map[string]any {
+	return map[string]any{
+		"version": version,
+		"routes": []any{
+			map[string]any{
+				"name": "memo", "host": "a.example", "pathPrefix": "/memo/", "kind": "streaming", "timeoutMs": 8000, "targetLatencyMs": 1500,
+				"priority": 2, "service": "models", "maxAttempts": 2, "sessionAffinity": true, "resumable": true, "gapTargetMs": 300,
+			},
+			map[string]any{
+				"name": "status", "host": "a.example", "pathPrefix": "/status/", "kind": "non_idempotent", "timeoutMs": 1500, "targetLatencyMs": 150,
+				"priority": 2, "service": "portal", "maxAttempts": 1, "sessionAffinity": false,
+			},
+			map[string]any{
+				"name": "fetch", "host": "a.example", "pathPrefix": "/fetch/", "kind": "idempotent", "timeoutMs": 1500, "targetLatencyMs": 150,
+				"priority": 2, "service": "portal", "maxAttempts": 2, "sessionAffinity": false,
+			},
+		},
+		"services": []any{
+			map[string]any{
+				"name": "models", "healthCheck": "/healthz", "maxConnections": 620, "protocol": "h1", "tls": false,
+				"engine": map[string]any{
+					"slots": 128, "kvCapacityTokens": 532628, "kvTokenBytes": 35136, "bandwidthMbps": 390000.0, "moves": true, "backups": true,
+					"stride": 6, "most": 12, "handleTtlS": 5.0, "roleSwitchS": 3.0, "pinMs": 4000.0, "holdMs": 2000.0,
+					"models": []any{map[string]any{"name": "m"}},
+				},
+			},
+			map[string]any{"name": "portal", "healthCheck": "/healthz", "maxConnections": 100, "protocol": "h1", "tls": false},
+		},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	}
+}
