--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -15,7 +16,7 @@
 type engine struct {
 	id, service, zone, stage, address string
 	slots                             int
-	version                           string
+	version                           string // of its software
 	born                              int64
 	sequence                          atomic.Uint64
 	st                                *store
@@ -55,6 +56,25 @@
 	e.st.put("servers", e.id, spec)
 }
 
+// process is one run of a model engine at an address that it keeps. It ends with all its connections.
+type process struct {
+	server *http.Server
+}
+
+// run begins to serve at the engine's address.
+func (e *engine) run() *process {
+	l, err := net.Listen("tcp", e.address)
+	if err != nil {
+		unable("engine %s: %v", e.id, err)
+	}
+	p := &process{server: &http.Server{Handler: e}}
+	go func() { _ = p.server.Serve(l) }()
+	return p
+}
+
+// crash ends the run.
+func (p *process) crash() { _ = p.server.Close() }
+
 // began returns the requests that the engine began to run.
 func (e *engine) began() []engineRun {
 	e.mu.Lock()
--- a/review/harness/run.go
+++ b/review/harness/run.go
@@ -96,16 +96,14 @@
 
 // gateway is a process of the system on a machine of its own, which has a loopback address.
 type gateway struct {
-	r                  *run
-	name, ip, zone     string
-	front, ready       string
-	settings           string
-	memoryMB           int
-	mu                 sync.Mutex
-	cmd                *exec.Cmd
-	exited             chan struct{}
-	ends               int // of the process, other than by kill
-	stopped, isKilling bool
+	r              *run
+	name, ip, zone string
+	front, ready   string
+	settings       string
+	memoryMB       int
+	mu             sync.Mutex
+	cmd            *exec.Cmd // nil before the first start
+	exited         chan struct{}
 }
 
 const settings = `node = %q
@@ -237,6 +235,9 @@
 	g.mu.Lock()
 	cmd, exited := g.cmd, g.exited
 	g.mu.Unlock()
+	if cmd == nil {
+		return // it could not be started
+	}
 	_ = cmd.Process.Kill()
 	<-exited
 }
