--- /dev/null
+++ b/review/harness/versions.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+func init() { cases["versions"] = restartedVersions }
+
+const (
+	piecesOfStream = 25
+	pieceInterval  = 80 * time.Millisecond
+	// downTime is how long a crashed engine is down, and registerDelay how long after its start it writes its entry: engines write one
+	// approximately each 1,200 ms.
+	downTime      = 400 * time.Millisecond
+	registerDelay = 1100 * time.Millisecond
+	crashInterval = 900 * time.Millisecond
+	// mixedStreams is how many streams may hold events of two versions.
+	mixedStreams = 2
+)
+
+// restartedVersions has decode engines crash one after the other and start again, under their ids and at their addresses, with the next
+// version of their software.
+func restartedVersions(r *run) bool {
+	st := newStore()
+	address, _ := serve("127.0.22.1", st)
+	st.put("config", "main", newConfig(1))
+	for i := range 8 {
+		startEngine(st, fmt.Sprintf("i-pre%d", i), "models", "z", "prefill", "127.0.22.2", 128)
+	}
+	startEngine(st, "i-portal", "portal", "z", "", "127.0.22.2", 6)
+	var decode []*engine
+	var runs []*process
+	for i := range 4 {
+		e := &engine{
+			id: fmt.Sprintf("i-dec%d", i), service: "models", zone: "z", stage: "decode", slots: 128, version: "v1", born: time.Now().UnixMilli(),
+			st: st, handles: make(map[string]bool), address: freePort("127.0.22.2"),
+		}
+		e.handle = e.slowStream
+		decode, runs = append(decode, e), append(runs, e.run())
+		e.register("ready")
+	}
+	g := r.startGateway("front-z-0", "127.0.22.10", "z", address)
+	if !g.awaitReady(10 * time.Second) {
+		unable("not ready")
+	}
+	time.Sleep(3 * time.Second)
+	end := make(chan struct{})
+	var clients sync.WaitGroup
+	var streams, whole, mixed atomic.Int64
+	for i := range 40 {
+		clients.Go(func() {
+			c := newClient()
+			time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+			for n := 0; ; n++ {
+				select {
+				case <-end:
+					return
+				default:
+				}
+				a := ask(c, g.front, "POST", "a.example", "/memo/x", map[string]string{
+					"Model": "m", "Token-Usage": "1460,25", "Prompt-Prefix": fmt.Sprintf("5c1e07a2:800,91bd3f06:410,e4%04x%02x:250", n, i),
+				}, "", 8*time.Second)
+				if a.status != http.StatusOK {
+					a.log("not served")
+					time.Sleep(300 * time.Millisecond)
+					continue
+				}
+				streams.Add(1)
+				if a.whole {
+					whole.Add(1)
+				}
+				if strings.Contains(a.body, " v1\n") && strings.Contains(a.body, " v2\n") {
+					mixed.Add(1)
+					a.log("events of two versions: " + order(a.body))
+				}
+			}
+		})
+	}
+	time.Sleep(3 * time.Second)
+	if r.trouble {
+		var back sync.WaitGroup
+		for i, e := range decode {
+			runs[i].crash()
+			r.log("%s (v1) crashes", e.id)
+			back.Go(func() {
+				time.Sleep(downTime)
+				e.mu.Lock()
+				e.version, e.born = "v2", time.Now().UnixMilli()
+				e.mu.Unlock()
+				e.run()
+				r.log("%s is back as v2", e.id)
+				time.Sleep(registerDelay)
+				e.register("ready")
+				r.log("%s has written its entry", e.id)
+			})
+			time.Sleep(crashInterval)
+		}
+		back.Wait()
+	}
+	time.Sleep(6 * time.Second)
+	close(end)
+	clients.Wait()
+	r.log("streams: %d, whole: %d, with events of two versions: %d", streams.Load(), whole.Load(), mixed.Load())
+	return mixed.Load() > mixedStreams
+}
+
+// slowStream answers with a stream whose events name the version of the engine's software.
+func (e *engine) slowStream(w http.ResponseWriter, r *http.Request, _ string) bool {
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	e.mu.Lock()
+	version := e.version
+	e.mu.Unlock()
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := after + 1; n <= piecesOfStream; n++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d of %s %s %s\n\n", n, n, r.Header.Get("Request-Id"), e.id, version); err != nil {
+			return true
+		}
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-r.Context().Done():
+			return true
+		case <-time.After(pieceInterval):
+		}
+	}
+	return true
+}
+
+// order returns by which engines the events of a stream were made, in order.
+func order(body string) string {
+	var out []string
+	last := ""
+	for line := range strings.Lines(body) {
+		fields := strings.Fields(line)
+		if len(fields) != 7 || fields[0] != "data:" {
+			continue
+		}
+		if by := fields[5] + " " + fields[6]; by != last {
+			out, last = append(out, by+" from piece "+fields[2]), by
+		}
+	}
+	return strings.Join(out, ", ")
+}
