--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -18,14 +17,14 @@
 	slots                             int
 	version                           string // of its software
 	born                              int64
-	sequence                          atomic.Uint64
 	st                                *store
 
-	mu      sync.Mutex
-	runs    []engineRun
-	handles map[string]bool
-	next    int
-	handle  func(w http.ResponseWriter, r *http.Request, body string) bool // takes a request over; nil for none
+	mu       sync.Mutex
+	sequence int  // accepted orders
+	busy     bool // the stage changes
+	runs     []engineRun
+	next     int                                               // number of the last handle
+	handle   func(w http.ResponseWriter, r *http.Request) bool // takes a request over; nil for none
 }
 
 // engineRun is a request that the engine began to run.
@@ -34,21 +33,23 @@
 	at              time.Time
 }
 
-// startEngine starts an engine and registers it in the store, which it writes each 1.2 s.
+// roleSwitch is how long a change of the stage takes.
+const roleSwitch = 3 * time.Second
+
+// startEngine starts an engine and writes its entry into the store, which keeps it.
 func startEngine(st *store, id, service, zone, stage, ip string, slots int) *engine {
-	e := &engine{
-		id: id, service: service, zone: zone, stage: stage, slots: slots, version: "v1", born: time.Now().UnixMilli(), st: st,
-		handles: make(map[string]bool),
-	}
+	e := &engine{id: id, service: service, zone: zone, stage: stage, slots: slots, version: "v1", born: time.Now().UnixMilli(), st: st}
 	e.address, _ = serve(ip, e)
 	e.register("ready")
 	return e
 }
 
 func (e *engine) register(state string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	spec := map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": e.version, "slots": e.slots, "state": state,
-		"coldRemainingMs": 0, "sequence": e.sequence.Load(), "born": e.born,
+		"coldRemainingMs": 0, "sequence": e.sequence, "born": e.born,
 	}
 	if e.stage != "" {
 		spec["stage"], spec["models"] = e.stage, []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}
@@ -93,33 +94,46 @@
 	}
 	switch {
 	case r.URL.Path == "/api/report":
-		reply(w, http.StatusOK, map[string]any{
-			"stage": e.stage, "models": []any{}, "busy": false, "sequence": e.sequence.Load(), "born": e.born, "queued": 0, "active": 1,
+		e.mu.Lock()
+		report := map[string]any{
+			"stage": e.stage, "models": []any{}, "busy": e.busy, "sequence": e.sequence, "born": e.born, "queued": 0, "active": 1,
 			"kvUsed": 1000, "kvTotal": 532628, "kvHandles": 0,
-		})
+		}
+		e.mu.Unlock()
+		reply(w, http.StatusOK, report)
 		return
 	case r.URL.Path == "/api/kv-events":
 		reply(w, http.StatusOK, map[string]any{"epoch": e.born, "next": 0, "lost": false, "events": []any{}})
 		return
 	case r.URL.Path == "/api/order":
-		e.sequence.Add(1)
-		w.WriteHeader(http.StatusOK)
+		w.WriteHeader(e.order(r))
 		return
 	case strings.HasPrefix(r.URL.Path, "/api/kv-handle/"):
 		w.WriteHeader(http.StatusOK)
 		return
 	}
-	data, err := io.ReadAll(r.Body)
-	if err != nil {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
-	if r.Header.Get("Inference-Stage") == "prefill" {
+	isPrefill := r.Header.Get("Inference-Stage") == "prefill"
+	e.mu.Lock()
+	busy, stage := e.busy, e.stage
+	e.mu.Unlock()
+	switch {
+	case busy:
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case stage != "" && isPrefill != (stage == "prefill"):
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if isPrefill {
 		e.mu.Lock()
 		e.next++
 		handle := fmt.Sprintf("%s%06x", e.id, e.next)
-		e.handles[handle] = true
 		e.mu.Unlock()
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(map[string]any{"handle": handle, "tokens": 10, "version": 1})
@@ -129,10 +143,10 @@
 	e.runs = append(e.runs, engineRun{id, r.URL.Path, r.Header.Get("Last-Event-Id"), time.Now()})
 	e.mu.Unlock()
 	w.Header().Set("Server-Signature", e.signature(id))
-	if e.handle != nil && e.handle(w, r, string(data)) {
+	if e.handle != nil && e.handle(w, r) {
 		return
 	}
-	if e.stage == "" {
+	if stage == "" {
 		fmt.Fprintf(w, "answer to %s", id)
 		return
 	}
@@ -143,6 +157,35 @@
 	}
 }
 
+// order carries out an order and returns the status of its answer.
+func (e *engine) order(r *http.Request) int {
+	var o struct {
+		Op     string `json:"op"`
+		Stage  string `json:"stage"`
+		Expect int    `json:"expect"`
+	}
+	if json.NewDecoder(r.Body).Decode(&o) != nil || o.Op != "stage" {
+		return http.StatusBadRequest
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.busy || o.Expect != e.sequence:
+		return http.StatusConflict
+	case o.Stage == e.stage:
+		return http.StatusOK
+	}
+	e.sequence++
+	e.busy = true
+	time.AfterFunc(roleSwitch, func() {
+		e.mu.Lock()
+		e.stage, e.busy = o.Stage, false
+		e.mu.Unlock()
+		e.register("ready")
+	})
+	return http.StatusAccepted
+}
+
 // newConfig returns a configuration like that of a small deployment.
 func newConfig(version int) map[string]any {
 	return map[string]any{
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -38,7 +38,6 @@
 	objects  map[string]map[string]object
 	history  []change
 	changed  chan struct{}
-	writes   func(kind, name, holder string, at time.Time) // called for each write of the system, with the lock held
 }
 
 func newStore() *store {
--- a/review/harness/versions.go
+++ b/review/harness/versions.go
@@ -22,6 +22,8 @@
 	crashInterval = 900 * time.Millisecond
 	// mixedStreams is how many streams may hold events of two versions.
 	mixedStreams = 2
+	// releases is how often each decode engine gets a new version.
+	releases = 2
 )
 
 // restartedVersions has decode engines crash one after the other and start again, under their ids and at their addresses, with the next
@@ -31,7 +33,8 @@
 	address, _ := serve("127.0.22.1", st)
 	st.put("config", "main", newConfig(1))
 	for i := range 8 {
-		startEngine(st, fmt.Sprintf("i-pre%d", i), "models", "z", "prefill", "127.0.22.2", 128)
+		e := startEngine(st, fmt.Sprintf("i-pre%d", i), "models", "z", "prefill", "127.0.22.2", 128)
+		e.handle = e.slowStream // it may be ordered to decode
 	}
 	startEngine(st, "i-portal", "portal", "z", "", "127.0.22.2", 6)
 	var decode []*engine
@@ -39,7 +42,7 @@
 	for i := range 4 {
 		e := &engine{
 			id: fmt.Sprintf("i-dec%d", i), service: "models", zone: "z", stage: "decode", slots: 128, version: "v1", born: time.Now().UnixMilli(),
-			st: st, handles: make(map[string]bool), address: freePort("127.0.22.2"),
+			st: st, address: freePort("127.0.22.2"),
 		}
 		e.handle = e.slowStream
 		decode, runs = append(decode, e), append(runs, e.run())
@@ -75,9 +78,9 @@
 				if a.whole {
 					whole.Add(1)
 				}
-				if strings.Contains(a.body, " v1\n") && strings.Contains(a.body, " v2\n") {
+				if by, isMixed := order(a.body); isMixed {
 					mixed.Add(1)
-					a.log("events of two versions: " + order(a.body))
+					a.log("events of two versions: " + by)
 				}
 			}
 		})
@@ -85,23 +88,26 @@
 	time.Sleep(3 * time.Second)
 	if r.trouble {
 		var back sync.WaitGroup
-		for i, e := range decode {
-			runs[i].crash()
-			r.log("%s (v1) crashes", e.id)
-			back.Go(func() {
-				time.Sleep(downTime)
-				e.mu.Lock()
-				e.version, e.born = "v2", time.Now().UnixMilli()
-				e.mu.Unlock()
-				e.run()
-				r.log("%s is back as v2", e.id)
-				time.Sleep(registerDelay)
-				e.register("ready")
-				r.log("%s has written its entry", e.id)
-			})
-			time.Sleep(crashInterval)
+		for release := range releases {
+			for i, e := range decode {
+				runs[i].crash()
+				r.log("%s crashes", e.id)
+				back.Go(func() {
+					time.Sleep(downTime)
+					e.mu.Lock()
+					e.version, e.born = fmt.Sprintf("v%d", release+2), time.Now().UnixMilli()
+					e.mu.Unlock()
+					runs[i] = e.run()
+					r.log("%s is back as v%d", e.id, release+2)
+					time.Sleep(registerDelay)
+					e.register("ready")
+					r.log("%s has written its entry", e.id)
+				})
+				time.Sleep(crashInterval)
+			}
+			back.Wait()
+			time.Sleep(time.Second)
 		}
-		back.Wait()
 	}
 	time.Sleep(6 * time.Second)
 	close(end)
@@ -111,7 +117,7 @@
 }
 
 // slowStream answers with a stream whose events name the version of the engine's software.
-func (e *engine) slowStream(w http.ResponseWriter, r *http.Request, _ string) bool {
+func (e *engine) slowStream(w http.ResponseWriter, r *http.Request) bool {
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	e.mu.Lock()
 	version := e.version
@@ -131,18 +137,19 @@
 	return true
 }
 
-// order returns by which engines the events of a stream were made, in order.
-func order(body string) string {
+// order returns by which engines the events of a stream were made, in order, and whether these were of several versions.
+func order(body string) (by string, isMixed bool) {
 	var out []string
-	last := ""
+	last, versions := "", map[string]bool{}
 	for line := range strings.Lines(body) {
 		fields := strings.Fields(line)
 		if len(fields) != 7 || fields[0] != "data:" {
 			continue
 		}
+		versions[fields[6]] = true
 		if by := fields[5] + " " + fields[6]; by != last {
 			out, last = append(out, by+" from piece "+fields[2]), by
 		}
 	}
-	return strings.Join(out, ", ")
+	return strings.Join(out, ", "), len(versions) > 1
 }
