--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -13,11 +13,11 @@
 
 // engine is a model engine, or an instance of a plain service if it has no stage.
 type engine struct {
-	id, service, zone, stage, address string
-	slots                             int
-	version                           string // of its software
-	born                              int64
-	st                                *store
+	id, service, stage, address string
+	slots                       int
+	version                     string // of its software
+	born                        int64
+	st                          *store
 
 	mu       sync.Mutex
 	sequence int  // accepted orders
@@ -37,18 +37,18 @@
 const roleSwitch = 3 * time.Second
 
 // startEngine starts an engine and writes its entry into the store, which keeps it.
-func startEngine(st *store, id, service, zone, stage, ip string, slots int) *engine {
-	e := &engine{id: id, service: service, zone: zone, stage: stage, slots: slots, version: "v1", born: time.Now().UnixMilli(), st: st}
-	e.address, _ = serve(ip, e)
-	e.register("ready")
+func startEngine(st *store, id, service, stage, ip string, slots int) *engine {
+	e := &engine{id: id, service: service, stage: stage, slots: slots, version: "v1", born: time.Now().UnixMilli(), st: st}
+	e.address = serve(ip, e)
+	e.register()
 	return e
 }
 
-func (e *engine) register(state string) {
+func (e *engine) register() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	spec := map[string]any{
-		"service": e.service, "address": e.address, "zone": e.zone, "version": e.version, "slots": e.slots, "state": state,
+		"service": e.service, "address": e.address, "zone": zone, "version": e.version, "slots": e.slots, "state": "ready",
 		"coldRemainingMs": 0, "sequence": e.sequence, "born": e.born,
 	}
 	if e.stage != "" {
@@ -181,7 +181,7 @@
 		e.mu.Lock()
 		e.stage, e.busy = o.Stage, false
 		e.mu.Unlock()
-		e.register("ready")
+		e.register()
 	})
 	return http.StatusAccepted
 }
@@ -192,15 +192,15 @@
 		"version": version,
 		"routes": []any{
 			map[string]any{
-				"name": "memo", "host": "a.example", "pathPrefix": "/memo/", "kind": "streaming", "timeoutMs": 8000, "targetLatencyMs": 1500,
+				"name": "memo", "host": host, "pathPrefix": "/memo/", "kind": "streaming", "timeoutMs": 8000, "targetLatencyMs": 1500,
 				"priority": 2, "service": "models", "maxAttempts": 2, "sessionAffinity": true, "resumable": true, "gapTargetMs": 300,
 			},
 			map[string]any{
-				"name": "status", "host": "a.example", "pathPrefix": "/status/", "kind": "non_idempotent", "timeoutMs": 1500, "targetLatencyMs": 150,
+				"name": "status", "host": host, "pathPrefix": "/status/", "kind": "non_idempotent", "timeoutMs": 1500, "targetLatencyMs": 150,
 				"priority": 2, "service": "portal", "maxAttempts": 1, "sessionAffinity": false,
 			},
 			map[string]any{
-				"name": "fetch", "host": "a.example", "pathPrefix": "/fetch/", "kind": "idempotent", "timeoutMs": 1500, "targetLatencyMs": 150,
+				"name": "fetch", "host": host, "pathPrefix": "/fetch/", "kind": "idempotent", "timeoutMs": 1500, "targetLatencyMs": 150,
 				"priority": 2, "service": "portal", "maxAttempts": 2, "sessionAffinity": false,
 			},
 		},
--- a/review/harness/options.go
+++ b/review/harness/options.go
@@ -17,14 +17,14 @@
 // success may come from anyone but an engine.
 func requestForNoPath(r *run) bool {
 	st := newStore()
-	address, _ := serve("127.0.25.1", st)
+	address := serve("127.0.25.1", st)
 	st.put("config", "main", newConfig(1))
 	for i := range 2 {
-		startEngine(st, fmt.Sprintf("i-dec%d", i), "models", "z", "decode", "127.0.25.2", 128)
-		startEngine(st, fmt.Sprintf("i-portal%d", i), "portal", "z", "", "127.0.25.2", 6)
+		startEngine(st, fmt.Sprintf("i-dec%d", i), "models", "decode", "127.0.25.2", 128)
+		startEngine(st, fmt.Sprintf("i-portal%d", i), "portal", "", "127.0.25.2", 6)
 	}
-	g := r.startGateway("front-z-0", "127.0.25.10", "z", address)
-	if !g.awaitReady(10 * time.Second) {
+	g := r.startGateway("front-z-0", "127.0.25.10", address)
+	if !g.awaitReady() {
 		unable("not ready")
 	}
 	paths := []string{"GET /fetch/x", "OPTIONS /fetch/x"}
@@ -35,7 +35,7 @@
 	for range 20 {
 		for _, path := range paths {
 			id := newID()
-			resp, err := raw(g.front, fmt.Sprintf("%s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\nRequest-Deadline-Ms: 1500\r\n\r\n", path, id), path[:4])
+			resp, err := raw(g.front, fmt.Sprintf("%s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\nRequest-Deadline-Ms: 1500\r\n\r\n", path, id), path[:4]) //nolint:bodyclose // raw closes its connection
 			if err != nil {
 				r.log("request %s: %s: %v", id, path, err)
 				continue
--- a/review/harness/parts.go
+++ b/review/harness/parts.go
@@ -23,19 +23,19 @@
 // the memory of its machine, and starts it again.
 func manyParts(r *run) bool {
 	st := newStore()
-	address, _ := serve("127.0.21.1", st)
+	address := serve("127.0.21.1", st)
 	st.put("config", "main", newConfig(1))
 	for i := range 6 {
-		startEngine(st, fmt.Sprintf("i-pre%d", i), "models", "z", "prefill", "127.0.21.2", 128)
-		startEngine(st, fmt.Sprintf("i-dec%d", i), "models", "z", "decode", "127.0.21.2", 128)
+		startEngine(st, fmt.Sprintf("i-pre%d", i), "models", "prefill", "127.0.21.2", 128)
+		startEngine(st, fmt.Sprintf("i-dec%d", i), "models", "decode", "127.0.21.2", 128)
 	}
-	startEngine(st, "i-portal", "portal", "z", "", "127.0.21.2", 6)
+	startEngine(st, "i-portal", "portal", "", "127.0.21.2", 6)
 	var gateways []*gateway
 	for i := range 2 {
-		gateways = append(gateways, r.startGateway(fmt.Sprintf("front-z-%d", i), fmt.Sprintf("127.0.21.%d", 10+i), "z", address))
+		gateways = append(gateways, r.startGateway(fmt.Sprintf("front-z-%d", i), fmt.Sprintf("127.0.21.%d", 10+i), address))
 	}
 	for _, g := range gateways {
-		if !g.awaitReady(10 * time.Second) {
+		if !g.awaitReady() {
 			unable("%s is not ready", g.name)
 		}
 	}
@@ -56,7 +56,7 @@
 				default:
 				}
 				sent.Add(1)
-				a := ask(c, g.front, "POST", "a.example", "/memo/x", map[string]string{
+				a := ask(c, g.front, "/memo/x", map[string]string{
 					"Model": "m", "Token-Usage": fmt.Sprintf("%d,3", partsOfRequest), "Prompt-Prefix": promptOfParts(i, n),
 				}, "", 8*time.Second)
 				if a.status == 200 {
@@ -79,7 +79,7 @@
 					return
 				case <-time.After(50 * time.Millisecond):
 				}
-				a := ask(c, g.front, "POST", "a.example", "/memo/x", map[string]string{
+				a := ask(c, g.front, "/memo/x", map[string]string{
 					"Model": "m", "Token-Usage": "1460,80", "Prompt-Prefix": fmt.Sprintf("5c1e07a2:800,91bd3f06:410,e4%04x%02x:250", n, i),
 				}, "", 4*time.Second)
 				ordinary.Add(1)
--- a/review/harness/run.go
+++ b/review/harness/run.go
@@ -96,14 +96,14 @@
 
 // gateway is a process of the system on a machine of its own, which has a loopback address.
 type gateway struct {
-	r              *run
-	name, ip, zone string
-	front, ready   string
-	settings       string
-	memoryMB       int
-	mu             sync.Mutex
-	cmd            *exec.Cmd // nil before the first start
-	exited         chan struct{}
+	r            *run
+	name         string
+	front, ready string
+	settings     string
+	memoryMB     int
+	mu           sync.Mutex
+	cmd          *exec.Cmd // nil before the first start
+	exited       chan struct{}
 }
 
 const settings = `node = %q
@@ -168,9 +168,15 @@
 ttlMinMs = 1000
 `
 
+// zone is the zone of all machines and engines, and host that of all routes.
+const (
+	zone = "z"
+	host = "a.example"
+)
+
 // startGateway starts a gateway at a loopback address of its own.
-func (r *run) startGateway(name, ip, zone, storeAddress string) *gateway {
-	g := &gateway{r: r, name: name, ip: ip, zone: zone, memoryMB: 284, front: freePort(ip), ready: freePort(ip)}
+func (r *run) startGateway(name, ip, storeAddress string) *gateway {
+	g := &gateway{r: r, name: name, memoryMB: 284, front: freePort(ip), ready: freePort(ip)}
 	_, port, _ := net.SplitHostPort(freePort(ip))
 	first, _ := strconv.Atoi(port)
 	g.settings = filepath.Join(r.dir, name+".toml")
@@ -223,7 +229,7 @@
 	g.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
-		out.Close()
+		_ = out.Close() // of the log
 		g.r.log("%s: process %d has ended: %v", g.name, cmd.Process.Pid, err)
 		close(exited)
 	}()
@@ -242,17 +248,6 @@
 	<-exited
 }
 
-func (g *gateway) isRunning() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	select {
-	case <-g.exited:
-		return false
-	default:
-		return true
-	}
-}
-
 // residentMB returns the resident memory of the process.
 func (g *gateway) residentMB() float64 {
 	g.mu.Lock()
@@ -284,8 +279,8 @@
 }
 
 // awaitReady waits until the process says that it is ready.
-func (g *gateway) awaitReady(limit time.Duration) bool {
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+func (g *gateway) awaitReady() bool {
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		if g.isReady() {
 			return true
 		}
@@ -321,8 +316,8 @@
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}}
 }
 
-// ask sends a request and reads its answer.
-func ask(c *http.Client, address, method, host, path string, header map[string]string, body string, deadline time.Duration) answer {
+// ask sends a POST request and reads its answer.
+func ask(c *http.Client, address, path string, header map[string]string, body string, deadline time.Duration) answer {
 	a := answer{id: newID()}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
@@ -330,7 +325,7 @@
 	if body != "" {
 		in = strings.NewReader(body)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, in)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, in)
 	if err != nil {
 		unable("%v", err)
 	}
--- a/review/harness/silent.go
+++ b/review/harness/silent.go
@@ -22,19 +22,19 @@
 // A request counts that is sent later than configMs after the acknowledgement, and later than the stable window after the lost answer.
 func silentWatch(r *run) bool {
 	st := newStore()
-	storeAddress, _ := serve("127.0.26.1", st)
+	storeAddress := serve("127.0.26.1", st)
 	p, address := newProxy("127.0.26.1", storeAddress)
 	st.put("config", "main", movedConfig(1, "portal"))
 	engines := map[string]*engine{}
 	for _, service := range []string{"portal", "portal-b"} {
 		for i := range 2 {
 			id := fmt.Sprintf("i-%s-%d", service, i)
-			engines[id] = startEngine(st, id, service, "z", "", "127.0.26.2", 6)
+			engines[id] = startEngine(st, id, service, "", "127.0.26.2", 6)
 		}
 	}
-	startEngine(st, "i-dec", "models", "z", "decode", "127.0.26.2", 128)
-	g := r.startGateway("front-z-0", "127.0.26.10", "z", address)
-	if !g.awaitReady(10 * time.Second) {
+	startEngine(st, "i-dec", "models", "decode", "127.0.26.2", 128)
+	g := r.startGateway("front-z-0", "127.0.26.10", address)
+	if !g.awaitReady() {
 		unable("not ready")
 	}
 	time.Sleep(2 * time.Second)
@@ -58,7 +58,7 @@
 	c := newClient()
 	for time.Since(acknowledged) < 25*time.Second {
 		at := time.Now()
-		a := ask(c, g.front, "POST", "a.example", "/status/x", nil, "booking", 1500*time.Millisecond)
+		a := ask(c, g.front, "/status/x", nil, "booking", 1500*time.Millisecond)
 		mu.Lock()
 		sent[a.id] = at
 		mu.Unlock()
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -45,23 +45,14 @@
 }
 
 // put writes an object without a condition, as the operator and the engines do.
-func (s *store) put(kind, name string, spec any) uint64 {
+func (s *store) put(kind, name string, spec any) {
 	b, err := json.Marshal(spec)
 	if err != nil {
 		panic(err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.write(kind, name, b).Metadata.Revision
-}
-
-func (s *store) remove(kind, name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if o, ok := s.objects[kind][name]; ok {
-		delete(s.objects[kind], name)
-		s.record(kind, o, true)
-	}
+	s.write(kind, name, b)
 }
 
 func (s *store) write(kind, name string, spec json.RawMessage) object {
@@ -200,11 +191,11 @@
 }
 
 // serve serves h at a free port of an address until the process ends.
-func serve(ip string, h http.Handler) (address string, l net.Listener) {
+func serve(ip string, h http.Handler) (address string) {
 	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		unable("listen: %v", err)
 	}
 	go func() { _ = (&http.Server{Handler: h}).Serve(l) }()
-	return l.Addr().String(), l
+	return l.Addr().String()
 }
--- a/review/harness/versions.go
+++ b/review/harness/versions.go
@@ -30,26 +30,26 @@
 // version of their software.
 func restartedVersions(r *run) bool {
 	st := newStore()
-	address, _ := serve("127.0.22.1", st)
+	address := serve("127.0.22.1", st)
 	st.put("config", "main", newConfig(1))
 	for i := range 8 {
-		e := startEngine(st, fmt.Sprintf("i-pre%d", i), "models", "z", "prefill", "127.0.22.2", 128)
+		e := startEngine(st, fmt.Sprintf("i-pre%d", i), "models", "prefill", "127.0.22.2", 128)
 		e.handle = e.slowStream // it may be ordered to decode
 	}
-	startEngine(st, "i-portal", "portal", "z", "", "127.0.22.2", 6)
+	startEngine(st, "i-portal", "portal", "", "127.0.22.2", 6)
 	var decode []*engine
 	var runs []*process
 	for i := range 4 {
 		e := &engine{
-			id: fmt.Sprintf("i-dec%d", i), service: "models", zone: "z", stage: "decode", slots: 128, version: "v1", born: time.Now().UnixMilli(),
+			id: fmt.Sprintf("i-dec%d", i), service: "models", stage: "decode", slots: 128, version: "v1", born: time.Now().UnixMilli(),
 			st: st, address: freePort("127.0.22.2"),
 		}
 		e.handle = e.slowStream
 		decode, runs = append(decode, e), append(runs, e.run())
-		e.register("ready")
+		e.register()
 	}
-	g := r.startGateway("front-z-0", "127.0.22.10", "z", address)
-	if !g.awaitReady(10 * time.Second) {
+	g := r.startGateway("front-z-0", "127.0.22.10", address)
+	if !g.awaitReady() {
 		unable("not ready")
 	}
 	time.Sleep(3 * time.Second)
@@ -66,7 +66,7 @@
 					return
 				default:
 				}
-				a := ask(c, g.front, "POST", "a.example", "/memo/x", map[string]string{
+				a := ask(c, g.front, "/memo/x", map[string]string{
 					"Model": "m", "Token-Usage": "1460,25", "Prompt-Prefix": fmt.Sprintf("5c1e07a2:800,91bd3f06:410,e4%04x%02x:250", n, i),
 				}, "", 8*time.Second)
 				if a.status != http.StatusOK {
@@ -100,7 +100,7 @@
 					runs[i] = e.run()
 					r.log("%s is back as v%d", e.id, release+2)
 					time.Sleep(registerDelay)
-					e.register("ready")
+					e.register()
 					r.log("%s has written its entry", e.id)
 				})
 				time.Sleep(crashInterval)
