Process tests: leave sockets that are connecting out of the kernel's queues

Cause: resources() adds up the queues of /proc/net/tcp.

Why this is as strict: a socket in that state holds no bytes of the entry. The kernel takes none for it: the new test TestConnectingSocketTakesNoBytes keeps a socket connecting, finds it in state 02 in /proc/net/tcp, and its write fails with EAGAIN and 0 bytes. All other states and both queues count as before, and no bound has changed.

--- a/internal/faults/crowd_test.go
+++ b/internal/faults/crowd_test.go
@@ -200,6 +200,13 @@
 	descriptors      int
 }
 
+// States of sockets in /proc/net/tcp whose queues hold no bytes of a connection: a listening socket counts connections there. For a
+// connecting one the kernel can list a random number of 32 bits, and it takes no bytes for it, as TestConnectingSocketTakesNoBytes shows.
+const (
+	connecting = "02"
+	listening  = "0A"
+)
+
 // resources reads what the entry has now. It fails the test if the entry has ended.
 func (p *entryPlay) resources() resources {
 	pid := p.entry.Process.Pid
@@ -210,10 +217,9 @@
 	sockets, err := os.ReadFile("/proc/net/tcp")
 	qt.Assert(p.t, err, qt.IsNil)
 	local, remote := ports(p.cfg.Ingress, p.cfg.Readiness, p.metrics), ports(p.upstreams...)
-	const listening = "0A"
 	for line := range strings.Lines(string(sockets)) {
 		f := strings.Fields(line) // number, local address, remote address, state, bytes to send:bytes to read, ...
-		if !local[f[1]] && !remote[f[2]] || f[3] == listening {
+		if !local[f[1]] && !remote[f[2]] || f[3] == listening || f[3] == connecting {
 			continue
 		}
 		for queue := range strings.SplitSeq(f[4], ":") {
@@ -272,6 +278,48 @@
 	}
 }
 
+// Guards against bytes in the kernel that resources leaves out: sockets that are connecting can hold none.
+func TestConnectingSocketTakesNoBytes(t *testing.T) {
+	l, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	qt.Assert(t, err, qt.IsNil)
+	defer unix.Close(l)
+	qt.Assert(t, unix.Bind(l, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), qt.IsNil)
+	qt.Assert(t, unix.Listen(l, 0), qt.IsNil)
+	to, err := unix.Getsockname(l)
+	qt.Assert(t, err, qt.IsNil)
+	remote := ports(fmt.Sprintf("127.0.0.1:%d", to.(*unix.SockaddrInet4).Port))
+	// The queue of connections that nobody accepts is soon full, and the next socket goes on connecting.
+	for range 8 {
+		s, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+		qt.Assert(t, err, qt.IsNil)
+		defer unix.Close(s)
+		qt.Assert(t, unix.Connect(s, to), qt.ErrorIs, unix.EINPROGRESS)
+		time.Sleep(20 * time.Millisecond)
+		from, err := unix.Getsockname(s)
+		qt.Assert(t, err, qt.IsNil)
+		if socketState(t, ports(fmt.Sprintf("127.0.0.1:%d", from.(*unix.SockaddrInet4).Port)), remote) != connecting {
+			continue
+		}
+		n, err := unix.SendmsgN(s, make([]byte, 4<<10), nil, nil, unix.MSG_DONTWAIT)
+		qt.Assert(t, err, qt.ErrorIs, unix.EAGAIN)
+		qt.Assert(t, n, qt.Equals, 0)
+		return
+	}
+	t.Fatal("no socket went on connecting")
+}
+
+// socketState returns the state of the socket between two addresses in /proc/net/tcp.
+func socketState(t *testing.T, local, remote map[string]bool) string {
+	sockets, err := os.ReadFile("/proc/net/tcp")
+	qt.Assert(t, err, qt.IsNil)
+	for line := range strings.Lines(string(sockets)) {
+		if f := strings.Fields(line); local[f[1]] && remote[f[2]] {
+			return f[3]
+		}
+	}
+	return ""
+}
+
 // Guards against an entry that exceeds the memory or the descriptors of its instance, ends, or stops to serve, because of callers that do not
 // keep within the limits, or use them up. Only one crowd plays at a time.
 func TestCrowds(t *testing.T) {
