Log each failed call of the metadata store, and how far it had come

The log named only the first failure of an outage, so that a store that stayed silent, a head that came late and a body that was cut off could not be told apart.

Event 8092 (storeCallFailed) has the path, the time and the error of each failed call, and the error says after how many bytes of a body of which size the call ended.

--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -79,6 +79,7 @@
 	ShareMessageIgnored = Event{8085, "shareMessageIgnored", zerolog.DebugLevel, "a message of another entry about shares is malformed or absurd; it is ignored"}
 	HeldBytesFull       = Event{8090, "heldBytesFull", zerolog.WarnLevel, "the bytes of requests, of parsed headers, or of answers that this process holds have reached their bound: further long requests and headers are refused, or long answers and events are relayed in parts, so that they cannot be resumed elsewhere. The line has the bytes of that kind, how many callers do not read, and how many requests, answers and headers met the bound since the start. Logged at most every 10 s"}
 	CallersFull         = Event{8091, "callersFull", zerolog.WarnLevel, "a listener has as many connections as its bound: the one that has waited for its caller for longest is closed for each new one, or the new one if all callers wait for answers. The line has how many have an unfinished request or are idle now, and how many were closed and refused since the start. Logged at most every 10 s"}
+	StoreCallFailed     = Event{8092, "storeCallFailed", zerolog.InfoLevel, "a call of the metadata store got no whole answer; the error says how far the call had come, of which size the answer was, and after which time"}
 	RoleOrdered         = Event{8022, "roleOrdered", zerolog.InfoLevel, "an engine is ordered to change its role; the line has the reason and the load that the decision was based on"}
 	RoleOrderEnded      = Event{8023, "roleOrderEnded", zerolog.InfoLevel, "the engine accepted or refused an order for a role change, or its answer was lost; in the last case it may still carry out the order, and gets no other for some time"}
 	ReportMissing       = Event{8024, "reportMissing", zerolog.DebugLevel, "an engine did not report; it is left out of the plan"}
@@ -97,5 +98,5 @@
 	UsageClockCorrected, UsageMessageIgnored, UsageCountersLost, UsageCountersAsked,
 	WorkUnread, WorkShared, WorkDistrusted,
 	ScarcityBegan, ScarcityEnded, SharesRefused, ShareMessageIgnored,
-	HeldBytesFull, CallersFull,
+	HeldBytesFull, CallersFull, StoreCallFailed,
 }
--- a/internal/objectapi/call.go
+++ b/internal/objectapi/call.go
@@ -47,6 +47,9 @@
 	if err == nil && int64(len(body)) > c.MaxBodyBytes {
 		err = fmt.Errorf("response exceeds %d bytes", c.MaxBodyBytes)
 	}
+	if err != nil {
+		err = fmt.Errorf("after %d bytes of a body of %d: %w", len(body), resp.ContentLength, err) // -1 if the length is not known
+	}
 	return Reply{Status: resp.StatusCode, Header: resp.Header, Body: body, Connected: true}, err
 }
 
