Store: bound a call by what arrives, not by one time for all sizes

Cause: 800 ms bounded a whole call, its body included. The configuration takes 0.82 s and more on such a link, and each list began anew from its start. Evidence: 221 lists (event 8092) ended after 800 to 838 ms with status 200 and 933,812 to 950,196 of 1,017,711 bytes read.

Change: objectapi.Pace. 800 ms until the head of a response, 800 ms without a byte of its body, and at least 16 KB a second on average. The client of the product's own object API had one bound of 3 s for bodies of up to 64 MB, and has the same kinds of bounds now. The usage API keeps its bound on the whole call, as its calls must end with the lease.

Why it works: what shows a dead connection is that no byte comes. That is found as early as before, and a long body may take as long as it arrives.

--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -19,13 +19,17 @@
 	DefaultWatchWait = 20 * time.Second
 	maxResponseBytes = 64 << 20
 	dialTimeout      = time.Second
+	// minBytesPS is the average rate below which a response is given up.
+	minBytesPS = 16 << 10
 )
 
 // Options configure a Client.
 type Options struct {
-	Address   string        // IP:port of the object API; required
-	Writer    string        // process id that the API records with writes; may be empty
-	Timeout   time.Duration // of each call, and of a watch beyond WatchWait; default 3 s
+	Address string // IP:port of the object API; required
+	Writer  string // process id that the API records with writes; may be empty
+	// Timeout is the longest time until a response begins, for a watch beyond WatchWait, and without a byte of it; default 3 s. A long
+	// response may take longer.
+	Timeout   time.Duration
 	WatchWait time.Duration // how long the API holds a watch open until a write occurs; default 20 s
 }
 
@@ -50,7 +54,7 @@
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     time.Minute,
 	}
-	return &Client{opts: opts, caller: Caller{HTTP: &http.Client{Transport: t}, MaxBodyBytes: maxResponseBytes}}
+	return &Client{opts: opts, caller: Caller{HTTP: &http.Client{Transport: t}, Pace: Pace{Silence: opts.Timeout, MinBytesPS: minBytesPS}}}
 }
 
 // Close closes idle connections.
@@ -59,7 +63,7 @@
 // Get implements fighollow.ObjectStore.
 func (c *Client) Get(ctx context.Context, kind fighollow.Kind, name string) (fighollow.Object, error) {
 	var o fighollow.Object
-	err := c.read(ctx, objectPath(kind, name), c.opts.Timeout, &o)
+	err := c.read(ctx, objectPath(kind, name), 0, &o)
 	return o, err
 }
 
@@ -71,7 +75,7 @@
 // List implements fighollow.ObjectStore.
 func (c *Client) List(ctx context.Context, kind fighollow.Kind) ([]fighollow.Object, uint64, error) {
 	var l listResponse
-	err := c.read(ctx, "/objects?kind="+url.QueryEscape(string(kind)), c.opts.Timeout, &l)
+	err := c.read(ctx, "/objects?kind="+url.QueryEscape(string(kind)), 0, &l)
 	return l.Objects, l.Version, err
 }
 
@@ -79,7 +83,7 @@
 func (c *Client) Watch(ctx context.Context, kind fighollow.Kind, after uint64) ([]fighollow.Object, uint64, error) {
 	var l listResponse
 	path := fmt.Sprintf("/watch?kind=%s&after=%d&waitMs=%d", url.QueryEscape(string(kind)), after, c.opts.WatchWait.Milliseconds())
-	if err := c.read(ctx, path, c.opts.WatchWait+c.opts.Timeout, &l); err != nil {
+	if err := c.read(ctx, path, c.opts.WatchWait, &l); err != nil {
 		return nil, after, err
 	}
 	return l.Objects, l.Version, nil
@@ -102,12 +106,10 @@
 	return "/objects/" + url.PathEscape(string(kind)) + "/" + url.PathEscape(name)
 }
 
-// read sends a request that changes nothing. Failures are ErrUnavailable, except for statuses that StatusError maps to
+// read sends a request that changes nothing and that the API may hold for wait. Failures are ErrUnavailable, except for statuses that StatusError maps to
 // another error.
-func (c *Client) read(ctx context.Context, path string, timeout time.Duration, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	status, body, _, err := c.do(ctx, http.MethodGet, path, nil)
+func (c *Client) read(ctx context.Context, path string, wait time.Duration, out any) error {
+	status, body, _, err := c.do(ctx, http.MethodGet, path, nil, wait)
 	if err != nil {
 		return fmt.Errorf("%w: objectapi: GET %s: %w", fighollow.ErrUnavailable, path, err)
 	}
@@ -123,10 +125,8 @@
 // write sends a conditional write. A failure is ErrUnavailable only if nothing can have been sent or the API refused the
 // write, and otherwise ErrUnknownOutcome, except for statuses that StatusError maps to another error.
 func (c *Client) write(ctx context.Context, method string, kind fighollow.Kind, name string, expected uint64, value []byte) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
-	defer cancel()
 	path := objectPath(kind, name) + "?expected=" + strconv.FormatUint(expected, 10)
-	status, body, connected, err := c.do(ctx, method, path, value)
+	status, body, connected, err := c.do(ctx, method, path, value, 0)
 	switch {
 	case err != nil && !connected:
 		return 0, fmt.Errorf("%w: objectapi: %s %s: %w", fighollow.ErrUnavailable, method, path, err)
@@ -145,11 +145,13 @@
 }
 
 // do sends one request with the Writer's id.
-func (c *Client) do(ctx context.Context, method, path string, value []byte) (status int, body []byte, connected bool, err error) {
+func (c *Client) do(ctx context.Context, method, path string, value []byte, wait time.Duration) (status int, body []byte, connected bool, err error) {
 	header := http.Header{}
 	if c.opts.Writer != "" {
 		header.Set("X-Writer", c.opts.Writer)
 	}
-	r, err := c.caller.Call(ctx, method, "http://"+c.opts.Address+path, header, value)
+	r, err := c.caller.Call(ctx, Request{
+		Method: method, URL: "http://" + c.opts.Address + path, Header: header, Value: value, MaxBodyBytes: maxResponseBytes, Wait: wait,
+	})
 	return r.Status, r.Body, r.Connected, err
 }
