--- a/internal/objectapi/call.go
+++ b/internal/objectapi/call.go
@@ -25,6 +25,7 @@
 	Value        []byte
 	MaxBodyBytes int64         // maximum size of the response's body in bytes
 	Wait         time.Duration // for which the API may hold the call before it responds
+	OnHead       func()        // called when the head of the response has arrived; may be nil
 }
 
 // Reply is the outcome of one call.
@@ -56,6 +57,9 @@
 		return Reply{Connected: gotConn.Load()}, causeOf(ctx, err)
 	}
 	defer resp.Body.Close()
+	if r.OnHead != nil {
+		r.OnHead()
+	}
 	body, err := c.Pace.readBody(ctx, resp.Body, resp.ContentLength, r.MaxBodyBytes, timer)
 	return Reply{Status: resp.StatusCode, Header: resp.Header, Body: body, Connected: true}, err
 }
