Streams: end an attempt at what is no event, and never relay it

Cause: the relay took each block of lines up to a blank line for an event, whatever it held.

Change: the answers of engines are read strictly. A block without a field of the event format, or a line that cannot be a field, ends the attempt with answer.ErrMalformed before it is relayed. Lines with other names may stand in an event. Plain services are not concerned.

Why it works: what is relayed is what the format calls an event or a comment, however the answer is framed and wherever it is divided into reads.

--- a/internal/answer/reader.go
+++ b/internal/answer/reader.go
@@ -12,11 +12,16 @@
 // ErrTruncated is the error of a body that ended before it was complete although its connection reported no error.
 var ErrTruncated = errors.New("answer: truncated")
 
+// ErrMalformed is the error of a body of events that has something else between them.
+var ErrMalformed = errors.New("answer: not a series of events")
+
 // Options describes the body that a Reader reads.
 type Options struct {
 	Framing fighollow.Framing
 	// Events is set if the body is a series of server-sent events.
 	Events bool
+	// Strict is set if such a body may hold nothing but events and comments.
+	Strict bool
 }
 
 // IsEventStream reports whether an answer with this header is a series of server-sent events; unnamed is the result for an
@@ -43,9 +48,12 @@
 }
 
 // NewReader returns a Reader of body, which the caller closes.
-func NewReader(body io.Reader, opts Options) *Reader { return &Reader{body: body, opts: opts} }
+func NewReader(body io.Reader, opts Options) *Reader {
+	return &Reader{body: body, opts: opts, events: eventScanner{strict: opts.Strict}}
+}
 
-// Read implements io.Reader. A body that ended too soon yields ErrTruncated.
+// Read implements io.Reader. A body that ended too soon yields ErrTruncated. A strict one yields ErrMalformed with the bytes in which something
+// follows that is no event; the events before it end at EventEnd.
 func (r *Reader) Read(p []byte) (int, error) {
 	if r.err != nil {
 		r.eventEnd = 0
@@ -56,7 +64,10 @@
 	if r.opts.Events {
 		r.eventEnd = r.events.scan(p[:n])
 	}
-	if errors.Is(err, io.EOF) {
+	switch {
+	case r.events.malformed:
+		err = ErrMalformed
+	case errors.Is(err, io.EOF):
 		err = r.end()
 	}
 	r.err = err
@@ -88,5 +99,8 @@
 // InsideEvent reports whether the bytes read so far end within an event.
 func (r *Reader) InsideEvent() bool { return r.events.insideEvent() }
 
+// MayBeEvent reports whether the bytes after the last event can be the beginning of another one, or of comments.
+func (r *Reader) MayBeEvent() bool { return r.events.mayBeEvent() }
+
 // Bytes returns the number of bytes read.
 func (r *Reader) Bytes() int64 { return r.n }
--- a/internal/answer/reader_test.go
+++ b/internal/answer/reader_test.go
@@ -131,6 +131,38 @@
 	}
 }
 
+// Guards against bytes that are no events and reach the caller between events, however the stream is divided into reads, and against events
+// that are refused because of lines that the format allows.
+func TestStrictStreamHoldsEventsAndCommentsOnly(t *testing.T) {
+	for stream, whole := range map[string]int{ // -1: all of it is well-formed
+		"data: a\n\n": -1, "data: a\r\n\r\n": -1, "data:a\r\rid\r\r": -1, ": a b\n\ndata\n\n": -1, "retry: 5\n\n": -1, "\n\n": -1,
+		"weight-versions: 2\nid: 1\ndata: {a b}\n\n": -1, "data: a\nx.y_zA: 1\n\n": -1, "\xef\xbb\xbfdata: a\n\n": -1, "\xef\xbb\xbf: a\n\n": -1,
+		"data: a\n\nerror: b\n\n": 9, "data: a\n\nno model\n": 9, "data: a\n\nHTTP/1.1 500 x\r\nA: b\r\n\r\nid: 2\n\n": 9, "data: a\nHTTP/1.1 500 x\n\n": 0,
+		"data: a\n\n{\"error\": 1}\n\n": 9, "data: a\n\n<p>\n": 9, "A: b\n\ndata: a\n\n": 0, "datas: a\n\n": 0, "id: 1\n\ndata: aHTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n": 7, "data: a\n\n\xef\xbb\xbe\n": 9,
+	} {
+		for name, divide := range map[string]func(io.Reader) io.Reader{"whole": func(r io.Reader) io.Reader { return r }, "bytes": iotest.OneByteReader, "halves": iotest.HalfReader} {
+			r := answer.NewReader(divide(strings.NewReader(stream)), answer.Options{Events: true, Strict: true})
+			got, read := 0, 0
+			var err error
+			for buf := make([]byte, 64); err == nil; {
+				var n int
+				n, err = r.Read(buf)
+				if end := r.EventEnd(); end > 0 {
+					got = read + end
+				}
+				read += n
+			}
+			comment := qt.Commentf("%q in %s", stream, name)
+			if whole < 0 {
+				qt.Check(t, err, qt.ErrorIs, io.EOF, comment)
+				continue
+			}
+			qt.Check(t, err, qt.ErrorIs, answer.ErrMalformed, comment)
+			qt.Check(t, got, qt.Equals, whole, comment)
+		}
+	}
+}
+
 // Guards against an empty stream that is taken for a complete answer, or for the rest of one that is resumed.
 func TestStreamWithoutEvents(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -150,7 +150,9 @@
 	x.attemptsSent++
 	a.reply, err = x.g.dispatch.Dispatch(ctx, req)
 	if err == nil {
-		a.body = answer.NewReader(a.reply.Body, answer.Options{Framing: a.reply.Framing, Events: a.hasEvents()})
+		a.body = answer.NewReader(a.reply.Body, answer.Options{
+			Framing: a.reply.Framing, Events: a.hasEvents(), Strict: x.traits.Engine != nil, // streams of several engines may be joined
+		})
 	}
 	if a.reply != nil && !a.reply.Misdirected {
 		x.g.opts.Quarantine.Replied(time.Now(), a.upstream.Incarnation())
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/fighollow/fighollow/internal/answer"
 	"github.com/fighollow/fighollow/internal/quarantine"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
@@ -30,11 +31,11 @@
 	return nil
 }
 
-// recordBreak records that the connection of an attempt broke while the upstream may have worked on it. A time-out and a reply to
-// another request are none: they do not show that the upstream ended.
+// recordBreak records that the connection of an attempt broke while the upstream may have worked on it. A time-out, a reply to
+// another request and an answer of another kind are none: they do not show that the upstream ended.
 func (x *exchange) recordBreak(a *attempt, err error) {
 	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() || errors.Is(err, fighollow.ErrReplyMismatch) {
+	if errors.As(err, &netErr) && netErr.Timeout() || errors.Is(err, fighollow.ErrReplyMismatch) || errors.Is(err, answer.ErrMalformed) {
 		return
 	}
 	now := time.Now()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"github.com/fighollow/fighollow/internal/answer"
 	"github.com/fighollow/fighollow/internal/heldbytes"
 )
 
@@ -68,6 +69,9 @@
 	if x.held.Hold(time.Now(), size) == nil {
 		return append(make([]byte, 0, size), buf...), nil
 	}
+	if !a.body.MayBeEvent() {
+		return nil, answer.ErrMalformed
+	}
 	if err := x.beginEvents(a); err != nil {
 		return nil, err
 	}
