Streams: the rest of a stream has an event, or the stream is not complete

Cause: a body that ended regularly ended the stream, whatever attempt it belonged to.

Change: the rest of a stream without an event is a failed attempt. What precedes the first event of any attempt is held back.

Why it works: an answer without events does not show that the stream was whole; a caller whose connection breaks takes it up after its last event.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -35,7 +35,8 @@
 // another request and an answer of another kind are none: they do not show that the upstream ended.
 func (x *exchange) recordBreak(a *attempt, err error) {
 	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() || errors.Is(err, fighollow.ErrReplyMismatch) || errors.Is(err, answer.ErrMalformed) {
+	isOtherAnswer := errors.Is(err, answer.ErrMalformed) || errors.Is(err, errNoEvents)
+	if errors.As(err, &netErr) && netErr.Timeout() || errors.Is(err, fighollow.ErrReplyMismatch) || isOtherAnswer {
 		return
 	}
 	now := time.Now()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -20,7 +20,11 @@
 	minRead = 512
 )
 
-var errEventTooLong = errors.New("gateway: event too long")
+var (
+	errEventTooLong = errors.New("gateway: event too long")
+	// errNoEvents is the reason why an upstream's answer is not the rest of a stream: only events show that a stream which broke off is whole.
+	errNoEvents = errors.New("gateway: no event in the rest of a stream")
+)
 
 // relayEvents relays whole events, so that a stream that breaks off can be resumed after the last of them. It returns nil at
 // the end of a complete stream.
@@ -28,7 +32,8 @@
 // An event that would exceed the bytes that may be held is relayed in parts.
 func (x *exchange) relayEvents(a *attempt) error {
 	defer x.free()
-	var buf []byte // an event that is not complete yet
+	isRest := x.headerSent // of a stream that an earlier attempt began
+	var buf []byte         // an event that is not complete yet
 	for {
 		if cap(buf)-len(buf) < minRead {
 			var err error
@@ -42,14 +47,16 @@
 		}
 		whole := len(buf) + a.body.EventEnd()
 		buf = buf[:len(buf)+n]
-		// Comments before the first event are held back, so that they do not send the header. SinceEvent bounds them.
-		if a.body.EventEnd() > 0 && (x.headerSent || a.body.Events() > 0) {
+		// What precedes the first event is held back, as it does not show yet that the attempt brings any. SinceEvent bounds it.
+		if a.body.EventEnd() > 0 && a.body.Events() > 0 {
 			if err := x.writeEvents(a, buf[:whole]); err != nil {
 				return err
 			}
 			buf = x.shrink(buf, whole)
 		}
 		switch {
+		case errors.Is(err, io.EOF) && isRest && a.body.Events() == 0:
+			return errNoEvents
 		case errors.Is(err, io.EOF):
 			if len(buf) > 0 {
 				return x.writeEvents(a, buf) // comments after the last event, or of a complete stream without events
