--- a/internal/faults/crowd_test.go
+++ b/internal/faults/crowd_test.go
@@ -282,7 +282,7 @@
 func TestConnectingSocketTakesNoBytes(t *testing.T) {
 	l, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	qt.Assert(t, err, qt.IsNil)
-	defer unix.Close(l)
+	defer func() { _ = unix.Close(l) }()
 	qt.Assert(t, unix.Bind(l, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), qt.IsNil)
 	qt.Assert(t, unix.Listen(l, 0), qt.IsNil)
 	to, err := unix.Getsockname(l)
@@ -292,7 +292,7 @@
 	for range 8 {
 		s, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 		qt.Assert(t, err, qt.IsNil)
-		defer unix.Close(s)
+		defer func() { _ = unix.Close(s) }()
 		qt.Assert(t, unix.Connect(s, to), qt.ErrorIs, unix.EINPROGRESS)
 		time.Sleep(20 * time.Millisecond)
 		from, err := unix.Getsockname(s)
