Follower: list what cannot be read as changes, and soon after a lost history

Changes that hold an object which can't be decoded would have been asked for until the store's history drops them, 20 s, while a list holds what is there now. The pause before that list is short, but the pauses of an outage go on growing, so that a store whose lists and changes are both unreadable is not asked without a pause.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -199,9 +199,9 @@
 		}
 		now := time.Now()
 		if err != nil {
-			if errors.Is(err, fighollow.ErrWatchExpired) { // the store has answered, and a list is needed
-				f.outage.ended()
-				backoff = minStoreBackoff
+			isExpired := errors.Is(err, fighollow.ErrWatchExpired)
+			if isExpired {
+				f.outage.ended() // the store has answered
 			} else {
 				f.outage.failed(now)
 			}
@@ -211,6 +211,9 @@
 				event.StoreLost.Log(&f.log).Str("kind", string(kind)).Err(err).Send()
 			}
 			pause := backoff/2 + rand.N(backoff)
+			if isExpired {
+				pause = rand.N(minStoreBackoff)
+			}
 			if version > 0 && backoff == minStoreBackoff && fighollow.StoreEra(f.store) != fighollow.VersionEra(version) {
 				pause = rand.N(eraListSpread) // all entries list again
 			}
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -106,8 +106,8 @@
 	return "/objects/" + url.PathEscape(string(kind)) + "/" + url.PathEscape(name)
 }
 
-// read sends a request that changes nothing and that the API may hold for wait. Failures are ErrUnavailable, except for statuses that StatusError maps to
-// another error.
+// read sends a request that changes nothing and that the API may hold for wait. Failures are ErrUnavailable, except for statuses that
+// StatusError maps to another error.
 func (c *Client) read(ctx context.Context, path string, wait time.Duration, out any) error {
 	status, body, _, err := c.do(ctx, http.MethodGet, path, nil, wait)
 	if err != nil {
--- a/internal/objectapi/pace.go
+++ b/internal/objectapi/pace.go
@@ -19,7 +19,7 @@
 type Pace struct {
 	// Silence is the longest time until the head of the response has arrived, and then without a byte of the body.
 	Silence time.Duration
-	// MinBytesPS is the average rate, in bytes a second, below which a connection is given up.
+	// MinBytesPS is the average rate, in bytes a second, below which a connection is given up; it must be above 0.
 	MinBytesPS int
 }
 
@@ -45,7 +45,7 @@
 	maxAnnouncedBuffer = 2 << 20
 )
 
-// readBody reads a body at the pace. timer ends its context, which is the cause of a failed read.
+// readBody reads a body at the pace; announced is its length, or -1 if that is not known. timer ends ctx, and with it a read that takes too long.
 func (p Pace) readBody(ctx context.Context, body io.Reader, announced, most int64, timer *time.Timer) ([]byte, error) {
 	if announced > most {
 		return nil, fmt.Errorf("%w: %d bytes", ErrTooLong, announced)
@@ -65,8 +65,8 @@
 		case errors.Is(err, io.EOF):
 			return buf, nil
 		case err != nil:
-			return nil, fmt.Errorf("after %d bytes of a body of %d in %s: %w", len(buf), announced, time.Since(began).Round(time.Millisecond), // -1: no length
-				causeOf(ctx, err))
+			took := time.Since(began).Round(time.Millisecond)
+			return nil, fmt.Errorf("after %d bytes of a body of %d in %s: %w", len(buf), announced, took, causeOf(ctx, err))
 		}
 	}
 }
