Store: measure the progress of a body in short reads

A read within a chunk returns only when its buffer is full. With one chunk of 1 MB and two such calls on a link of 10 Mbit/s, a read of 497 KB took more than 0.8 s and the call was given up although bytes arrived all the while.

Reads are of 4 KB now. Failed before: TestCallsAreBoundedByProgress, row 'long chunk', and the new row changesInSeries of TestLongConfigurationOnASmallLink, whose entry was ready after 4.5 s (3.9 allowed).

--- a/internal/faults/link_test.go
+++ b/internal/faults/link_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -17,6 +19,7 @@
 	linkBytesPS = 10_000_000 / 8 * 94 / 100
 	// longConfigBytes is the least size of the configuration; an object of the store has 1 MiB at most.
 	longConfigBytes = 1_000_000
+	linkKey         = "key-north"
 )
 
 // linkPlay is an entry whose store is behind a small link, with a configuration as long as the store allows.
@@ -31,6 +34,7 @@
 	p.link = newProxy(t, p.cfg.Store)
 	p.link.setRate(linkBytesPS)
 	p.cfg.Store = p.link.addr()
+	p.cfg.Revocation = &standin.RevocationSettings{Strict: true, Within: 4 * time.Second}
 	p.addUpstream("s-plain", "", "plain", 0, standin.EngineFaults{})
 	p.putLongConfig(1)
 	return p
@@ -38,7 +42,7 @@
 
 // putLongConfig writes a version of the configuration.
 func (p *linkPlay) putLongConfig(version int) {
-	routes := []object{{"name": "first", "host": playHost, "pathPrefix": fmt.Sprintf("/once/%d/", version), "kind": "idempotent", "timeoutMs": 2000, "service": "plain", "maxAttempts": 2}}
+	routes := []object{{"name": "first", "host": playHost, "pathPrefix": "/any/", "kind": "idempotent", "timeoutMs": 2000, "service": "plain", "maxAttempts": 2}}
 	for size := 0; size < longConfigBytes; {
 		n := len(routes)
 		route := object{
@@ -49,10 +53,12 @@
 		qt.Assert(p.t, err, qt.IsNil)
 		routes, size = append(routes, route), size+len(text)
 	}
-	p.store.Put("config", "main", object{
+	configuration := object{
 		"version": version, "routes": routes, "services": []object{{"name": "plain", "maxConnections": 200}},
 		"limits": object{"maxHeaderBytes": 16384, "maxBodyBytes": longBody, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	}
+	standin.SetWorkspaces(configuration, []standin.Workspace{{Name: "north", Keys: []string{linkKey}}})
+	p.store.Put("config", "main", configuration)
 	p.transfer = longConfigBytes * time.Second / linkBytesPS
 }
 
@@ -93,6 +99,13 @@
 			}
 			p.awaitVersion(2, p.cfg.Config)
 		},
+		// Keys are confirmed by calls that read each change too.
+		"changesInSeries": func(p *linkPlay) {
+			for version := 2; version <= 4; version++ {
+				p.putLongConfig(version)
+				p.awaitVersion(version, p.cfg.Config)
+			}
+		},
 		"kill": func(p *linkPlay) {
 			p.end()
 			p.startWithin(p.cfg.Config + p.transfer)
@@ -102,12 +115,49 @@
 			p := newLinkPlay(t)
 			p.startWithin(p.cfg.Config + p.transfer)
 			p.awaitVersion(1, p.cfg.Config)
+			played := make(chan struct{})
+			var refused int
+			var callers sync.WaitGroup
+			if name == "changesInSeries" { // the others may leave keys unconfirmed
+				callers.Go(func() { refused = p.countRefused(played) })
+			}
 			play(p)
+			close(played)
+			callers.Wait()
+			qt.Check(t, refused, qt.Equals, 0)
 			qt.Assert(t, p.entry.Process.Signal(syscall.Signal(0)), qt.IsNil)
 		})
 	}
 }
 
+// countRefused makes requests with a key until done is closed, and returns how many were not answered.
+func (p *linkPlay) countRefused(done <-chan struct{}) (refused int) {
+	for {
+		select {
+		case <-done:
+			return refused
+		case <-time.After(20 * time.Millisecond):
+		}
+		req, err := http.NewRequest(http.MethodGet, "http://"+p.cfg.Ingress+"/any/a", nil)
+		if err != nil {
+			panic(err)
+		}
+		req.Host = playHost
+		req.Header.Set(standin.HeaderRequest, p.nextID())
+		req.Header.Set(standin.HeaderDeadline, "2000")
+		req.Header.Set(standin.HeaderKey, linkKey)
+		resp, err := p.client.Do(req)
+		if err != nil {
+			refused++
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			refused++
+		}
+	}
+}
+
 // startWithin starts the entry, which must be ready within a time.
 func (p *linkPlay) startWithin(d time.Duration) {
 	p.t.Helper()
--- a/internal/objectapi/pace.go
+++ b/internal/objectapi/pace.go
@@ -41,6 +41,8 @@
 
 const (
 	minBodyBuffer = 512
+	// maxRead bounds one read of a body, in bytes. A read within a chunk returns when its buffer is full, and must show progress before.
+	maxRead = 4 << 10
 	// maxAnnouncedBuffer is the size up to which the buffer for a body of announced length is allocated at once, in bytes.
 	maxAnnouncedBuffer = 2 << 20
 )
@@ -57,7 +59,7 @@
 			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
 		}
 		timer.Reset(max(0, p.bodyTime(len(buf), time.Since(began))))
-		n, err := body.Read(buf[len(buf):cap(buf)])
+		n, err := body.Read(buf[len(buf):min(cap(buf), len(buf)+maxRead)])
 		buf = buf[:len(buf)+n]
 		switch {
 		case int64(len(buf)) > most:
--- a/internal/objectapi/pace_test.go
+++ b/internal/objectapi/pace_test.go
@@ -35,6 +35,24 @@
 	}
 }
 
+// longChunk writes a body of one chunk, n bytes at each of so many intervals.
+func longChunk(n, times int, interval time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer c.Close()
+		part := strings.Repeat(" ", n)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n{}", len(`{}`)+n*times)
+		for range times {
+			fmt.Fprint(c, part)
+			time.Sleep(interval)
+		}
+		fmt.Fprint(c, "\r\n0\r\n\r\n")
+	}
+}
+
 // Guards against calls that are cut off while their response arrives, and against dead or nearly dead connections that are not given up.
 func TestCallsAreBoundedByProgress(t *testing.T) {
 	const silence = 200 * time.Millisecond
@@ -44,6 +62,7 @@
 		within   time.Duration
 	}{
 		"long response":     {pacedBody(20<<10, 10, silence/4, false), false, 4 * silence},
+		"long chunk":        {longChunk(100<<10, 20, silence/8), false, 4 * silence},
 		"silent at once":    {func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, true, 2 * silence},
 		"silent after head": {pacedBody(1, 1, 0, true), true, 3 * silence},
 		"silent midway":     {pacedBody(20<<10, 4, silence/4, true), true, 4 * silence},
