Follower: confirmations of keys do not read again what the watch has read

What callers saw, with strictRevocation and a configuration of 1 MB on a link of 10 Mbit/s: an entry ready after 1.8 s in place of 1.0, and changes in force up to twice as late.

Cause: the reader that confirms keys had a version of its own, so that each configuration was read twice, at the same time.

Change: confirmations begin when the Follower has listed the configuration, and ask for changes after the newest version that either has read.

Why it works: the Follower's version is set after its configuration is in force.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -66,11 +66,14 @@
 	log        zerolog.Logger
 	synced     atomic.Bool  // the upstreams were listed at least once
 	lastAnswer atomic.Int64 // Unix milliseconds of the store's last answer about the upstreams
+
+	routingVersion atomic.Uint64 // up to which the configuration was read and applied by Run
+	routingListed  chan struct{} // closed when it was first read
 }
 
 // NewFollower returns a Follower. Run starts it.
 func NewFollower(store fighollow.ObjectStore, decode Decoder, g *Gateway, fleet *placement.Fleet, freshness Freshness, log zerolog.Logger) *Follower {
-	f := &Follower{store: store, decode: decode, gateway: g, fleet: fleet, freshness: freshness, log: log}
+	f := &Follower{store: store, decode: decode, gateway: g, fleet: fleet, freshness: freshness, log: log, routingListed: make(chan struct{})}
 	f.lastAnswer.Store(time.Now().UnixMilli())
 	return f
 }
@@ -87,7 +90,14 @@
 // Run lists and watches the store until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { f.listAndWatch(ctx, fighollow.KindRouting, f.applyRouting) })
+	wg.Go(func() {
+		listed := sync.OnceFunc(func() { close(f.routingListed) })
+		f.listAndWatch(ctx, fighollow.KindRouting, func(now time.Time, u update) {
+			f.applyRouting(now, u)
+			f.routingVersion.Store(u.version)
+			listed()
+		})
+	})
 	wg.Go(func() { f.listAndWatch(ctx, fighollow.KindInstance, f.applyUpstreams) })
 	wg.Wait()
 }
--- a/internal/gateway/identity.go
+++ b/internal/gateway/identity.go
@@ -132,9 +132,15 @@
 	if !r.Strict {
 		return
 	}
+	select {
+	case <-ctx.Done():
+		return
+	case <-f.routingListed: // else both would read a long configuration over the same link
+	}
 	var version uint64
-	isListed, isConfirmed := false, true
+	isListed, isConfirmed := true, true
 	for ctx.Err() == nil {
+		version = max(version, f.routingVersion.Load())
 		sent := time.Now()
 		u, err := f.readRouting(ctx, version, isListed)
 		if errors.Is(err, fighollow.ErrWatchExpired) && isListed {
