callerconn: headers of closed connections are freed before the answer that closed them

What callers saw: 503 "too many long headers are held", although the stalled caller whose header had used up the bound had been closed for them, and although the caller before them had been told to come back.

Cause: a connection that is closed for others, or for its timeout, freed what its header holds only when the server's goroutine had noticed the closed socket and called Close. Ruled out: the bytes of the rejected caller itself, which are freed before its answer is written; a stalled connection that was not closed, as the test had seen it closed.

Change: what ends the reading of an unfinished header frees it at once, as the rejection of a header does. A header whose request is being served stays counted until the answer has ended.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -99,7 +99,7 @@
 		c.startTimer(unreadDelay, timeout)
 		return c.state, false
 	}
-	c.closed = true
+	c.endReading()
 	return c.state, true
 }
 
@@ -111,9 +111,18 @@
 	if c.closed || !idle || c.hasUnread() {
 		return false
 	}
+	c.endReading()
+	return true
+}
+
+// endReading records that nothing is read any more. It frees what is held of an unfinished header at once: a caller that finds the connection
+// closed, or is told to come back because others were closed for it, can come back before the server calls Close. c.mu must be held.
+func (c *Conn) endReading() {
 	c.closed = true
+	if c.state == stateHeader {
+		c.release()
+	}
 	c.startTimer(0, 0)
-	return true
 }
 
 // received updates what c waits for after bytes of a request were read. c.mu must be held.
--- a/internal/callerconn/reject_test.go
+++ b/internal/callerconn/reject_test.go
@@ -114,3 +114,27 @@
 	}
 	qt.Assert(t, statuses, qt.DeepEquals, []int{http.StatusServiceUnavailable, http.StatusOK})
 }
+
+// Guards against headers of closed connections that stay counted until the server has noticed: a caller that was told to come back would be
+// rejected again.
+func TestStalledHeadersAreFreedBeforeTheAnswer(t *testing.T) {
+	const begin = "GET / HTTP/1.1\r\nHost: h\r\n"
+	fields := strings.Repeat("a:\r\n", 3000)
+	for range 20 {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			held := heldbytes.New(12, metrics.NewRegistry(), zerolog.Nop())
+			l := limitedServer(t, 16<<10, held, func(http.ResponseWriter, *http.Request) {})
+			stalled := dial(t, l)
+			sendText(t, stalled, begin+fields)
+			time.Sleep(1500 * time.Millisecond)
+			rejected := dial(t, l)
+			sendText(t, rejected, begin+fields)
+			resp, err := http.ReadResponse(bufio.NewReader(rejected), nil)
+			qt.Assert(t, err, qt.IsNil)
+			resp.Body.Close()
+			qt.Assert(t, held.Used(heldbytes.Header), qt.Equals, int64(0))
+			qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		})
+	}
+}
--- a/internal/callerconn/room.go
+++ b/internal/callerconn/room.go
@@ -73,8 +73,7 @@
 		c.setState(c.state)
 		return false
 	}
-	c.closed = true
-	c.startTimer(0, 0)
+	c.endReading()
 	return true
 }
 
