placement: a mirror's capacity follows the service's configuration

What operators would see: an engine that was listed before the first configuration, or before one that says how much it holds, counts as empty until it starts again, and prompts are computed there that it holds.

Cause: the capacity of an engine's mirror was set when the mirror was made, from the configuration of that moment. Without one it is 0 tokens, and each part is evicted at once. SetTraits did not change the mirrors.

Change: SetTraits sets the capacity of each mirror.

--- a/internal/placement/cache_test.go
+++ b/internal/placement/cache_test.go
@@ -75,3 +75,12 @@
 	qt.Assert(t, place(t, f, now, 8).Cached, qt.Equals, 10_000)
 	qt.Assert(t, place(t, f, now, 7).Cached < 10_000, qt.IsTrue, qt.Commentf("an old report counts as cached"))
 }
+
+// Guards against an engine whose cache is taken for empty for as long as it runs, because it was listed before the first configuration.
+func TestCacheOfAnEngineListedBeforeTheConfiguration(t *testing.T) {
+	f := placement.New(placement.Options{DataCentre: "a", DrainTime: drain})
+	f.Put(start, engine("p-a-1"), 1)
+	f.Configure(playRouting())
+	runPrefill(f, start, prompt(7, 1), 100*time.Millisecond)
+	qt.Assert(t, place(t, f, start.Add(time.Second), 7).Cached, qt.Equals, 10_000)
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -27,16 +27,21 @@
 
 func newFleetWith(opts placement.Options, engines ...string) *placement.Fleet {
 	f := placement.New(opts)
-	f.Configure(&fighollow.Routing{Services: map[string]fighollow.ServiceTraits{
-		models: {Name: models, Engine: &fighollow.EngineTraits{Slots: 64, KVCapacityTokens: 500_000, KVBytesPerToken: 35_000, TransferMbps: 390_000}},
-		plain:  {Name: plain},
-	}})
+	f.Configure(playRouting())
 	for i, id := range engines {
 		f.Put(start, engine(id), uint64(i+1))
 	}
 	return f
 }
 
+// playRouting returns the configuration of the plays' services.
+func playRouting() *fighollow.Routing {
+	return &fighollow.Routing{Services: map[string]fighollow.ServiceTraits{
+		models: {Name: models, Engine: &fighollow.EngineTraits{Slots: 64, KVCapacityTokens: 500_000, KVBytesPerToken: 35_000, TransferMbps: 390_000}},
+		plain:  {Name: plain},
+	}}
+}
+
 func engine(id string) fighollow.Upstream {
 	var role, centre string
 	var n int
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -142,6 +142,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.traits = t
+	for _, inst := range p.instances {
+		inst.cache.capacity = p.kvCapacity()
+	}
 }
 
 // setEntries sets how many entries share the connections that an upstream accepts.
