placement: what is kept of prompts is bounded by memory, not by the tokens that callers claim

Cause: the mirrors of engines' caches were bounded by the sum of the tokens that callers claim. A part without tokens was never evicted, one of one token hardly, and each takes some 140 bytes. Plain services kept them too.

Change: the mirrors of a process share a budget of parts of 160 bytes, a 24th of memoryMb. Half is divided among the engines, half is lent to those that hold more. Parts go at once, as a map keeps the memory of its largest size, and a map that has shrunk is made anew. Plain services keep nothing. Parts that were never reported and are too old to count go as well.

Evidence: TestCrowds, 40 callers for 4 s, before: partsWithoutTokens 213 MB of 144, at 48 MB 198 MB, partsOfOneTokenAt48MB 186 MB, partsForPlainServiceAt48MB 229 MB.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -143,8 +143,9 @@
 	divider := quota.New(self)
 	fleet := placement.New(placement.Options{
 		DataCentre: cfg.DataCentre, DrainTime: cfg.Bounds.Drain, Heartbeat: cfg.Heartbeat, Shares: divider,
-		AdmitVersions: true, ShareWork: flags.shareWork,
+		AdmitVersions: true, ShareWork: flags.shareWork, MemoryMB: cfg.MemoryMB,
 	})
+	_ = p.registry.Register("prompts.mirroredParts", metrics.NewFunctionalGauge(func() int64 { held, _ := fleet.MirroredParts(); return held }))
 	dispatcher := platform.NewDispatcher(p.pool, p.control, gateway.NewAnnouncements(fleet, p.registry, log))
 	crashes := quarantine.New(self)
 	p.quarantine = quarantine.NewWriter(crashes, p.store, log)
--- a/internal/faults/crowd_test.go
+++ b/internal/faults/crowd_test.go
@@ -44,6 +44,7 @@
 	address     func(p *entryPlay) string       // nil for that of callers
 	send        func(p *entryPlay, c io.Writer) // ends early if the connection does
 	unread      bool                            // no answer is read
+	memoryMB    int                             // of the instance; 0 for smallMemoryMB
 }
 
 func readinessAddress(p *entryPlay) string { return p.cfg.Readiness }
@@ -109,8 +110,40 @@
 	}
 }
 
+// ownParts sends prompts of so many parts of their own, each of which claims the same number of tokens, one request after the other.
+func ownParts(path string, n, tokens int) func(p *entryPlay, c io.Writer) {
+	return func(p *entryPlay, c io.Writer) {
+		var err error
+		for err == nil {
+			first := p.seq.Add(int64(n))
+			parts := make([]string, n)
+			for i := range parts {
+				parts[i] = fmt.Sprintf("%x:%d", 1<<24+first+int64(i), tokens)
+			}
+			_, err = io.WriteString(c, p.head(path, standin.PromptLines(strings.Join(parts, ","))+"\r\n"))
+		}
+	}
+}
+
+// ownNames sends requests that name hosts, paths, models, keys and streams of their own.
+func ownNames(p *entryPlay, c io.Writer) {
+	var err error
+	for err == nil {
+		id := p.nextID()
+		_, err = fmt.Fprintf(c, "GET /%s/x HTTP/1.1\r\nHost: %s\r\n%s\r\n", id, id, standin.RequestFields(id, crowdDeadline)) // without a route
+		if err == nil {
+			fields := strings.ReplaceAll(standin.PromptLines(id+":100,1:1"), ": m\r\n", ": "+id+"\r\n")
+			_, err = io.WriteString(c, p.head(streamPath+id, fields+standin.HeaderKey+": "+id+"\r\n\r\n"))
+		}
+		if err == nil {
+			_, err = io.WriteString(c, p.head(streamPath, standin.PromptLines("a:100")+standin.TakeUpLines(id, 2)+"\r\n"))
+		}
+	}
+}
+
 const (
 	plainPath   = "/once/plain/x"
+	streamPath  = "/stream/models/x"
 	slowPath    = "/once/slow/x"
 	longPath    = "/once/long/x"
 	nowherePath = "/nowhere/x"
@@ -156,6 +189,12 @@
 	{name: "silentForReadiness", callers: 600, descriptors: 512, address: readinessAddress, send: func(*entryPlay, io.Writer) {}},
 	{name: "lastByteMissing", callers: 600, descriptors: 512, send: unfinishedBody(plainPath, 10, 9)},
 	{name: "lastByteMissingForReadiness", callers: 600, descriptors: 512, address: readinessAddress, send: unfinishedBody(platform.ReadinessPath, 10, 9)},
+	{name: "partsWithoutTokens", callers: 40, send: ownParts(streamPath, 1250, 0)},
+	{name: "partsWithoutTokensAt48MB", callers: 40, send: ownParts(streamPath, 1250, 0), memoryMB: 48},
+	{name: "partsOfOneTokenAt48MB", callers: 40, send: ownParts(streamPath, 1250, 1), memoryMB: 48},
+	{name: "partsForPlainServiceAt48MB", callers: 40, send: ownParts(plainPath, 1250, 0), memoryMB: 48},
+	{name: "ownRequestsAt48MB", callers: 40, send: ownParts(streamPath, 2, 100), memoryMB: 48},
+	{name: "ownNamesAt48MB", callers: 40, send: ownNames, memoryMB: 48},
 	{name: "slowHeader", callers: 600, descriptors: 512, send: func(p *entryPlay, c io.Writer) {
 		_, err := io.WriteString(c, p.head(plainPath, ""))
 		for err == nil {
@@ -333,11 +372,18 @@
 		k.descriptors = 2048
 	}
 	p := newEntryPlay(t)
-	p.cfg.Descriptors = k.descriptors
+	if k.memoryMB == 0 {
+		k.memoryMB = smallMemoryMB
+	}
+	p.cfg.Descriptors, p.cfg.MemoryMB = k.descriptors, k.memoryMB
 	p.addUpstream("s-plain", "", "plain", 0, standin.EngineFaults{})
 	p.addUpstream("s-slow", "", "slow", 0, standin.EngineFaults{Delay: time.Second})
 	p.addUpstream("s-long", "", "long", 0, standin.EngineFaults{PartBytes: longAnswer})
-	p.configure([]string{"plain", "slow", "long"}, nil)
+	for i := range 4 {
+		p.addUpstream(fmt.Sprintf("p-%d", i), "prefill", "models", 0, standin.EngineFaults{})
+		p.addUpstream(fmt.Sprintf("d-%d", i), "decode", "models", 2, standin.EngineFaults{})
+	}
+	p.configure([]string{"plain", "slow", "long"}, []string{"models"})
 	p.start()
 	limit := unix.Rlimit{Cur: uint64(k.descriptors), Max: uint64(k.descriptors)} //nolint:gosec // positive
 	qt.Assert(t, unix.Prlimit(p.entry.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil), qt.IsNil)
@@ -364,7 +410,7 @@
 	}
 	most = max(most, p.memory("VmHWM"))
 	t.Logf("at most %d MB, %d resident and %d in the kernel at a time; %d descriptors", most>>20, peak.resident>>20, peak.queued>>20, peak.descriptors)
-	qt.Check(t, most <= smallMemoryMB<<20, qt.IsTrue, qt.Commentf("%d MB of %d", most>>20, smallMemoryMB))
+	qt.Check(t, most <= int64(k.memoryMB)<<20, qt.IsTrue, qt.Commentf("%d MB of %d", most>>20, k.memoryMB))
 	qt.Check(t, peak.descriptors <= k.descriptors-reservedFiles, qt.IsTrue, qt.Commentf("%d of %d", peak.descriptors, k.descriptors-reservedFiles))
 }
 
--- a/internal/placement/explain.go
+++ b/internal/placement/explain.go
@@ -75,7 +75,7 @@
 	p, entries := f.pools[service], f.entries
 	f.mu.Unlock()
 	if p == nil {
-		p = newPool(f.opts, newAnnouncements(), &f.placedPrompts)
+		p = newPool(f.opts, newAnnouncements(), f.parts, &f.placedPrompts)
 		p.setEntries(entries)
 	}
 	return p.snapshot(now, prompt)
@@ -101,7 +101,7 @@
 	}
 	c.instances = instances
 	// These are used for attempts that begin, upstreams that change, and reports of other entries.
-	c.onWork, c.announcements, c.byHash, c.reported, c.placedPrompts = nil, newAnnouncements(), nil, reportedPrompts{}, nil
+	c.onWork, c.announcements, c.parts, c.byHash, c.reported, c.placedPrompts = nil, newAnnouncements(), nil, nil, reportedPrompts{}, nil
 	return c
 }
 
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +23,8 @@
 	AdmitVersions bool
 	// ShareWork lets the entries tell each other what they place, where there are enough of them; see Fleet.OnWork and Fleet.AddWork.
 	ShareWork bool
+	// MemoryMB is the memory of the process, in megabytes, which bounds what is kept of prompts; 0 if it is not known.
+	MemoryMB int
 }
 
 // Fleet holds the upstreams of all services. Each service has its own lock. It is safe for concurrent use.
@@ -36,6 +40,7 @@
 	departed map[string]departure
 	// announcements outlive the pools' instances.
 	announcements *announcements
+	parts         *partBudget
 	// distrustUntil is when the store's objects of upstreams that have left are believed again after its return from a copy.
 	distrustUntil time.Time
 
@@ -51,7 +56,7 @@
 	return &Fleet{
 		opts: opts, entries: 1, pools: make(map[string]*Pool), services: make(map[string]string), versions: make(map[string]uint64),
 		departed: make(map[string]departure), announcements: newAnnouncements(),
-		senders: make(senderBudgets),
+		parts: newPartBudget(opts.MemoryMB), senders: make(senderBudgets),
 	}
 }
 
@@ -65,7 +70,7 @@
 func (f *Fleet) pool(service string) *Pool {
 	p := f.pools[service]
 	if p == nil {
-		p = newPool(f.opts, f.announcements, &f.placedPrompts)
+		p = newPool(f.opts, f.announcements, f.parts, &f.placedPrompts)
 		p.setEntries(f.entries)
 		p.setSharing(f.sharing)
 		p.setOnWork(f.onWork)
@@ -173,6 +178,21 @@
 	return 0
 }
 
+// MirroredParts returns how many prompt parts the mirrors of all engines hold, and the most that they may hold.
+func (f *Fleet) MirroredParts() (held, most int64) {
+	f.mu.Lock()
+	pools := slices.Collect(maps.Values(f.pools))
+	f.mu.Unlock()
+	for _, p := range pools {
+		p.mu.Lock()
+		for _, inst := range p.instances {
+			held += int64(inst.cache.lru.Len())
+		}
+		p.mu.Unlock()
+	}
+	return held, 2 * f.parts.half
+}
+
 // ApplyCacheChanges applies changes that an engine reported for its prefix cache. It reports whether the previous state of
 // the mirror had to be discarded.
 func (f *Fleet) ApplyCacheChanges(now time.Time, service, id string, ch fighollow.CacheChanges) bool {
--- a/internal/placement/instance.go
+++ b/internal/placement/instance.go
@@ -57,15 +57,15 @@
 	claimedDemand    float64    // demand that was last claimed, in requests a second
 }
 
-func newInstance(u fighollow.Upstream, capacity int, known announced) *instance {
-	return &instance{upstream: u, hash: rendezvous.Key(u.ID), cache: newPrefixCache(capacity), announced: known}
+func newInstance(u fighollow.Upstream, capacity int, b *partBudget, known announced) *instance {
+	return &instance{upstream: u, hash: rendezvous.Key(u.ID), cache: newPrefixCache(capacity, b), announced: known}
 }
 
 // update applies the upstream's newest object. After a restart or a change of address, the cache mirror and the failure
 // state are reset, as they describe another process; known is what the upstream as it is in u has announced.
-func (inst *instance) update(u fighollow.Upstream, capacity int, known announced) {
+func (inst *instance) update(u fighollow.Upstream, known announced) {
 	if u.StartedMs != inst.upstream.StartedMs || u.Address != inst.upstream.Address {
-		inst.cache = newPrefixCache(capacity)
+		inst.cache.forget()
 		inst.failureRate, inst.ejection, inst.ejectedUntil, inst.misdirectedUntil = 0, 0, time.Time{}, time.Time{}
 		inst.speed, inst.pace, inst.backlog = engineSpeed{}, pace{}, backlog{}
 		inst.named, inst.limited = quota.Named{}, false
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -114,6 +114,7 @@
 	lastReturn      time.Time
 	lastPauseReturn time.Time      // that a caller was given when all upstreams were paused
 	announcements   *announcements // of the fleet
+	parts           *partBudget    // of the fleet
 
 	times      promptTimes // what was measured of prompts
 	firstEvent typical     // latency until the first event of an answer, or until a whole plain one
@@ -127,12 +128,12 @@
 	placedPrompts   *atomic.Uint32  // numbers the prompts that this entry reports; of the fleet
 }
 
-func newPool(opts Options, m *announcements, placed *atomic.Uint32) *Pool {
+func newPool(opts Options, m *announcements, b *partBudget, placed *atomic.Uint32) *Pool {
 	return &Pool{
 		dataCentre: opts.DataCentre, drain: opts.DrainTime, shares: opts.Shares,
 		poolState: poolState{
 			entries: 1, instances: make(map[string]*instance), byHash: make(map[uint64]*instance), versions: make(map[string]versionTimes),
-			gated: opts.AdmitVersions, withheld: make(map[string]bool), announcements: m, placedPrompts: placed,
+			gated: opts.AdmitVersions, withheld: make(map[string]bool), announcements: m, parts: b, placedPrompts: placed,
 		},
 	}
 }
@@ -143,7 +144,7 @@
 	defer p.mu.Unlock()
 	p.traits = t
 	for _, inst := range p.instances {
-		inst.cache.capacity = p.kvCapacity()
+		inst.cache.setCapacity(p.kvCapacity())
 	}
 }
 
@@ -179,11 +180,11 @@
 	}
 	p.seeVersion(now, u.Version)
 	if inst == nil {
-		inst = newInstance(u, p.kvCapacity(), known)
+		inst = newInstance(u, p.kvCapacity(), p.parts, known)
 		p.instances[u.ID] = inst
 	}
 	delete(p.byHash, EngineHash(inst.upstream))
-	inst.update(u, p.kvCapacity(), known)
+	inst.update(u, known)
 	p.byHash[EngineHash(u)] = inst
 	inst.removedAt = time.Time{}
 }
@@ -308,6 +309,7 @@
 	p.announcements.remember(now, p.instances[id])
 	p.seeVersion(now, p.instances[id].upstream.Version)
 	delete(p.byHash, EngineHash(p.instances[id].upstream))
+	p.instances[id].cache.setCapacity(0)
 	delete(p.instances, id)
 }
 
