platform: each watch of the store is checked to hear of changes

Cause: a check asked for changes of the kind of the oldest watch only. A watch that has just brought a change is among the newest, so that nothing found that its connection had gone silent until the older ones had returned. At a stable window of 5 s, also the check of the configuration for keys came only each 3.5 s.

Change: each watch is checked, within the time in which its kind must take effect: configMs or revokeMs, drainMs, else the stable window. A watch that is answered before its first check costs none. Urgent kinds are gone.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -137,7 +137,7 @@
 	}
 	p.store = platform.NewStore(platform.StoreOptions{
 		Address: cfg.StoreAddress, Stable: cfg.Bounds.Stable, History: cfg.StoreHistory, Registry: registry,
-		Urgent: func() []fighollow.Kind { return p.gateway.UrgentKinds() },
+		Config: routingBound(cfg.Bounds), Drain: cfg.Bounds.Drain,
 	}, log)
 	self := cfg.Node + "@" + cfg.Address
 	divider := quota.New(self)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,14 +128,6 @@
 	return nil
 }
 
-// UrgentKinds returns the kinds of objects of which a missed change lets a removed key in.
-func (g *Gateway) UrgentKinds() []fighollow.Kind {
-	if r := g.Routing(); r != nil && r.KeysRequired {
-		return []fighollow.Kind{fighollow.KindRouting}
-	}
-	return nil
-}
-
 // EngineServices returns the services of the configuration in force that have model engines, in order.
 func (g *Gateway) EngineServices() []string {
 	r := g.Routing()
