cmd/fighollow, entry, sidecar: OPTIONS * is refused, as no route has it

Cause: http.Server answers this request before the handler unless DisableGeneralOptionsHandler is set.

Change: it is set for each server of the product. The handler refuses the request: 404.

--- a/cmd/fighollow/listeners.go
+++ b/cmd/fighollow/listeners.go
@@ -34,7 +34,7 @@
 	return &http.Server{
 		Handler:           callerconn.ResetAborted(platform.NewIngress(p.gateway, p.held, p.stopping.Load)),
 		ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: stdlog.New(p.log, "", 0),
-		ConnState: callers.ConnState, ConnContext: callerconn.Context,
+		ConnState: callers.ConnState, ConnContext: callerconn.Context, DisableGeneralOptionsHandler: true,
 	}, callers, nil
 }
 
@@ -57,5 +57,6 @@
 	return &http.Server{
 		Handler: callerconn.RefuseBodies(h), ReadTimeout: probeTimeout, WriteTimeout: probeTimeout, IdleTimeout: callerIdleTimeout,
 		ErrorLog: stdlog.New(p.log, "", 0), ConnState: probes.ConnState, ConnContext: callerconn.Context,
+		DisableGeneralOptionsHandler: true,
 	}, probes, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -156,9 +156,9 @@
 
 	callerServer := &http.Server{
 		Handler: callerconn.ResetAborted(e.routes()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ConnContext: callerconn.Context,
+		ConnContext: callerconn.Context, DisableGeneralOptionsHandler: true,
 	}
-	adminServer := &http.Server{Handler: e.adminRoutes(), ReadHeaderTimeout: headerTimeout}
+	adminServer := &http.Server{Handler: e.adminRoutes(), ReadHeaderTimeout: headerTimeout, DisableGeneralOptionsHandler: true}
 	serveErrs := make(chan error, 2)
 	go func() { serveErrs <- callerServer.Serve(e.callerListener) }()
 	go func() { serveErrs <- adminServer.Serve(e.adminListener) }()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -163,3 +164,20 @@
 	qt.Assert(t, f.log.String(), qt.Contains, "routeChosen")
 	qt.Assert(t, strings.Contains(f.log.String(), workspaceKey), qt.IsFalse)
 }
+
+// Guards against a success for a request that no engine has answered: the HTTP library answers it unless it is told not to.
+func TestOptionsForTheServerIsRefused(t *testing.T) {
+	f := startFleet(t)
+	callers, admin, _ := f.entry.Addrs()
+	for _, address := range []string{callers, admin} {
+		c, err := net.Dial("tcp", address)
+		qt.Assert(t, err, qt.IsNil)
+		defer c.Close()
+		_, err = io.WriteString(c, "OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n")
+		qt.Assert(t, err, qt.IsNil)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		qt.Assert(t, err, qt.IsNil)
+		resp.Body.Close()
+		qt.Check(t, resp.StatusCode >= 400, qt.IsTrue, qt.Commentf("%d", resp.StatusCode))
+	}
+}
--- a/internal/faults/play_test.go
+++ b/internal/faults/play_test.go
@@ -74,8 +74,9 @@
 	return e
 }
 
-// configure writes a configuration with a route for each service: plain services by paths /once/SERVICE/, others by /stream/SERVICE/.
-func (p *entryPlay) configure(plain, models []string) {
+// configure writes a configuration with a route for each service: plain services by paths /once/SERVICE/, others by /stream/SERVICE/. With
+// workspaces, requests need a key.
+func (p *entryPlay) configure(plain, models []string, workspaces ...standin.Workspace) {
 	var routes, services []map[string]any
 	for _, name := range plain {
 		routes = append(routes, map[string]any{
@@ -93,10 +94,14 @@
 			"slots": 2000, "kvCapacityTokens": 100_000_000, "kvTokenBytes": 1000, "bandwidthMbps": 1000, "handleTtlS": 5, "roleSwitchS": 3,
 		}})
 	}
-	p.store.Put("config", "main", map[string]any{
+	configuration := map[string]any{
 		"version": 1, "routes": routes, "services": services,
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": longBody, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	}
+	if len(workspaces) > 0 {
+		standin.SetWorkspaces(configuration, workspaces)
+	}
+	p.store.Put("config", "main", configuration)
 }
 
 // start starts the entry.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -118,7 +118,7 @@
 	}
 	srv := &http.Server{
 		Handler: s.adminHandler(), ReadHeaderTimeout: adminTimeout, ReadTimeout: adminTimeout, WriteTimeout: adminTimeout,
-		IdleTimeout: adminIdleTimeout,
+		IdleTimeout: adminIdleTimeout, DisableGeneralOptionsHandler: true,
 	}
 	// The background goroutines run until the last attempt has ended, thus longer than ctx.
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
