--- a/internal/faults/gateway_test.go
+++ b/internal/faults/gateway_test.go
@@ -19,6 +19,7 @@
 	"testing"
 	"time"
 
+	"github.com/fighollow/fighollow/platform"
 	"github.com/fighollow/fighollow/platform/standin"
 )
 
@@ -53,8 +54,8 @@
 		f.mu.Lock()
 		f.arrived = append(f.arrived, r.Header.Clone())
 		f.mu.Unlock()
-		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-		w.Header().Set("Server-Signature", "sig-plain1")
+		w.Header().Set(standin.HeaderRequest, r.Header.Get(standin.HeaderRequest))
+		w.Header().Set(standin.HeaderSignature, "sig-plain1")
 	}))
 	t.Cleanup(service.Close)
 	f.configure(1, workspaces...)
@@ -118,7 +119,7 @@
 		}
 	})
 	f.entries, f.ingress = append(f.entries, p), append(f.ingress, ingress)
-	until(f.ctx, f.t, name+" is ready", func() bool { return get("http://"+ready+"/api/readyz", nil) })
+	until(f.ctx, f.t, name+" is ready", func() bool { return get("http://"+ready+platform.ReadinessPath, nil) })
 }
 
 // serveStore passes a call of an entry on to the store and keeps the acknowledged writes of usage reports.
@@ -166,7 +167,8 @@
 	n := c.f.requests
 	c.f.mu.Unlock()
 	_ = c.nc.SetDeadline(time.Now().Add(4 * time.Second)) // fails only on a closed connection
-	if _, err := fmt.Fprintf(c.nc, "GET /any/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: q%d\r\nRequest-Deadline-Ms: 3000\r\n%s: %s\r\n\r\n", gatewayHost, n, standin.HeaderKey, key); err != nil {
+	fields := standin.RequestFields(fmt.Sprintf("q%d", n), 3*time.Second)
+	if _, err := fmt.Fprintf(c.nc, "GET /any/x HTTP/1.1\r\nHost: %s\r\n%s%s: %s\r\n\r\n", gatewayHost, fields, standin.HeaderKey, key); err != nil {
 		return 0
 	}
 	res, err := http.ReadResponse(c.br, nil)
@@ -234,7 +236,7 @@
 	var answers atomic.Int64
 	f.front = func(_ int, w http.ResponseWriter, r *http.Request) {
 		f.store.ServeHTTP(w, r)
-		if strings.HasPrefix(r.URL.Path, "/api/objects/config") && r.Context().Err() == nil {
+		if strings.HasPrefix(r.URL.Path, standin.ObjectsPath+"config") && r.Context().Err() == nil {
 			answers.Add(1)
 		}
 	}
--- a/internal/faults/secrecy_test.go
+++ b/internal/faults/secrecy_test.go
@@ -164,7 +164,7 @@
 	if err != nil {
 		return // the entry has left
 	}
-	kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/api/objects/"), "/")
+	kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, standin.ObjectsPath), "/")
 	f.mu.Lock()
 	if r.Method != http.MethodGet {
 		f.writes[kind] = append(f.writes[kind], slices.Concat([]byte(r.URL.String()+" "), body))
@@ -208,7 +208,10 @@
 		f.t.Fatal(err)
 	}
 	req.Host = gatewayHost
-	req.Header = http.Header{"Request-Id": {id}, "Request-Deadline-Ms": {"2500"}, "Model": {"m"}, "Token-Usage": {"1460,80"}, standin.HeaderWorkspace: {"forged"}}
+	req.Header = http.Header{
+		standin.HeaderRequest: {id}, standin.HeaderDeadline: {"2500"}, standin.HeaderModel: {"m"}, standin.HeaderTokens: {"1460,80"},
+		standin.HeaderWorkspace: {"forged"},
+	}
 	for name, values := range fields {
 		req.Header[name] = values
 	}
@@ -226,10 +229,10 @@
 func (f *secrecyFleet) traffic(n int) {
 	entry, key := n%secrecyEntries, []string{northKey, southKey}[n/2%2]
 	prompt := func(parts string) []string { return []string{fmt.Sprintf("%s5c1e07a2:800,%x:250", parts, 0x10000+n)} }
-	begun := f.call(entry, "/resume/a", map[string][]string{standin.HeaderKey: {key}, "Prompt-Prefix": prompt("")})
-	f.call(1-entry, "/resume/a", map[string][]string{standin.HeaderKey: {key}, "Prompt-Prefix": prompt(""), "Resumes": {begun}, "Last-Event-Id": {"2"}})
+	begun := f.call(entry, "/resume/a", map[string][]string{standin.HeaderKey: {key}, standin.HeaderPrompt: prompt("")})
+	f.call(1-entry, "/resume/a", map[string][]string{standin.HeaderKey: {key}, standin.HeaderPrompt: prompt(""), standin.HeaderResumes: {begun}, standin.HeaderLastEvent: {"2"}})
 	// A stream of another workspace, which no entry knows.
-	f.call(1-entry, "/resume/a", map[string][]string{standin.HeaderKey: {[]string{southKey, northKey}[n/2%2]}, "Resumes": {begun}, "Last-Event-Id": {"2"}})
+	f.call(1-entry, "/resume/a", map[string][]string{standin.HeaderKey: {[]string{southKey, northKey}[n/2%2]}, standin.HeaderResumes: {begun}, standin.HeaderLastEvent: {"2"}})
 	f.call(entry, "/any/a", map[string][]string{standin.HeaderKey: {key}})
 	f.call(entry, "/any/a", map[string][]string{standin.HeaderKey: {removedKey}})
 	for _, refused := range [][]string{{strangeKey}, {"Bearer " + key}, {key, strangeKey}, {key + "," + strangeKey}} {
@@ -238,8 +241,8 @@
 	}
 	f.call(entry, "/none/a", map[string][]string{standin.HeaderKey: {key}})
 	f.call(entry, "/any/a", map[string][]string{standin.HeaderKey: {key}, "Long": {strings.Repeat("x", 20_000)}})
-	f.call(entry, "/any/a", map[string][]string{standin.HeaderKey: {key}, "Request-Id": nil})
-	f.call(entry, "/resume/a", map[string][]string{standin.HeaderKey: {key}, "Prompt-Prefix": prompt(crashingPart + ":300,")})
+	f.call(entry, "/any/a", map[string][]string{standin.HeaderKey: {key}, standin.HeaderRequest: nil})
+	f.call(entry, "/resume/a", map[string][]string{standin.HeaderKey: {key}, standin.HeaderPrompt: prompt(crashingPart + ":300,")})
 }
 
 // leaks returns where a key is found in data, as it is or encoded.
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -11,6 +11,9 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/fighollow/fighollow/platform"
+	"github.com/fighollow/fighollow/platform/standin"
 )
 
 // Entry names the addresses of one entry.
@@ -65,7 +68,7 @@
 	client := &http.Client{Timeout: 800 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	for ctx.Err() == nil {
 		for i, e := range c.Entries {
-			resp, err := client.Get("http://" + e.Readiness + "/api/readyz")
+			resp, err := client.Get("http://" + e.Readiness + platform.ReadinessPath)
 			ok := err == nil && resp.StatusCode == http.StatusOK
 			if err == nil {
 				resp.Body.Close()
@@ -198,10 +201,10 @@
 		method = http.MethodGet // has no body, whose loss would keep the request from being passed on
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s /%s/x %s\r\nHost: %s\r\nRequest-Id: %s\r\nRequest-Deadline-Ms: %d\r\n", method, route, proto, soakHost, id, requestDeadline.Milliseconds())
+	fmt.Fprintf(&b, "%s /%s/x %s\r\nHost: %s\r\n%s", method, route, proto, soakHost, standin.RequestFields(id, requestDeadline))
 	b.WriteString(who.header)
 	if prompt != "" {
-		fmt.Fprintf(&b, "Model: m\r\nToken-Usage: 1460,80\r\nPrompt-Prefix: %s\r\n", prompt)
+		b.WriteString(standin.PromptLines(prompt))
 	}
 	body := strings.Repeat("b", 1+w.rnd.IntN(20_000))
 	switch {
@@ -227,7 +230,7 @@
 	}
 	defer resp.Body.Close()
 	got.Status = resp.StatusCode
-	got.Instance = strings.TrimPrefix(resp.Header.Get("Server-Signature"), "sig-")
+	got.Instance = strings.TrimPrefix(resp.Header.Get(standin.HeaderSignature), "sig-")
 	if w.c.Rude && w.rnd.IntN(20) == 0 {
 		time.Sleep(200 * time.Millisecond)
 	}
@@ -236,9 +239,9 @@
 		return err
 	}
 	got.Complete = true
-	got.Whole = string(body) == expectedBody(got.Route, got.Request) && resp.Header.Get("Request-Id") == got.Request
+	got.Whole = string(body) == expectedBody(got.Route, got.Request) && resp.Header.Get(standin.HeaderRequest) == got.Request
 	if !got.Whole && got.Status == http.StatusOK {
-		got.Text = fmt.Sprintf("%d bytes for %q", len(body), resp.Header.Get("Request-Id"))
+		got.Text = fmt.Sprintf("%d bytes for %q", len(body), resp.Header.Get(standin.HeaderRequest))
 	}
 	if resp.Close {
 		w.hangUp()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/fighollow/fighollow/platform"
 	"github.com/fighollow/fighollow/platform/standin"
 )
 
@@ -165,7 +166,7 @@
 // awaitReady waits until an entry reports itself ready.
 func (r *run) awaitReady(name string, limit time.Duration) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		resp, err := http.Get("http://" + r.readiness[name] + "/api/readyz")
+		resp, err := http.Get("http://" + r.readiness[name] + platform.ReadinessPath)
 		if err != nil {
 			continue
 		}
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -80,9 +80,9 @@
 		r.recorder.Add(Record{Kind: KindConfig, Text: configBegin, Number: int64(version), Keys: keys.valid()})
 	}
 	object := map[string]any{"metadata": map[string]any{"name": "main"}, "spec": spec}
-	status, err := r.callStore(http.MethodPut, "/api/objects/config/main", object)
+	status, err := r.callStore(http.MethodPut, standin.ObjectsPath+"config/main", object)
 	if err == nil && status == http.StatusNotFound {
-		status, err = r.callStore(http.MethodPost, "/api/objects/config", object)
+		status, err = r.callStore(http.MethodPost, standin.ObjectsPath+"config", object)
 	}
 	if err == nil && status >= http.StatusMultipleChoices {
 		err = fmt.Errorf("soak: configuration %d: status %d", version, status)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -163,8 +163,8 @@
 			panic(err)
 		}
 		req.Host = soakHost
-		req.Header.Set("Request-Id", "final-"+name)
-		req.Header.Set("Request-Deadline-Ms", "3000")
+		req.Header.Set(standin.HeaderRequest, "final-"+name)
+		req.Header.Set(standin.HeaderDeadline, "3000")
 		sent := Record{Kind: KindSent, Request: "final-" + name, Route: routeAny}
 		if r.plan.Workspaces {
 			sent.Key = steadyKey(soakWorkspaces[0])
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -10,6 +10,7 @@
 
 	"github.com/fighollow/fighollow/internal/standin/answers"
 	"github.com/fighollow/fighollow/pkg/fighollow"
+	"github.com/fighollow/fighollow/platform/standin"
 )
 
 // Routes of the soak's configuration. A route's path prefix is its name between slashes.
@@ -116,7 +117,7 @@
 		return d
 	}
 	if r.IntN(4) == 0 && d.answer.Framing != fighollow.FramingConnection {
-		d.late = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1\r\n\r\nx"
+		d.late = "HTTP/1.1 200 OK\r\n" + standin.HeaderRequest + ": other\r\nContent-Length: 1\r\n\r\nx"
 		return d
 	}
 	d.cut = r.IntN(max(1, len(d.answer.Encoded())))
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -195,13 +195,13 @@
 		u.mu.Lock()
 		u.crashOn = r.URL.Query().Get("part")
 		u.mu.Unlock()
-	case r.URL.Path == "/api/report":
+	case r.URL.Path == standin.ReportPath:
 		u.report(w)
-	case r.URL.Path == "/api/order":
+	case r.URL.Path == standin.OrderPath:
 		u.order(w, r)
-	case r.URL.Path == "/api/kv-events":
+	case r.URL.Path == standin.CacheEventsPath:
 		writeJSON(w, map[string]any{"epoch": u.born, "next": 0, "lost": false, "events": []any{}})
-	case strings.HasPrefix(r.URL.Path, "/api/kv-handle/"):
+	case strings.HasPrefix(r.URL.Path, standin.HandlePath):
 		w.WriteHeader(http.StatusOK)
 	default:
 		u.serve(w, r)
@@ -283,13 +283,13 @@
 
 // serve runs a request, or refuses it.
 func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
-	id, route := r.Header.Get("Request-Id"), routeOf(r.URL.Path)
+	id, route := r.Header.Get(standin.HeaderRequest), routeOf(r.URL.Path)
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return // a request that is not whole does not run
 	}
 	prefill := r.Header.Get("Inference-Stage") == "prefill"
 	status := u.admit(prefill, r.Header.Get("Kv-Source"))
-	instance, prompt := u.instance(), r.Header.Get("Prompt-Prefix")
+	instance, prompt := u.instance(), r.Header.Get(standin.HeaderPrompt)
 	u.Recorder.Add(Record{
 		Kind: KindArrive, Request: id, Route: route, Instance: instance, Prefill: prefill, Accepted: prefill && status == 0, Part: partOf(prompt),
 		Workspace: strings.Join(r.Header.Values(standin.HeaderWorkspace), ","), KeySeen: hasKey(r.Header),
@@ -307,7 +307,7 @@
 	}()
 	if prefill {
 		u.pause(20)
-		w.Header().Set("Request-Id", id)
+		w.Header().Set(standin.HeaderRequest, id)
 		writeJSON(w, map[string]any{"handle": u.addHandle(), "tokens": 10, "version": 1})
 		return
 	}
@@ -320,12 +320,12 @@
 	if isStream(route) && r.Header.Get(standin.HeaderWorkspace) != "" {
 		u.Recorder.Add(Record{Kind: KindBegin, Request: id, Route: route, Instance: instance})
 	}
-	header := http.Header{"Request-Id": {id}, "Server-Signature": {"sig-" + instance}}
+	header := http.Header{standin.HeaderRequest: {id}, standin.HeaderSignature: {"sig-" + instance}}
 	u.nameLimit(header)
 	body := expectedBody(route, id)
 	if isStream(route) {
 		header.Set("Content-Type", "text/event-stream")
-		after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if there is none
+		after, _ := strconv.Atoi(r.Header.Get(standin.HeaderLastEvent)) // 0 if there is none
 		body = strings.Join(streamEvents(id, after), "")
 	}
 	u.mu.Lock()
