faults: crowds whose answers all break off, and with keys of their own

Parts in the evidence of broken attempts and keys that are refused are tables that callers fill too.

--- a/internal/faults/crowd_test.go
+++ b/internal/faults/crowd_test.go
@@ -34,6 +34,8 @@
 	reservedFiles = 200
 	// callersHeaderBytes fills the limit of the play's configuration, and leaves some bytes for the request line.
 	callersHeaderBytes = 16000
+	// playKey is the key of ordinary callers.
+	playKey = "ordinary-key"
 )
 
 // crowd is a number of callers that send what ordinary ones do not. Each has one connection at a time.
@@ -45,6 +47,8 @@
 	send        func(p *entryPlay, c io.Writer) // ends early if the connection does
 	unread      bool                            // no answer is read
 	memoryMB    int                             // of the instance; 0 for smallMemoryMB
+	faults      standin.EngineFaults            // of the engines
+	keyed       bool                            // requests need a key
 }
 
 func readinessAddress(p *entryPlay) string { return p.cfg.Readiness }
@@ -193,6 +197,9 @@
 	{name: "partsWithoutTokensAt48MB", callers: 40, send: ownParts(streamPath, 1250, 0), memoryMB: 48},
 	{name: "partsOfOneTokenAt48MB", callers: 40, send: ownParts(streamPath, 1250, 1), memoryMB: 48},
 	{name: "partsForPlainServiceAt48MB", callers: 40, send: ownParts(plainPath, 1250, 0), memoryMB: 48},
+	{name: "partsOfBrokenAnswers", callers: 40, send: ownParts(streamPath, 1250, 1), faults: standin.EngineFaults{CutAfter: 1}},
+	{name: "partsOfBrokenAnswersAt48MB", callers: 40, send: ownParts(streamPath, 1250, 1), faults: standin.EngineFaults{CutAfter: 1}, memoryMB: 48},
+	{name: "ownKeysAt48MB", callers: 40, send: ownNames, memoryMB: 48, keyed: true},
 	{name: "ownRequestsAt48MB", callers: 40, send: ownParts(streamPath, 2, 100), memoryMB: 48},
 	{name: "ownNamesAt48MB", callers: 40, send: ownNames, memoryMB: 48},
 	{name: "slowHeader", callers: 600, descriptors: 512, send: func(p *entryPlay, c io.Writer) {
@@ -305,6 +312,7 @@
 		req.Host = playHost
 		req.Header.Set(standin.HeaderRequest, p.nextID())
 		req.Header.Set(standin.HeaderDeadline, "5000")
+		req.Header.Set(standin.HeaderKey, playKey)
 		resp, err := client.Do(req)
 		if err == nil {
 			_, err = io.Copy(io.Discard, resp.Body)
@@ -380,10 +388,14 @@
 	p.addUpstream("s-slow", "", "slow", 0, standin.EngineFaults{Delay: time.Second})
 	p.addUpstream("s-long", "", "long", 0, standin.EngineFaults{PartBytes: longAnswer})
 	for i := range 4 {
-		p.addUpstream(fmt.Sprintf("p-%d", i), "prefill", "models", 0, standin.EngineFaults{})
-		p.addUpstream(fmt.Sprintf("d-%d", i), "decode", "models", 2, standin.EngineFaults{})
+		p.addUpstream(fmt.Sprintf("p-%d", i), "prefill", "models", 0, k.faults)
+		p.addUpstream(fmt.Sprintf("d-%d", i), "decode", "models", 2, k.faults)
 	}
-	p.configure([]string{"plain", "slow", "long"}, []string{"models"})
+	var workspaces []standin.Workspace
+	if k.keyed {
+		workspaces = []standin.Workspace{{Name: "w", Keys: []string{playKey}}}
+	}
+	p.configure([]string{"plain", "slow", "long"}, []string{"models"}, workspaces...)
 	p.start()
 	limit := unix.Rlimit{Cur: uint64(k.descriptors), Max: uint64(k.descriptors)} //nolint:gosec // positive
 	qt.Assert(t, unix.Prlimit(p.entry.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil), qt.IsNil)
