--- a/cmd/fighollow/explain_test.go
+++ b/cmd/fighollow/explain_test.go
@@ -62,15 +62,15 @@
 		s := standin.NewServer(e, store, "chat", string('a'+rune(i%2)), time.Second, time.Second)
 		defer s.Close()
 	}
+	route := map[string]any{
+		"name": "chat", "host": "models.example", "pathPrefix": "/chat/", "kind": "streaming", "timeoutMs": 8000, "service": "chat", "maxAttempts": 2,
+		"priority": 1, "resumable": true,
+	}
+	standin.SetTarget(route, 800)
 	config := map[string]any{
-		"version": 7,
-		"routes": []any{map[string]any{
-			"name": "chat", "host": "models.example", "pathPrefix": "/chat/", "kind": "streaming", "timeoutMs": 8000, "service": "chat", "maxAttempts": 2,
-			"priority": 1, "resumable": true, "targetLatencyMs": 800,
-		}},
-		"services": []any{map[string]any{"name": "chat", "healthCheck": "/healthz", "maxConnections": 100, "engine": map[string]any{
-			"slots": 8, "kvCapacityTokens": 100000, "kvTokenBytes": 1000, "bandwidthMbps": 1000, "handleTtlS": 5, "roleSwitchS": 3,
-		}}},
+		"version":  7,
+		"routes":   []any{route},
+		"services": []any{map[string]any{"name": "chat", "healthCheck": "/healthz", "maxConnections": 100, "engine": standin.EngineTraits(8, 100_000)}},
 	}
 	standin.SetWorkspaces(config, []standin.Workspace{{Name: "atelier", Keys: []string{"secret-key"}}})
 	store.Put("config", "main", config)
--- a/internal/faults/play_test.go
+++ b/internal/faults/play_test.go
@@ -90,9 +90,7 @@
 			"name": name, "host": playHost, "pathPrefix": "/stream/" + name + "/", "kind": "streaming", "timeoutMs": playDeadline.Milliseconds(),
 			"service": name, "maxAttempts": 2, "sessionAffinity": true, "resumable": true,
 		})
-		services = append(services, map[string]any{"name": name, "healthCheck": "/healthz", "maxConnections": 2000, "engine": map[string]any{
-			"slots": 2000, "kvCapacityTokens": 100_000_000, "kvTokenBytes": 1000, "bandwidthMbps": 1000, "handleTtlS": 5, "roleSwitchS": 3,
-		}})
+		services = append(services, map[string]any{"name": name, "healthCheck": "/healthz", "maxConnections": 2000, "engine": standin.EngineTraits(2000, 100_000_000)})
 	}
 	configuration := map[string]any{
 		"version": 1, "routes": routes, "services": services,
--- a/internal/faults/secrecy_test.go
+++ b/internal/faults/secrecy_test.go
@@ -84,17 +84,22 @@
 		"name": "open", "host": gatewayHost, "pathPrefix": "/open/", "kind": "idempotent", "timeoutMs": 2500, "service": "plain", "maxAttempts": 2,
 	}
 	standin.SetPublic(open)
+	resume := object{
+		"name": "resume", "host": gatewayHost, "pathPrefix": "/resume/", "kind": "streaming", "timeoutMs": 3000, "service": "models", "maxAttempts": 2,
+		"sessionAffinity": true, "resumable": true,
+	}
+	standin.SetTarget(resume, 1)
 	configuration := object{
 		"version": version,
 		// The target of streams cannot be met, so that entries tell each other of scarcity.
 		"routes": []object{
 			{"name": "any", "host": gatewayHost, "pathPrefix": "/any/", "kind": "idempotent", "timeoutMs": 2500, "service": "plain", "maxAttempts": 2},
 			open,
-			{"name": "resume", "host": gatewayHost, "pathPrefix": "/resume/", "kind": "streaming", "timeoutMs": 3000, "targetLatencyMs": 1, "service": "models", "maxAttempts": 2, "sessionAffinity": true, "resumable": true},
+			resume,
 		},
 		"services": []object{
 			{"name": "plain", "maxConnections": 200},
-			{"name": "models", "maxConnections": 200, "engine": object{"slots": 8, "kvCapacityTokens": 100000, "kvTokenBytes": 1000, "bandwidthMbps": 1000, "handleTtlS": 5, "roleSwitchS": 3}},
+			{"name": "models", "maxConnections": 200, "engine": standin.EngineTraits(8, 100_000)},
 		},
 		"limits": object{"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 20000},
 	}
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -183,8 +183,8 @@
 
 // ServeHTTP implements http.Handler.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if want := r.Header.Get("Expect-Instance"); want != "" && want != u.instance() {
-		w.Header().Set("Not-Executed", "1")
+	if want := r.Header.Get(standin.HeaderExpectID); want != "" && want != u.instance() {
+		w.Header().Set(standin.HeaderNotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -230,25 +230,18 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.limit > 0 {
-		h.Set("Server-Limit", strconv.FormatFloat(u.limit, 'f', -1, 64))
+		h.Set(standin.HeaderLimit, strconv.FormatFloat(u.limit, 'f', -1, 64))
 	}
 }
 
 func (u *Upstream) report(w http.ResponseWriter) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	writeJSON(w, map[string]any{
-		"stage": u.role, "busy": false, "sequence": u.orders, "born": u.born, "queued": 0, "active": u.running, "kvUsed": 0, "kvTotal": 1000,
-	})
+	writeJSON(w, standin.Report{Role: u.role, Sequence: u.orders, Born: u.born, Active: u.running, KVTotal: 1000})
 }
 
 func (u *Upstream) order(w http.ResponseWriter, r *http.Request) {
-	var o struct {
-		Stage  string  `json:"stage"`
-		Holder string  `json:"holder"`
-		Fence  uint64  `json:"fencingToken"`
-		Expect *uint64 `json:"expect"`
-	}
+	var o standin.Order
 	if json.NewDecoder(r.Body).Decode(&o) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -258,10 +251,10 @@
 	late := u.Faulty > 0 && u.rnd.IntN(lateOrders) == 0
 	u.mu.Unlock()
 	if late { // without an answer, and perhaps after newer orders
-		time.AfterFunc(lateOrderDelay, func() { u.execute(o.Stage, o.Expect) })
+		time.AfterFunc(lateOrderDelay, func() { u.execute(o.Role, o.Expect) })
 		panic(http.ErrAbortHandler)
 	}
-	w.WriteHeader(u.execute(o.Stage, o.Expect))
+	w.WriteHeader(u.execute(o.Role, o.Expect))
 }
 
 const (
@@ -287,8 +280,8 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return // a request that is not whole does not run
 	}
-	prefill := r.Header.Get("Inference-Stage") == "prefill"
-	status := u.admit(prefill, r.Header.Get("Kv-Source"))
+	prefill := r.Header.Get(standin.HeaderStage) == "prefill"
+	status := u.admit(prefill, r.Header.Get(standin.HeaderKVSource))
 	instance, prompt := u.instance(), r.Header.Get(standin.HeaderPrompt)
 	u.Recorder.Add(Record{
 		Kind: KindArrive, Request: id, Route: route, Instance: instance, Prefill: prefill, Accepted: prefill && status == 0, Part: partOf(prompt),
@@ -296,7 +289,7 @@
 	})
 	u.nameLimit(w.Header())
 	if status != 0 {
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(standin.HeaderNotRun, "1")
 		w.WriteHeader(status)
 		return
 	}
