Review: play the crash of an old version's last decode engines

Change: the play versions, with engines that leave and have versions; plays end their processes when they are stopped. The play paths is taken out, as its case gives way to a graver one.

--- a/review/standin3/harness.go
+++ b/review/standin3/harness.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"runtime"
 	"strconv"
@@ -426,7 +427,7 @@
 
 // cases are the scripted cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*bench) (bool, error){
-	"deeppart": playDeepPart, "longids": playLongIDs, "paths": playPaths, "latecrash": playLateCrash, "commonpart": playCommonPart,
+	"deeppart": playDeepPart, "longids": playLongIDs, "latecrash": playLateCrash, "commonpart": playCommonPart, "versions": playVersions,
 }
 
 func main() {
@@ -453,6 +454,13 @@
 	b, err := newBench(rec, os.Getenv("TROUBLE") != "0")
 	if err == nil {
 		defer b.close()
+		stop := make(chan os.Signal, 1)
+		signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+		go func() {
+			<-stop
+			b.close()
+			os.Exit(2)
+		}()
 		rec.logf("case %s, disruption %t", name, b.trouble)
 		var broken bool
 		if broken, err = play(b); err == nil {
