shortage: streams wait for a decode engine of their version that is on its way

All new streams begin.

Entries refused meanwhile, with a Retry-After of half a role change, so that the next one was beyond a third of what callers had left.

Change: an entry whose stream has no decode engine of its version left reports that to the holder by a datagram and holds the stream. The report brings the holder's round forward. It orders all missing engines at once, leaves out those with an order of unknown outcome, and tells the entries when they will be ready (the order's moment and roleSwitchS). Streams that cannot be served in time are refused at once. Registrations are read sooner while streams wait. The last engine of a version decodes if streams wait for it; a version that lacks decode engines goes before a service that lacks them.

Why it works: what is left of the sum is the role change; each waiting is for an event instead of a period, and the decision to hold follows from the order's own moment and from what the caller has left.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -35,6 +35,7 @@
 	"github.com/fighollow/fighollow/internal/quota"
 	"github.com/fighollow/fighollow/internal/roles"
 	"github.com/fighollow/fighollow/internal/roster"
+	"github.com/fighollow/fighollow/internal/shortage"
 	"github.com/fighollow/fighollow/internal/streams"
 	"github.com/fighollow/fighollow/internal/upstream"
 	"github.com/fighollow/fighollow/internal/workshare"
@@ -168,6 +169,7 @@
 		Peers: p.peers,
 	}, p.store, log)
 	p.lease = lease.New(lease.Options{Self: self, Duration: cfg.Bounds.Lease}, p.store, log)
+	shortages := p.newShortages(self)
 	var recorder fighollow.UsageRecorder
 	if reportsUsage(&cfg) {
 		p.usage = p.newUsage(self)
@@ -176,7 +178,7 @@
 	p.revocation = workspace.Revocation{Strict: cfg.Bounds.ConfirmKeys, Within: cfg.Bounds.Revoke}
 	p.held = heldbytes.New(cfg.MemoryMB, p.registry, log)
 	p.gateway = gateway.New(gateway.Options{
-		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: p.registry, Quarantine: crashes, Streams: p.streams,
+		RetryRatio: cfg.Bounds.RetryRatio, RetrySlack: cfg.Bounds.RetrySlack, Registry: p.registry, Quarantine: crashes, Streams: p.streams, Shortages: shortages,
 		Revocation: p.revocation, Usage: recorder, Shares: p.shares, Held: p.held,
 	}, fleet, dispatcher, log)
 	decode := gateway.Decoder{Routing: platform.DecodeRouting, Upstream: platform.DecodeUpstream}
@@ -188,7 +190,7 @@
 		Self: self, DataCentre: cfg.DataCentre, Claims: fleet.LimitClaims, Divider: divider,
 		OnObserver: p.setObserving, Address: p.peers.Address, OnPeers: p.setPeers,
 	}, p.store, p.gateway.SetEntries, log)
-	p.planner = roles.New(roles.Options{Self: self, Release: p.usage != nil, Others: func() { <-p.reporterDone }}, p.lease, p.store, dispatcher,
+	p.planner = roles.New(roles.Options{Self: self, Release: p.usage != nil, Others: func() { <-p.reporterDone }, Shortages: shortages}, p.lease, p.store, dispatcher,
 		p.gateway.Routing, fleet.Upstreams, log)
 	return p
 }
@@ -203,6 +205,17 @@
 	return s
 }
 
+// newShortages returns what reports versions without a decode engine to the holder of the role lease.
+func (p *gatewayProcess) newShortages(self string) *shortage.Tracker {
+	t := shortage.New(shortage.Options{
+		Self: self, Holder: p.lease.HolderName,
+		Send:    func(data []byte, names ...string) { p.peers.Send(peers.TopicShortage, data, names...) },
+		SendAll: func(data []byte) { p.peers.SendAll(peers.TopicShortage, data) },
+	}, p.log)
+	p.peers.Subscribe(peers.TopicShortage, func(from string, data []byte) { t.Receive(time.Now(), from, data) })
+	return t
+}
+
 // setPeers passes the known entries on to those that send messages to them. The roster alone calls it.
 func (p *gatewayProcess) setPeers(known map[string]fighollow.Peer) {
 	p.peers.SetPeers(known)
--- a/internal/gateway/arrivals.go
+++ b/internal/gateway/arrivals.go
@@ -89,3 +89,8 @@
 	}
 	return a.counted+calls <= maxAttempts || a.sent == 0
 }
+
+// isExhausted reports whether add refuses another attempt of whatever kind.
+func (a *arrivals) isExhausted(now time.Time, maxAttempts int) bool {
+	return a.counted > 0 && a.counted >= maxAttempts || a.sent > 0 && !a.runFree && !a.budget.canWithdraw(now)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -43,6 +43,8 @@
 	attemptsSent int                    // attempts that were sent, including an accepted prefill
 	arrivals     arrivals               // attempts that count against the route's limit and the retry budget
 	tried        []string               // ids of upstreams that failed or refused the request
+	lost         []string               // those of them that could not be reached or broke off
+	engineDelay  time.Duration          // until there may be a decode engine of the stream's version, for which it did not wait
 	mayHaveRun   bool                   // an attempt of unknown outcome was sent
 	unreachable  int                    // attempts for which no connection could be made in time
 	unsent       int                    // attempts for which no connection could be made, those included
@@ -73,6 +75,7 @@
 	status           int
 	held             *heldbytes.Holder // what the answer holds
 	reading          reading
+	lastEvent        time.Time     // when the last event was relayed
 	firstByte, total time.Duration // from the arrival to the first byte and to the end of the answer
 }
 
@@ -184,14 +187,14 @@
 		if time.Since(a.placed.SentAt) >= slowDial {
 			x.unreachable++
 		}
-		x.tried = append(x.tried, a.upstream.ID)
+		x.tried, x.lost = append(x.tried, a.upstream.ID), append(x.lost, a.upstream.ID)
 		a.end(placement.Unreachable, err)
 	case err != nil:
 		if a.phase != fighollow.RequestPrefill {
 			x.mayHaveRun = true
 			x.recordUsage(time.Now())
 		}
-		x.tried = append(x.tried, a.upstream.ID)
+		x.tried, x.lost = append(x.tried, a.upstream.ID), append(x.lost, a.upstream.ID)
 		x.recordBreak(a, err)
 		a.end(placement.Failed, err)
 	case a.reply.NotRun:
@@ -238,7 +241,7 @@
 // read.
 func (x *exchange) recordInterruption(ctx context.Context, a *attempt, err error) error {
 	x.mayHaveRun = true
-	x.tried = append(x.tried, a.upstream.ID)
+	x.tried, x.lost = append(x.tried, a.upstream.ID), append(x.lost, a.upstream.ID)
 	result := placement.Failed
 	if ctx.Err() == nil {
 		x.recordUsage(time.Now())
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -26,6 +26,8 @@
 	freshnessShare = 0.25
 	// upstreamsShare is the same for upstreams, of which a large fleet has changes all the time. One that leaves serves on meanwhile.
 	upstreamsShare = 0.4
+	// minUpstreamsPause is the pause after changes of upstreams while streams wait for one of them.
+	minUpstreamsPause = 100 * time.Millisecond
 )
 
 // Freshness bounds how long a Follower pauses after a call that brought changes, so that changes in quick succession cost each entry one
@@ -243,11 +245,25 @@
 		step, version = readChanges, u.version
 		apply(now, u)
 		if len(u.objects) > 0 && !u.snapshot {
-			wait(ctx, f.freshness.pause(kind))
+			f.pauseAfter(ctx, kind)
 		}
 	}
 }
 
+// pauseAfter waits after a call that brought changes. While streams wait for an engine it is short.
+func (f *Follower) pauseAfter(ctx context.Context, kind fighollow.Kind) {
+	pause := f.freshness.pause(kind)
+	if kind != fighollow.KindInstance {
+		wait(ctx, pause)
+		return
+	}
+	least := min(pause, minUpstreamsPause)
+	wait(ctx, least)
+	ctx, cancel := context.WithTimeout(ctx, pause-least)
+	defer cancel()
+	f.gateway.holding.await(ctx)
+}
+
 // watch calls the store's Watch until the next list is due, unless until is zero. due reports that it is.
 func (f *Follower) watch(ctx context.Context, kind fighollow.Kind, after uint64, until time.Time) (
 	objects []fighollow.Object, version uint64, due bool, err error,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/fighollow/fighollow/internal/heldbytes"
 	"github.com/fighollow/fighollow/internal/placement"
 	"github.com/fighollow/fighollow/internal/quarantine"
+	"github.com/fighollow/fighollow/internal/shortage"
 	"github.com/fighollow/fighollow/internal/streams"
 	"github.com/fighollow/fighollow/internal/workspace"
 	"github.com/fighollow/fighollow/pkg/fighollow"
@@ -28,6 +29,7 @@
 	RetryRatio float64 // extra dispatches allowed per request of a service, over all entries
 	RetrySlack int     // extra dispatches allowed beyond that in each window, over all entries
 	Registry   metrics.Registry
+	Shortages  *shortage.Tracker       // versions without a decode engine; nil if streams don't wait for one
 	Streams    *streams.Journal        // which versions began streams; nil if only the gateway's own answers go on
 	Quarantine *quarantine.Tracker     // requests and parts of prompts that crash engines; nil for one that knows only this gateway's
 	Usage      fighollow.UsageRecorder // counts the requests that upstreams began to run; nil for none
@@ -55,6 +57,7 @@
 	entriesCounted bool // entries is a count, not assumedEntries
 	budgets        map[string]*retryBudget
 
+	holding    holding       // streams that wait for a decode engine
 	explaining chan struct{} // has an element for each request that is being explained
 }
 
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -15,6 +15,9 @@
 // generate serves a request for a model. A prefill engine computes the prompt; a decode engine imports its KV cache and
 // generates the answer. If no prefill engine accepts the prompt, a decode engine does both.
 func (x *exchange) generate(ctx context.Context) *fighollow.Refusal {
+	if !x.awaitAnnounced(ctx) {
+		return x.refusal(ctx, placement.ErrNoUpstream)
+	}
 	for {
 		err := x.generateOnce(ctx)
 		if err == nil || x.callerLeft {
@@ -23,7 +26,7 @@
 		if x.headerSent && (errors.Is(err, placement.ErrLimited) || errors.Is(err, placement.ErrPaused)) && x.awaitPermit(ctx) {
 			continue
 		}
-		if !x.shouldRetry(ctx, err) {
+		if !x.awaitDecode(ctx, err) && !x.shouldRetry(ctx, err) {
 			if x.kv != nil {
 				x.releaseKV(x.kv)
 			}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -35,22 +35,16 @@
 	if errors.Is(err, placement.ErrTooLate) {
 		r.Code = fighollow.CodeTooLate
 	}
-	r.RetryAfterMs = (x.retryAfter() + x.roleSwitchWait(err)).Milliseconds()
+	r.RetryAfterMs = x.retryAfter().Milliseconds()
+	if x.engineDelay > 0 {
+		r.RetryAfterMs = x.engineRetryAfter(time.Until(x.deadline)).Milliseconds()
+	}
 	if errors.Is(err, errOverShare) {
 		r.RetryAfterMs = x.shareDelay.Milliseconds()
 	}
 	return r
 }
 
-// roleSwitchWait returns how long the caller of a stream that may only go on at one software version waits for an engine of it to become a
-// decode engine, which the holder of the role lease orders when the version has too few; 0 if that is not the reason for the refusal.
-func (x *exchange) roleSwitchWait(err error) time.Duration {
-	if x.software == "" || !errors.Is(err, placement.ErrNoUpstream) || x.traits.Engine == nil || !x.pool.CanServe(x.software) {
-		return 0
-	}
-	return x.traits.Engine.RoleSwitch / 2
-}
-
 const (
 	// retryAfterMin and retryAfterSpread bound the retry delay sent with a refusal. The spread keeps callers that were
 	// refused together from returning together.
@@ -68,6 +62,20 @@
 	return retryAfterMin + max(0, x.overTarget)/2 + x.limitedFor + time.Duration(x.seed%uint64(retryAfterSpread))
 }
 
+// returnShare is the part of the time left within which callers come back.
+const returnShare = 1.0 / 3
+
+// engineRetryAfter returns the delay after which the caller of a stream that waits for an engine can come back, given the time until its
+// deadline. The spread does not make it longer than callers wait.
+func (x *exchange) engineRetryAfter(left time.Duration) time.Duration {
+	most := time.Duration(returnShare * float64(left))
+	spread := time.Duration(x.seed % uint64(retryAfterSpread))
+	if most > x.engineDelay {
+		spread = min(spread, most-x.engineDelay)
+	}
+	return x.engineDelay + spread
+}
+
 // notReadyRefusal returns the refusal for a request that arrives before the first configuration, or while its key cannot be trusted.
 func (x *exchange) notReadyRefusal(message string) *fighollow.Refusal {
 	r := fighollow.NotRunRefusal(fighollow.CodeNotReady, message)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -135,6 +135,7 @@
 	if a.body.Events() == 0 {
 		return nil
 	}
+	x.lastEvent = time.Now()
 	if !x.streaming {
 		x.streaming = true
 		x.firstByte = time.Since(x.call.Arrived)
--- a/internal/peers/topic.go
+++ b/internal/peers/topic.go
@@ -12,9 +12,10 @@
 
 // Topics. Each has one subscriber, which defines what its data means.
 const (
-	TopicUsage  Topic = iota + 1 // counts of requests by workspace
-	TopicWork                    // work that was placed at engines
-	TopicShares                  // demand of workspaces and their fair shares
+	TopicUsage    Topic = iota + 1 // counts of requests by workspace
+	TopicWork                      // work that was placed at engines
+	TopicShares                    // demand of workspaces and their fair shares
+	TopicShortage                  // software versions without a decode engine
 )
 
 // MaxData is the size in bytes of the longest data that Send accepts.
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -105,6 +105,7 @@
 	entries   int // number of entries that share the connections of each upstream
 	traits    fighollow.ServiceTraits
 	instances map[string]*instance
+	changed   chan struct{}           // closed at the next change of an upstream's registration; nil if nobody waits for one
 	byHash    map[uint64]*instance    // by EngineHash
 	versions  map[string]versionTimes // of the software
 	gated     bool                    // Admit says at which versions answers may begin
@@ -187,6 +188,33 @@
 	inst.update(u, known)
 	p.byHash[EngineHash(u)] = inst
 	inst.removedAt = time.Time{}
+	if p.changed != nil {
+		close(p.changed)
+		p.changed = nil
+	}
+}
+
+// Changed returns a channel that is closed at the next change of an upstream's registration.
+func (p *Pool) Changed() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.changed == nil {
+		p.changed = make(chan struct{})
+	}
+	return p.changed
+}
+
+// DecodeEngines returns the ids of the decode engines of a software version that may be able to serve.
+func (p *Pool) DecodeEngines(now time.Time, version string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for id, inst := range p.instances {
+		if inst.upstream.Version == version && inst.upstream.Role == fighollow.RoleDecode && !inst.isLeaving() && !now.Before(inst.misdirectedUntil) {
+			out = append(out, id)
+		}
+	}
+	return out
 }
 
 const (
--- a/internal/roles/plan.go
+++ b/internal/roles/plan.go
@@ -53,8 +53,14 @@
 	Report   fighollow.EngineReport
 	Fresh    bool           // Report is recent enough to plan with
 	Ordered  fighollow.Role // role in the last order sent to the engine; RoleNone if there was none
+	// OrderedAt is when that order was sent; zero if the engine refused it.
+	OrderedAt time.Time
+	Paused    bool // the outcome of an order is unknown, and the engine is sent no other for a while
 }
 
+// takesOrders reports whether the engine can be ordered to change its role now.
+func (e *Engine) takesOrders() bool { return !e.Report.Changing && !e.Paused }
+
 // Order asks an engine to change to Role.
 type Order struct {
 	Engine Engine
@@ -76,6 +82,7 @@
 	demandSeen bool
 	lastChange time.Time
 	versions   versionKeeper
+	short      []string // versions for which streams wait for a decode engine
 }
 
 // NewPlanner returns a planner for a service whose engines have the given traits.
@@ -92,6 +99,9 @@
 	}
 }
 
+// SetShort sets the software versions for which entries report that streams wait for a decode engine.
+func (p *Planner) SetShort(versions []string) { p.short = versions }
+
 // cooldown returns the minimum time between two role changes.
 func (p *Planner) cooldown() time.Duration {
 	return p.traits.RoleSwitch + time.Duration(max(1, p.weight)*float64(settleTime))
@@ -101,19 +111,20 @@
 // them or for sending none.
 func (p *Planner) Plan(now time.Time, engines []Engine) ([]Order, string) {
 	prefill, decode, changing := split(engines)
+	if orders := p.restore(now, prefill, decode); len(orders) > 0 {
+		return orders, "versionWithoutDecode"
+	}
 	if len(decode) == 0 && len(prefill) > 0 && now.Sub(p.lastChange) >= p.cooldown() {
 		// A role without engines has no reports that show its utilisation. Only decode needs this rule, as decode
 		// engines can also prefill.
 		p.lastChange = now
-		return p.selectMoves(prefill, nil, 1, 0, fighollow.RoleDecode), "noDecode"
+		able := slices.DeleteFunc(slices.Clone(prefill), func(e Engine) bool { return !e.takesOrders() })
+		return p.selectMoves(able, nil, 1, 0, fighollow.RoleDecode), "noDecode"
 	}
 	if len(prefill)+len(decode) < 2 {
 		return nil, "tooFewEngines"
 	}
 	p.observe(prefill, decode)
-	if orders := p.restore(now, prefill, decode); len(orders) > 0 {
-		return orders, "versionWithoutDecode"
-	}
 	if !p.demandSeen {
 		return p.planInitial(now, prefill, decode)
 	}
--- a/internal/roles/runner.go
+++ b/internal/roles/runner.go
@@ -15,6 +15,7 @@
 
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/lease"
+	"github.com/fighollow/fighollow/internal/shortage"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -38,6 +39,8 @@
 	orderTimeout = 700 * time.Millisecond
 	// releaseTimeout bounds the release of the lease: the longest act, then one write.
 	releaseTimeout = 2500 * time.Millisecond
+	// minRoundInterval is the pause before a round that a reported shortage brings forward.
+	minRoundInterval = 200 * time.Millisecond
 	// unknownOutcomePause is how long no further order is sent to an engine after an order with an unknown outcome, which
 	// may still be carried out.
 	unknownOutcomePause = 13 * time.Second
@@ -50,6 +53,8 @@
 	// Others returns when the other parts of the process that act under the lease have stopped acting, which they do when the context of
 	// Run is done; nil for none. It is called only with Release.
 	Others func()
+	// Shortages tells for which software versions streams wait for a decode engine; nil for none.
+	Shortages *shortage.Tracker
 }
 
 // Runner renews or competes for the lease on behalf of one entry and manages the engines' roles while it holds the lease.
@@ -115,10 +120,8 @@
 func (r *Runner) run(ctx context.Context) {
 	interval := time.Duration(rand.Int64N(int64(holderInterval / 4)))
 	for {
-		select {
-		case <-ctx.Done():
+		if !r.pause(ctx, interval) {
 			return
-		case <-time.After(interval):
 		}
 		if r.routing() == nil {
 			interval = holderInterval / 4
@@ -132,6 +135,27 @@
 	}
 }
 
+// pause waits for the interval between two rounds, or until entries report a shortage. It returns false when ctx is done.
+func (r *Runner) pause(ctx context.Context, interval time.Duration) bool {
+	var reported <-chan struct{}
+	if r.opts.Shortages != nil {
+		reported = r.opts.Shortages.Wake()
+	}
+	least := min(interval, minRoundInterval)
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(least):
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-reported:
+	case <-time.After(interval - least):
+	}
+	return true
+}
+
 // acquireOrRenew renews the lease, or tries to acquire it if this entry does not hold it. It reports whether this
 // entry may now send orders.
 func (r *Runner) acquireOrRenew(ctx context.Context) bool { return r.lease.Step(ctx, &r.preset) }
@@ -187,7 +211,12 @@
 		}
 		p.SetPolicy(r.policy)
 		now := time.Now()
-		engines := r.readReports(ctx, now, r.engines(s.Name))
+		var short []string
+		if r.opts.Shortages != nil {
+			short = r.opts.Shortages.Reported(now, s.Name)
+		}
+		p.SetShort(short)
+		engines := r.readReports(ctx, now, r.engines(s.Name), short)
 		orders, reason := p.Plan(now, engines)
 		onPrefill, onDecode := p.utilisation()
 		for _, o := range orders {
@@ -196,13 +225,41 @@
 				Uint64("orders", o.Engine.Report.AcceptedOrders).Send()
 		}
 		r.sendOrders(ctx, orders)
+		r.answerShortages(s, short, engines)
 	}
 }
 
-// readReports returns the engines with their newest reports, after it has refreshed the oldest maxReportsPerRound of
-// them.
-func (r *Runner) readReports(ctx context.Context, now time.Time, ups []fighollow.Upstream) []Engine {
+// answerShortages tells the entries that report a shortage when a decode engine of the version will be ready. engines are as they were before
+// the last orders.
+func (r *Runner) answerShortages(s fighollow.ServiceTraits, versions []string, engines []Engine) {
+	if len(versions) == 0 {
+		return
+	}
+	now := time.Now()
+	for i := range engines {
+		r.addOrder(now, &engines[i])
+	}
+	for _, version := range versions {
+		f := forecast(now, version, engines, s.Engine.RoleSwitch)
+		event.ShortageSeen.Log(&r.log).Str("service", s.Name).Str("software", version).Stringer("state", f.State).
+			Int64("readyInMs", max(0, f.ReadyAt.Sub(now).Milliseconds())).Send()
+		r.opts.Shortages.Answer(now, shortage.Key{Service: s.Name, Version: version}, f)
+	}
+}
+
+// readReports returns the engines with their newest reports, after it has refreshed maxReportsPerRound of them: those of the decode engines of
+// the versions in short, and then the oldest.
+func (r *Runner) readReports(ctx context.Context, now time.Time, ups []fighollow.Upstream, short []string) []Engine {
+	isUrgent := func(u *fighollow.Upstream) bool {
+		return u.Role == fighollow.RoleDecode && slices.Contains(short, u.Version)
+	}
 	slices.SortFunc(ups, func(a, b fighollow.Upstream) int {
+		if urgentA, urgentB := isUrgent(&a), isUrgent(&b); urgentA != urgentB {
+			if urgentA {
+				return -1
+			}
+			return 1
+		}
 		if c := r.reports[a.ID].readAt.Compare(r.reports[b.ID].readAt); c != 0 {
 			return c
 		}
@@ -232,15 +289,22 @@
 	engines := make([]Engine, len(ups))
 	for i, u := range ups {
 		rep, ok := r.reports[u.ID]
-		order := r.ordered[u.ID]
-		if ok && order.at.After(rep.readAt) {
-			rep.Changing = true // the report is older than the order
-		}
-		engines[i] = Engine{Upstream: u, Report: rep.EngineReport, Fresh: ok && now.Sub(rep.readAt) <= maxReportAge, Ordered: order.role}
+		engines[i] = Engine{Upstream: u, Report: rep.EngineReport, Fresh: ok && now.Sub(rep.readAt) <= maxReportAge}
+		r.addOrder(now, &engines[i])
 	}
 	return engines
 }
 
+// addOrder adds what is known of the last order to an engine.
+func (r *Runner) addOrder(now time.Time, e *Engine) {
+	id := e.Upstream.ID
+	order := r.ordered[id]
+	if rep, ok := r.reports[id]; ok && order.at.After(rep.readAt) {
+		e.Report.Changing = true // the report is older than the order
+	}
+	e.Ordered, e.OrderedAt, e.Paused = order.role, order.at, now.Before(r.pausedUntil[id])
+}
+
 // sendOrders sends the orders in parallel, except to engines that are paused. It stops when the lease's validity
 // time is too short for another order.
 func (r *Runner) sendOrders(ctx context.Context, orders []Order) {
--- a/internal/roles/version.go
+++ b/internal/roles/version.go
@@ -12,8 +12,8 @@
 	// takeUpTime is how long after the last decode engine of a software version has gone callers may still take up streams that it
 	// began, which no other version can go on with.
 	takeUpTime = 30 * time.Second
-	// reservedDecode is the number of decode engines that a version keeps whose engines become fewer. One could crash, and a role change
-	// lasts longer than most callers of broken streams wait.
+	// reservedDecode is the number of decode engines that a version keeps whose engines become fewer. If one crashes, streams go on at the
+	// other without waiting for a role change.
 	reservedDecode = 2
 )
 
@@ -31,6 +31,7 @@
 	engines   int       // now
 	decode    int       // decode engines now
 	peak      int       // most engines so far
+	short     bool      // streams wait for a decode engine
 }
 
 // observe counts the engines of each version.
@@ -55,6 +56,13 @@
 	}
 }
 
+// setShort sets the versions for which streams wait for a decode engine.
+func (k *versionKeeper) setShort(versions []string) {
+	for version, s := range k.versions {
+		s.short = slices.Contains(versions, version)
+	}
+}
+
 func (k *versionKeeper) state(version string) *versionState {
 	s := k.versions[version]
 	if s == nil {
@@ -75,8 +83,18 @@
 	return n
 }
 
-// wanted returns how many decode engines a version must have: none if no stream may be taken up, all but one of its engines at most.
+// wanted returns how many decode engines a version must have: none if no stream may be taken up, and all but one of its engines at most unless
+// streams wait for one. Their prompts can be computed by engines of other versions.
 func (s *versionState) wanted(now time.Time) int {
+	least := 0
+	if s.short {
+		least = min(1, s.engines)
+	}
+	return max(least, s.reserved(now))
+}
+
+// reserved returns how many decode engines a version must have whether streams wait or not.
+func (s *versionState) reserved(now time.Time) int {
 	switch {
 	case s.decodedAt.IsZero() || now.Sub(s.decodedAt) > takeUpTime:
 		return 0
@@ -86,22 +104,28 @@
 	return min(1, s.engines-1)
 }
 
-// restore returns orders that give versions the decode engines that they want. A version gets one at a time.
+// restore returns orders that give versions the decode engines that they want. A version that has some gets one at a time, and one that has
+// none all of them at once: streams wait, and an engine can fail to change its role.
 func (p *Planner) restore(now time.Time, prefill, decode []Engine) []Order {
 	k := &p.versions
 	k.observe(now, prefill, decode)
+	k.setShort(p.short)
 	if k.serving() < 2 {
 		return nil
 	}
 	var orders []Order
 	for _, version := range slices.Sorted(maps.Keys(k.versions)) {
 		s := k.versions[version]
-		if s.decode >= s.wanted(now) || now.Sub(s.orderedAt) < p.cooldown() {
+		missing := s.wanted(now) - s.decode
+		if s.decode > 0 {
+			missing = min(missing, 1)
+		}
+		if missing <= 0 || s.decode > 0 && now.Sub(s.orderedAt) < p.cooldown() {
 			continue
 		}
 		s.orderedAt = now
-		from := slices.DeleteFunc(slices.Clone(prefill), func(e Engine) bool { return e.Upstream.Version != version || e.Report.Changing })
-		orders = append(orders, p.selectMoves(from, nil, 1, 0, fighollow.RoleDecode)...)
+		from := slices.DeleteFunc(slices.Clone(prefill), func(e Engine) bool { return e.Upstream.Version != version || !e.takesOrders() })
+		orders = append(orders, p.selectMoves(from, nil, missing, 0, fighollow.RoleDecode)...)
 	}
 	return orders
 }
--- a/internal/roles/version_test.go
+++ b/internal/roles/version_test.go
@@ -82,3 +82,71 @@
 		qt.Assert(t, f.round(load(0, 0.3)), qt.HasLen, 0)
 	}
 }
+
+// Guards against a version whose decode engines have all crashed and that gets one other engine only, or none until the pause after its last order
+// is over: streams wait, and an order can be lost.
+func TestVersionWhoseDecodeEnginesCrashGetsOthersAtOnce(t *testing.T) {
+	f := newTestFleet(10, 8)
+	for i := range f.engines {
+		f.engines[i].Upstream.Version = "v1"
+		if i%2 == 1 {
+			f.engines[i].Upstream.Version = "v2"
+		}
+	}
+	busy := load(0, 0.3)
+	f.round(busy)
+	crash := func() {
+		for i := range f.engines {
+			if e := &f.engines[i]; e.Upstream.Version == "v1" && e.Report.Role == fighollow.RoleDecode {
+				e.Fresh = false // no report is read
+			}
+		}
+	}
+	crash()
+	orders := f.round(busy)
+	qt.Assert(t, orders, qt.HasLen, reservedDecode)
+	for _, o := range orders {
+		qt.Assert(t, o.Engine.Upstream.Version, qt.Equals, "v1")
+		qt.Assert(t, o.Role, qt.Equals, fighollow.RoleDecode)
+	}
+	crash()
+	qt.Assert(t, f.round(busy), qt.HasLen, reservedDecode)
+}
+
+// Guards against an order to an engine that may still carry out an earlier one, while others of the version could be ordered.
+func TestVersionIsNotGivenAnEngineWhoseOrderIsUnknown(t *testing.T) {
+	f := newTestFleet(4, 3)
+	for i := range f.engines {
+		f.engines[i].Upstream.Version = "v1"
+	}
+	f.engines[0].Upstream.Version = "v2"
+	f.round(load(0, 0.3))
+	for i := range f.engines {
+		e := &f.engines[i]
+		e.Fresh = e.Report.Role == fighollow.RolePrefill || e.Upstream.Version == "v2"
+		e.Paused = i == 1
+	}
+	orders := f.round(load(0, 0.3))
+	qt.Assert(t, orders, qt.HasLen, reservedDecode)
+	for _, o := range orders {
+		qt.Assert(t, o.Engine.Upstream.ID, qt.Not(qt.Equals), f.engines[1].Upstream.ID)
+	}
+}
+
+// Guards against a version's last engine that stays a prefill engine while streams wait for it, and against an order that nobody needs.
+func TestLastEngineOfAVersionDecodesIfStreamsWait(t *testing.T) {
+	f := newTestFleet(4, 3)
+	for i := range f.engines {
+		f.engines[i].Upstream.Version = "v1"
+		if i == 3 || i == 4 { // a prefill and a decode engine
+			f.engines[i].Upstream.Version = "v2"
+		}
+	}
+	f.round(load(0, 0.3))
+	f.engines[4].Fresh = false
+	qt.Assert(t, f.round(load(0, 0.3)), qt.HasLen, 0)
+	f.planner.SetShort([]string{"v2"})
+	orders := f.round(load(0, 0.3))
+	qt.Assert(t, orders, qt.HasLen, 1)
+	qt.Assert(t, orders[0].Engine.Upstream.ID, qt.Equals, f.engines[3].Upstream.ID)
+}
--- a/pkg/fighollow/routing.go
+++ b/pkg/fighollow/routing.go
@@ -40,8 +40,10 @@
 	Timeout     time.Duration // from arrival to the end of the response; 0 for none
 	// TargetLatency is the target for the time to the complete response, or to the first event of a stream.
 	TargetLatency time.Duration
-	Priority      int  // 0 is the most urgent
-	Public        bool // needs no key where keys are required
+	// Patience is how long callers wait for the next event of a stream, or for the first one; 0 if that is not known.
+	Patience time.Duration
+	Priority int  // 0 is the most urgent
+	Public   bool // needs no key where keys are required
 }
 
 // EngineTraits are the properties that all engines of a service have in common.
