quarantine: look at all parts of a prompt

Cause: NewPrompt kept the first 16 parts of a prompt, for admission as for what is remembered of an attempt that broke off. Answers to sound requests exonerate those, and nothing is left to blame.

Change: all parts are looked at. An attempt that broke off keeps the parts that no answer has exonerated, with a bound of 16,384 for all attempts; what an entry publishes is cut to the 512 parts with most evidence. The memory of answered parts follows the memory of the process and forgets what was not used for longest. If it had to forget parts that were answered in the last minute, an unknown part needs five crashes. A part that a prompt repeats counts once. Of a failed attempt's prompt, 32 parts are logged.

The two bounds of the memory that TestManyPartsKeepMemoryBounded and TestReadReportsIgnoresMalformedReports check by their names are those of the new tables.

Why it works: an answer exonerates all parts of its prompt, so what is left of a deadly one is few parts wherever they stand. Prompts with up to 16 parts are treated as before.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -148,7 +148,7 @@
 	})
 	_ = p.registry.Register("prompts.mirroredParts", metrics.NewFunctionalGauge(func() int64 { held, _ := fleet.MirroredParts(); return held }))
 	dispatcher := platform.NewDispatcher(p.pool, p.control, gateway.NewAnnouncements(fleet, p.registry, log))
-	crashes := quarantine.New(self)
+	crashes := quarantine.New(self, cfg.MemoryMB)
 	p.quarantine = quarantine.NewWriter(crashes, p.store, log)
 	p.peers = peers.New(self, log)
 	if flags.shareWork {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -301,14 +301,18 @@
 	line.Send()
 }
 
+// maxLoggedParts is the number of parts of a prompt that are logged, the last ones: few sound requests share these.
+const maxLoggedParts = 32
+
 // logIdentity adds to the line of a failed attempt what tells whether the same request, or one with the same parts, has failed before.
 func (a *attempt) logIdentity(line *zerolog.Event) {
-	if len(a.x.call.Prompt) > 0 {
-		ids := make([]uint64, 0, len(a.x.call.Prompt))
-		for _, p := range a.x.call.Prompt {
+	if prompt := a.x.call.Prompt; len(prompt) > 0 {
+		logged := prompt[max(0, len(prompt)-maxLoggedParts):]
+		ids := make([]uint64, 0, len(logged))
+		for _, p := range logged {
 			ids = append(ids, p.ID)
 		}
-		line.Strs("parts", hexIDs(ids))
+		line.Strs("parts", hexIDs(ids)).Int("partsLeftOut", len(prompt)-len(logged))
 	}
 	line.Strs("fingerprints", hexIDs(quarantine.Fingerprints(a.x.call)))
 }
--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -109,7 +109,7 @@
 		Name: "r", Host: "h", PathPrefix: "/", MaxAttempts: 3, Stream: true, TargetLatency: time.Second, Repeat: fighollow.RepeatAny,
 		Services: []fighollow.WeightedService{{Service: "models", Weight: 1}},
 	}
-	tracker := quarantine.New("e")
+	tracker := quarantine.New("e", 48)
 	for i := range 3 {
 		r := quarantine.NewPrompt("models", []fighollow.PromptPart{{ID: 0xbad}, {ID: uint64(i)}})
 		tracker.Broke(time.Now().Add(-time.Duration(9-i)*time.Second), fmt.Sprint("x", i), r, time.Second)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,7 +64,7 @@
 // New returns a Gateway without a configuration. It refuses every request as not ready until Apply is called.
 func New(opts Options, fleet *placement.Fleet, dispatch fighollow.Dispatcher, log zerolog.Logger) *Gateway {
 	if opts.Quarantine == nil {
-		opts.Quarantine = quarantine.New("")
+		opts.Quarantine = quarantine.New("", 0)
 	}
 	if opts.Registry == nil {
 		opts.Registry = metrics.NewRegistry()
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -32,7 +32,7 @@
 
 // Guards against sound parts that are blamed because the answers to their prompts are no series of events.
 func TestAnswerWithoutEventsExoneratesItsParts(t *testing.T) {
-	tracker, now := quarantine.New("e"), time.Now()
+	tracker, now := quarantine.New("e", 48), time.Now()
 	prompt := func(own uint64) *quarantine.Request {
 		return quarantine.NewRequest("models", &fighollow.Call{Target: fmt.Sprint(own), Prompt: []fighollow.PromptPart{{ID: 1}, {ID: own}}})
 	}
@@ -50,7 +50,7 @@
 
 // Guards against engines that send late replies to other requests being taken for engines that crashed.
 func TestReplyToAnotherRequestIsNoCrash(t *testing.T) {
-	tracker := quarantine.New("e")
+	tracker := quarantine.New("e", 48)
 	serveOnce(t, tracker, 1, func(a *fighollow.Attempt) (*fighollow.Reply, error) {
 		if a.Phase == fighollow.RequestPrefill {
 			return &fighollow.Reply{Status: 200, KV: &fighollow.KVCache{Address: a.Upstream.Address, Handle: "h"}, Body: &fakeBody{Reader: &bytes.Buffer{}}}, nil
--- a/internal/quarantine/blame.go
+++ b/internal/quarantine/blame.go
@@ -27,6 +27,8 @@
 	// collateralTime is how long before or after a crash at an engine other attempts there broke off by it, as other entries tell
 	// it: the times that they publish are as old as a poll.
 	collateralTime = 1500 * time.Millisecond
+	// maxTalliedParts is the number of parts in all breaks up to which all keys are counted, and not only those that are in several crashes.
+	maxTalliedParts = 1 << 13
 	// settleTime is how old the crash must be that makes the evidence sufficient: until then other entries report what broke off at
 	// theirs, and answers exonerate parts.
 	settleTime = 450 * time.Millisecond
@@ -44,12 +46,13 @@
 
 // Break is an attempt whose connection broke while the engine worked on it.
 type Break struct {
-	At           time.Time
-	SentAt       time.Time // when the attempt was sent
-	Service      string
-	Upstream     string
-	Prompt       uint64   // the last part, which belongs to the request or its session
-	Parts        []uint64 // the others, in the order of the prompt
+	At       time.Time
+	SentAt   time.Time // when the attempt was sent
+	Service  string
+	Upstream string
+	Prompt   uint64 // the last part, which belongs to the request or its session
+	// Parts are the others, in the order of the prompt; of a prompt with more than unsiftedParts without those that were exonerated.
+	Parts        []uint64
 	Fingerprints []uint64 // of the request
 	Began        bool     // the answer had begun shortly before
 }
@@ -313,6 +316,11 @@
 func tallies(breaks []Break, explained []Key, isSound func(Key, time.Time) bool) map[Key]*tally {
 	causes := crashesUnder(breaks, explained)
 	all := make(map[Key]*tally)
+	isSingle := func(Key) bool { return false }
+	if countParts(breaks) > maxTalliedParts {
+		several := keysAtSeveral(breaks)
+		isSingle = func(key Key) bool { return !several[key] }
+	}
 	for i := range breaks {
 		b := &breaks[i]
 		request, part := b.firstOf(explained)
@@ -324,7 +332,7 @@
 			switch {
 			case key.Request && request != nil, !key.Request && request == nil && cause == byRequest:
 				continue
-			case isSound(key, b.At):
+			case isSingle(key), isSound(key, b.At):
 				continue
 			}
 			t := all[key]
@@ -341,6 +349,23 @@
 	return all
 }
 
+// keysAtSeveral returns the keys that are in breaks at several upstreams. A single crash is never conclusive.
+func keysAtSeveral(breaks []Break) map[Key]bool {
+	first, several := make(map[Key]string), make(map[Key]bool)
+	for i := range breaks {
+		b := &breaks[i]
+		for _, key := range b.keys() {
+			switch upstream, ok := first[key]; {
+			case !ok:
+				first[key] = b.Upstream
+			case upstream != b.Upstream:
+				several[key] = true
+			}
+		}
+	}
+	return several
+}
+
 // firstOf returns the first of the keys that is a request's and that the break has, and whether it has a part among them.
 func (b *Break) firstOf(keys []Key) (request *Key, part bool) {
 	for i, key := range keys {
@@ -407,7 +432,14 @@
 	return b.Service == key.Service && slices.Contains(ids, key.ID)
 }
 
-// keys returns the keys of the request that broke off.
+// keys returns the keys of the request that broke off: its parts in the order of the prompt, then its fingerprints.
 func (b *Break) keys() []Key {
-	return (&Request{Service: b.Service, parts: b.Parts, fingerprints: b.Fingerprints}).keys()
+	out := make([]Key, 0, len(b.Parts)+len(b.Fingerprints))
+	for _, id := range b.Parts {
+		out = append(out, Key{Service: b.Service, ID: id})
+	}
+	for _, id := range b.Fingerprints {
+		out = append(out, Key{Service: b.Service, ID: id, Request: true})
+	}
+	return out
 }
--- a/internal/quarantine/play_test.go
+++ b/internal/quarantine/play_test.go
@@ -188,7 +188,7 @@
 			panic(err)
 		}
 		cut := func(now time.Time) bool { return cfg.IsCut(index, now.Sub(emulator.LimitRunStart)) }
-		tracker := quarantine.New(name)
+		tracker := quarantine.New(name, 48)
 		tracker.SetEntries(cfg.Entries)
 		return &entry{
 			tracker: tracker, store: store, cut: cut, sent: make(map[string]time.Time), begun: make(map[string]time.Time), known: make(map[string]string),
--- a/internal/quarantine/publish.go
+++ b/internal/quarantine/publish.go
@@ -89,10 +89,10 @@
 				if q := t.cases[key]; now.Sub(q.addedAt) < doubtTime {
 					t.doubt(now, key)
 					if q.crashes >= minCrashesSound { // more than a coincidence: the objector has seen an answer since the first
-						t.exonerate(key, q.crashedAt)
+						t.exonerate(now, key, q.crashedAt)
 					}
 				} else {
-					t.sound.set(key, soundness{at: now, settled: now})
+					*t.sound.use(now, key) = soundness{at: now, settled: now}
 				}
 				delete(t.cases, key)
 				ended = append(ended, key)
@@ -127,17 +127,14 @@
 
 // doubt makes more crashes necessary to put a key into quarantine. The evidence against it remains.
 func (t *Tracker) doubt(now time.Time, key Key) {
-	s := t.sound.get(key)
-	s.doubtedAt = now
-	t.sound.set(key, s)
+	t.sound.use(now, key).doubtedAt = now
 }
 
 // exonerate makes crashes up to this one count no more against a key to which an entry has objected.
-func (t *Tracker) exonerate(key Key, crash time.Time) {
-	s := t.sound.get(key)
+func (t *Tracker) exonerate(now time.Time, key Key, crash time.Time) {
+	s := t.sound.use(now, key)
 	if at := crash.Add(time.Nanosecond - soundMargin); at.After(s.at) {
 		s.at, s.settled = at, at
-		t.sound.set(key, s)
 	}
 }
 
--- a/internal/quarantine/publish_test.go
+++ b/internal/quarantine/publish_test.go
@@ -26,13 +26,21 @@
 
 // prompt returns a request that is recognised only by the parts of its prompt.
 func prompt(id uint64, parts ...uint64) *Request {
-	return &Request{Service: "models", own: id, parts: parts}
+	return promptFor("models", id, parts...)
+}
+
+func promptFor(service string, id uint64, parts ...uint64) *Request {
+	var all []fighollow.PromptPart
+	for _, part := range append(slices.Clip(parts), id) {
+		all = append(all, fighollow.PromptPart{ID: part})
+	}
+	return NewPrompt(service, all)
 }
 
 // concluded returns a Tracker that has put the part bad into quarantine by crashes of its own, and the time then.
 func concluded(t *testing.T) (*Tracker, time.Time) {
 	t.Helper()
-	tr := New("a")
+	tr := New("a", 48)
 	for i := range 3 {
 		tr.Broke(start.Add(time.Duration(i)*time.Second), string(rune('x'+i)), prompt(uint64(1000+i), bad, uint64(10+i)), tookTime)
 	}
@@ -58,12 +66,12 @@
 
 // Guards against a quarantine that the other entries don't keep, or that outlasts its object.
 func TestApplyFollowsTheStore(t *testing.T) {
-	tr := New("a")
+	tr := New("a", 48)
 	added, _, errs := tr.Apply(start, []fighollow.Object{object(7, storedBad)}, false)
 	qt.Assert(t, errs, qt.HasLen, 0)
 	qt.Assert(t, added, qt.DeepEquals, []Key{{Service: "models", ID: bad}})
 	qt.Assert(t, tr.Admit(start, prompt(1, 5, bad)).Withheld, qt.IsTrue)
-	qt.Assert(t, tr.Admit(start, &Request{Service: "other", parts: []uint64{5, bad}}).Withheld, qt.IsFalse)
+	qt.Assert(t, tr.Admit(start, promptFor("other", 1, 5, bad)).Withheld, qt.IsFalse)
 	qt.Assert(t, tr.Admit(start, prompt(bad, 5)).Withheld, qt.IsFalse)
 	_, ended, _ := tr.Apply(start, []fighollow.Object{{Name: "models-29a", Version: 6, Deleted: true}}, false)
 	qt.Assert(t, ended, qt.HasLen, 0) // an old change
@@ -83,7 +91,7 @@
 		want        bool // withheld
 	}{{"few crashes", storedBad, false}, {"many crashes", storedSure, true}} {
 		t.Run(test.name, func(t *testing.T) {
-			tr := New("a")
+			tr := New("a", 48)
 			tr.Answered(start.Add(-10*time.Second), "x", prompt(2, bad))
 			tr.Apply(start, []fighollow.Object{object(7, test.value)}, false)
 			qt.Assert(t, tr.Admit(start, prompt(1, bad)).Withheld, qt.Equals, test.want)
@@ -117,7 +125,7 @@
 
 // Guards against a part that nobody probes after its entry restarted.
 func TestRestartedEntryProbesItsParts(t *testing.T) {
-	tr := New("a")
+	tr := New("a", 48)
 	tr.Apply(start, []fighollow.Object{object(7, storedOwn)}, true)
 	qt.Assert(t, tr.Admit(start.Add(time.Second), prompt(1, bad)).Withheld, qt.IsTrue)
 	qt.Assert(t, tr.Admit(start.Add(hold(1)), prompt(1, bad)).Probe, qt.IsTrue)
@@ -152,7 +160,7 @@
 		`{"service":"models","part":"29a","ageMs":1e99}`, `{"service":"models","part":"29a","crashes":-1}`,
 		`{"service":"models","part":"29a","probes":-1}`,
 	} {
-		tr := New("a")
+		tr := New("a", 48)
 		added, ended, errs := tr.Apply(start, []fighollow.Object{object(7, value)}, false)
 		qt.Check(t, errs, qt.HasLen, 1, qt.Commentf("%s", value))
 		qt.Check(t, len(added)+len(ended), qt.Equals, 0)
@@ -164,14 +172,14 @@
 // Guards against reports that are garbage and count as evidence.
 func TestReadReportsIgnoresMalformedReports(t *testing.T) {
 	for _, r := range []Report{
-		{AgeMs: -1}, {AgeMs: evidenceTime.Milliseconds() + 1}, {AgeMs: 1 << 62}, {AgeMs: -1 << 63}, {Parts: make([]uint64, maxParts+1)},
-		{Fingerprints: make([]uint64, maxParts+1)}, {TookMs: -1}, {TookMs: 1 << 62},
+		{AgeMs: -1}, {AgeMs: evidenceTime.Milliseconds() + 1}, {AgeMs: 1 << 62}, {AgeMs: -1 << 63}, {Parts: make([]uint64, maxPublishedParts+1)},
+		{Fingerprints: make([]uint64, maxPublishedPrints+1)}, {TookMs: -1}, {TookMs: 1 << 62},
 	} {
 		qt.Check(t, ReadReports(start, []Report{r}), qt.HasLen, 0, qt.Commentf("%+v", r))
 	}
 	qt.Check(t, ReadReports(start, make([]Report, 10_000)), qt.HasLen, maxPublished)
 	for _, value := range []string{``, `{`, `"a"`, `{"service":"s"}`, `[1]`, `[{"parts":"x"}]`, `[{"ageMs":1e99}]`} {
-		tr := New("a")
+		tr := New("a", 48)
 		qt.Check(t, tr.ApplyReports(start, []fighollow.Object{{Name: "b", Version: 1, Value: []byte(value)}}, false), qt.HasLen, 1, qt.Commentf("%s", value))
 		qt.Check(t, tr.evidence(start), qt.HasLen, 0)
 	}
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -13,8 +13,11 @@
 )
 
 const (
-	// maxPublished bounds the breaks that each entry publishes.
-	maxPublished = 32
+	// maxPublished bounds the breaks that each entry publishes, maxPublishedParts the parts of all of them, and maxPublishedPrints the
+	// fingerprints of each.
+	maxPublished       = 32
+	maxPublishedParts  = 512
+	maxPublishedPrints = 16
 	// reportInterval is the least pause between two writes of this entry's reports. The first is written at once.
 	reportInterval = 500 * time.Millisecond
 	// maxReporters bounds the entries whose reports are kept.
@@ -47,10 +50,13 @@
 // ReadReports returns the breaks of reports that were published at a time. It leaves out those that cannot be.
 func ReadReports(published time.Time, reports []Report) []Break {
 	var out []Break
+	parts := 0
 	for _, r := range reports[:min(len(reports), maxPublished)] {
-		if r.AgeMs < 0 || r.AgeMs > evidenceTime.Milliseconds() || r.TookMs < 0 || r.TookMs > maxAgeMs || len(r.Parts) > maxParts || len(r.Fingerprints) > maxParts {
+		if r.AgeMs < 0 || r.AgeMs > evidenceTime.Milliseconds() || r.TookMs < 0 || r.TookMs > maxAgeMs ||
+			parts+len(r.Parts) > maxPublishedParts || len(r.Fingerprints) > maxPublishedPrints {
 			continue
 		}
+		parts += len(r.Parts)
 		at := published.Add(-time.Duration(r.AgeMs) * time.Millisecond)
 		out = append(out, Break{
 			At: at, SentAt: at.Add(-time.Duration(r.TookMs) * time.Millisecond), Service: r.Service, Upstream: r.Upstream, Prompt: r.Prompt,
@@ -231,9 +237,45 @@
 			return t.isSound(Key{Service: b.Service, ID: id, Request: true}, b.At)
 		})
 	}
+	if countParts(out) > maxPublishedParts {
+		t.cutParts(out, all)
+	}
 	return out
 }
 
+// cutParts leaves the parts of breaks that the evidence speaks against most, as many as are published. Each break has the same share of them, and
+// what those with fewer parts leave.
+func (t *Tracker) cutParts(breaks, evidence []Break) {
+	against := tallies(evidence, nil, t.isSound)
+	strength := func(service string, id uint64) float64 {
+		if c := against[Key{Service: service, ID: id}]; c != nil {
+			return c.strength()
+		}
+		return 0
+	}
+	byLength := slices.Clone(breaks)
+	slices.SortStableFunc(byLength, func(a, b Break) int { return cmp.Compare(len(a.Parts), len(b.Parts)) })
+	share, left := 0, maxPublishedParts
+	for i, b := range byLength {
+		share = left / (len(byLength) - i)
+		if len(b.Parts) > share {
+			break
+		}
+		left -= len(b.Parts)
+	}
+	for i := range breaks {
+		b := &breaks[i]
+		if len(b.Parts) <= share {
+			continue
+		}
+		// Entries that know the same choose the same parts.
+		chosen := slices.SortedFunc(slices.Values(b.Parts), func(x, y uint64) int {
+			return cmp.Or(cmp.Compare(strength(b.Service, y), strength(b.Service, x)), cmp.Compare(x, y))
+		})[:share]
+		b.Parts = slices.DeleteFunc(b.Parts, func(id uint64) bool { return !slices.Contains(chosen, id) })
+	}
+}
+
 // sortByStrength orders breaks by the strongest evidence against one of their keys, the newest first where it is the same.
 func (t *Tracker) sortByStrength(breaks, evidence []Break) {
 	against := tallies(evidence, nil, t.isSound)
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"iter"
 	"net"
 	"strings"
 
@@ -10,15 +11,12 @@
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
-// maxParts bounds the parts of a prompt that are looked at.
-const maxParts = 16
-
 // Request is what is known of a request by which it, or others like it, can be recognised. It is read-only.
 type Request struct {
 	Service      string
-	own          uint64   // last part of the prompt, which belongs to the request or its session; 0 without a prompt
-	parts        []uint64 // the others, in the order of the prompt
-	fingerprints []uint64 // see Fingerprints
+	own          uint64                 // last part of the prompt, which belongs to the request or its session; 0 without a prompt
+	parts        []fighollow.PromptPart // the others, in the order of the prompt
+	fingerprints []uint64               // see Fingerprints
 }
 
 // NewRequest returns the Request of a call to a service.
@@ -28,26 +26,36 @@
 	return r
 }
 
-// NewPrompt returns a Request of which only the prompt is known.
+// NewPrompt returns a Request of which only the prompt is known. The Request refers to prompt, which must not change.
 func NewPrompt(service string, prompt []fighollow.PromptPart) *Request {
 	r := &Request{Service: service}
 	if n := len(prompt); n > 0 {
-		r.own = prompt[n-1].ID
-		for _, p := range prompt[:min(n-1, maxParts)] {
-			r.parts = append(r.parts, p.ID)
-		}
+		r.own, r.parts = prompt[n-1].ID, prompt[:n-1]
 	}
 	return r
 }
 
-// keys returns the keys by which a request is judged.
-func (r *Request) keys() []Key {
-	out := make([]Key, 0, len(r.parts)+len(r.fingerprints))
-	for _, part := range r.parts {
-		out = append(out, Key{Service: r.Service, ID: part})
+// keys returns the keys by which a request is judged. A part that the prompt has several times is among them as often.
+func (r *Request) keys() iter.Seq[Key] {
+	return func(yield func(Key) bool) {
+		for _, part := range r.parts {
+			if !yield(Key{Service: r.Service, ID: part.ID}) {
+				return
+			}
+		}
+		for _, f := range r.fingerprints {
+			if !yield(Key{Service: r.Service, ID: f, Request: true}) {
+				return
+			}
+		}
 	}
-	for _, f := range r.fingerprints {
-		out = append(out, Key{Service: r.Service, ID: f, Request: true})
+}
+
+// partIDs returns the parts but the last, in the order of the prompt.
+func (r *Request) partIDs() []uint64 {
+	out := make([]uint64, 0, len(r.parts))
+	for _, part := range r.parts {
+		out = append(out, part.ID)
 	}
 	return out
 }
--- a/internal/quarantine/sound.go
+++ b/internal/quarantine/sound.go
@@ -7,8 +7,13 @@
 )
 
 const (
-	// maxSound bounds the parts, and the requests, whose last answer is remembered.
+	// maxSound bounds the requests whose last answer is remembered.
 	maxSound = 4096
+	// minSoundParts, maxSoundParts and soundPartsPerMB bound the parts whose last answer is remembered, for a process with so much memory. Half of
+	// the least is more than a header of 16 KB can hold.
+	minSoundParts   = 8300
+	maxSoundParts   = 1 << 16
+	soundPartsPerMB = 100
 	// soundMargin is how long before a crash an answer exonerates its parts.
 	soundMargin = time.Second
 	// revokeTime is how long after an answer began its engine must not crash for the answer to exonerate its parts. An answer can begin, and a
@@ -26,6 +31,7 @@
 	at      time.Time
 	answers float64   // until at; the older count less
 	settled time.Time // the same of the last answer that cannot be revoked any more
+	last    uint64    // number of the last answer, as a prompt can have a part several times
 	// doubtedAt is when an entry objected to a quarantine that few crashes spoke for.
 	doubtedAt time.Time
 }
@@ -40,9 +46,10 @@
 // soundMemory remembers which parts, and which requests, were answered lately. Requests are remembered apart, so that many different
 // ones don't displace the parts.
 type soundMemory struct {
-	parts, requests map[Key]soundness
+	parts, requests *soundTable
 	begun           []begunAnswer        // oldest first
 	services        map[string]soundness // of all requests for each
+	added           uint64               // number of answers so far
 }
 
 // isCommon reports whether many of the answers that began lately have a key.
@@ -55,31 +62,53 @@
 	return s.answers * math.Exp2(-now.Sub(s.at).Seconds()/answersHalfLife.Seconds())
 }
 
-func newSoundMemory() *soundMemory {
-	return &soundMemory{parts: make(map[Key]soundness), requests: make(map[Key]soundness), services: make(map[string]soundness)}
+func newSoundMemory(memoryMB int) *soundMemory {
+	parts := maxSoundParts / 4
+	if memoryMB > 0 {
+		parts = min(max(memoryMB*soundPartsPerMB, minSoundParts), maxSoundParts)
+	}
+	return &soundMemory{parts: newSoundTable(parts), requests: newSoundTable(maxSound), services: make(map[string]soundness)}
 }
 
-func (m *soundMemory) of(key Key) map[Key]soundness {
+func (m *soundMemory) of(key Key) *soundTable {
 	if key.Request {
 		return m.requests
 	}
 	return m.parts
 }
 
-func (m *soundMemory) get(key Key) soundness { return m.of(key)[key] }
+// get returns what is known of a key.
+func (m *soundMemory) get(key Key) soundness {
+	if s := m.of(key).get(key); s != nil {
+		return *s
+	}
+	return soundness{}
+}
 
-func (m *soundMemory) set(key Key, s soundness) { m.of(key)[key] = s }
+// use returns what is known of a key for a change, and remembers the key.
+func (m *soundMemory) use(now time.Time, key Key) *soundness { return m.of(key).use(now, key) }
+
+// mayHaveForgotten reports whether a part of which nothing is known can have been answered in evidenceTime.
+func (m *soundMemory) mayHaveForgotten(now time.Time, key Key) bool {
+	if key.Request || now.Sub(m.parts.lostAt) >= evidenceTime {
+		return false
+	}
+	return m.parts.get(key) == nil
+}
 
 // add records that the answer of an upstream began.
 func (m *soundMemory) add(now time.Time, r *Request, upstream string) {
 	m.settle(now)
 	m.begun = append(m.begun, begunAnswer{now, upstream, r})
+	m.added++
 	m.services[r.Service] = soundness{at: now, answers: m.services[r.Service].answersAt(now) + 1}
-	for _, key := range r.keys() {
-		s := m.get(key)
+	for key := range r.keys() {
+		s := m.use(now, key)
+		if s.last == m.added {
+			continue
+		}
 		s.answers = s.answersAt(now) + 1
-		s.at = now
-		m.set(key, s)
+		s.at, s.last = now, m.added
 	}
 }
 
@@ -87,10 +116,9 @@
 func (m *soundMemory) settle(now time.Time) {
 	n := 0
 	for ; n < len(m.begun) && now.Sub(m.begun[n].at) >= revokeTime; n++ {
-		for _, key := range m.begun[n].request.keys() {
-			if s, ok := m.of(key)[key]; ok && m.begun[n].at.After(s.settled) {
+		for key := range m.begun[n].request.keys() {
+			if s := m.of(key).get(key); s != nil && m.begun[n].at.After(s.settled) {
 				s.settled = m.begun[n].at
-				m.set(key, s)
 			}
 		}
 	}
@@ -105,44 +133,22 @@
 		if a.upstream != upstream || r != nil && a.request != r {
 			return false
 		}
-		revoked = append(revoked, a.request.keys()...)
+		revoked = slices.AppendSeq(revoked, a.request.keys())
 		return true
 	})
 	if len(revoked) == 0 {
 		return
 	}
 	for _, key := range revoked {
-		if s, ok := m.of(key)[key]; ok {
+		if s := m.of(key).get(key); s != nil {
 			s.at = s.settled
-			m.set(key, s)
 		}
 	}
 	for _, a := range m.begun {
-		for _, key := range a.request.keys() {
-			if s := m.get(key); a.at.After(s.at) {
+		for key := range a.request.keys() {
+			if s := m.use(now, key); a.at.After(s.at) {
 				s.at = a.at
-				m.set(key, s)
-			}
-		}
-	}
-}
-
-// forget keeps the memory bounded. What few requests have is forgotten with the old.
-func (m *soundMemory) forget(now time.Time) {
-	for _, all := range []map[Key]soundness{m.parts, m.requests} {
-		if len(all) <= maxSound {
-			continue
-		}
-		for key, s := range all {
-			if now.Sub(s.at) > evidenceTime || len(all) > maxSound*3/4 && now.Sub(s.at) > soundMargin {
-				delete(all, key)
-			}
-		}
-		for key := range all {
-			if len(all) <= maxSound {
-				break
 			}
-			delete(all, key)
 		}
 	}
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -15,6 +15,12 @@
 	// maxBreaks bounds the breaks of this entry that are kept, and maxCases what is in quarantine.
 	maxBreaks = 512
 	maxCases  = 256
+	// unsiftedParts is the number of parts of a prompt up to which all are kept with a break. Of a longer one those that an answer
+	// exonerates are left out, which speak for nothing.
+	unsiftedParts = 16
+	// maxBreakParts bounds the parts of all breaks of this entry that are kept, of 8 bytes each. They suffice for minCrashes under the longest
+	// prompts of which nothing is known, and can be judged in some milliseconds.
+	maxBreakParts = 1 << 14
 	// minHold and maxHold bound the time until one request with a key in quarantine is sent as a probe. It doubles with each
 	// probe that crashes an engine.
 	minHold = time.Minute
@@ -72,10 +78,10 @@
 	probing   time.Time // when the last one was sent
 }
 
-// New returns an empty Tracker for an entry; self is its name.
-func New(self string) *Tracker {
+// New returns an empty Tracker for an entry; self is its name and memoryMB the memory of its process, 0 if that is not known.
+func New(self string, memoryMB int) *Tracker {
 	return &Tracker{
-		self: self, reports: newReports(), sound: newSoundMemory(), alive: make(map[string]time.Time), crashed: make(map[string]time.Time), cases: make(map[Key]*quarantined),
+		self: self, reports: newReports(), sound: newSoundMemory(memoryMB), alive: make(map[string]time.Time), crashed: make(map[string]time.Time), cases: make(map[Key]*quarantined),
 		lifts: make(map[Key]uint64), liftAt: make(map[Key]time.Time), entries: 1,
 	}
 }
@@ -108,7 +114,7 @@
 		q.claimed = !q.own && now.Sub(q.probeAt) >= claimTime
 	}
 	if a.Probe { // of all keys in quarantine, so that there is one at a time
-		for _, key := range r.keys() {
+		for key := range r.keys() {
 			if q := t.cases[key]; q != nil {
 				q.probing = now
 			}
@@ -130,7 +136,7 @@
 	if len(t.cases) == 0 {
 		return a, nil, nil
 	}
-	for _, key := range r.keys() {
+	for key := range r.keys() {
 		q := t.cases[key]
 		switch {
 		case q == nil:
@@ -151,34 +157,35 @@
 func (t *Tracker) MayRepeat(now time.Time, r *Request) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	keys := r.keys()
-	for _, key := range keys {
+	brokeAt := make(map[Key]string) // upstream at which a request with the key broke off; empty if there is none
+	for key := range r.keys() {
 		if t.cases[key] != nil {
 			return false
 		}
+		brokeAt[key] = ""
 	}
-	if !t.brokeAtTwo(keys) {
+	if !t.brokeAtTwo(brokeAt) {
 		return true // as after most failures, so that the evidence need not be judged
 	}
 	for key, c := range tallies(t.evidence(now), slices.Collect(maps.Keys(t.cases)), t.seemsSound) {
-		if slices.Contains(keys, key) && c.isConclusive(minCrashes-1) {
+		if _, ok := brokeAt[key]; ok && c.isConclusive(minCrashes-1) {
 			return false
 		}
 	}
 	return true
 }
 
-// brokeAtTwo reports whether requests with one of these keys broke off at two upstreams.
-func (t *Tracker) brokeAtTwo(keys []Key) bool {
-	first := make([]string, len(keys)) // upstream at which a request with the key broke off
+// brokeAtTwo reports whether requests with one of the keys of brokeAt broke off at two upstreams. It sets the first ones.
+func (t *Tracker) brokeAtTwo(brokeAt map[Key]string) bool {
 	isSecond := func(b Break) bool {
-		for i, key := range keys {
+		for _, key := range b.keys() {
+			first, ok := brokeAt[key]
 			switch {
-			case !b.has(key) || first[i] == b.Upstream:
-			case first[i] != "":
+			case !ok || first == b.Upstream:
+			case first != "":
 				return true
 			default:
-				first[i] = b.Upstream
+				brokeAt[key] = b.Upstream
 			}
 		}
 		return false
@@ -196,7 +203,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sound.add(now, r, upstream)
-	t.sound.forget(now)
 }
 
 // Abandoned records that this entry ended an attempt whose answer had begun. If that was shortly before, nothing shows that the upstream lived on.
@@ -216,7 +222,7 @@
 		return
 	}
 	t.sound.revoke(now, upstream, nil)
-	for _, key := range r.keys() {
+	for key := range r.keys() {
 		if q := t.cases[key]; q != nil && q.own {
 			q.probing = time.Time{}
 		}
@@ -239,17 +245,20 @@
 
 func (t *Tracker) broke(now time.Time, upstream string, r *Request, after time.Duration, began bool) {
 	t.sound.revoke(now, upstream, nil)
-	for _, key := range r.keys() {
+	for key := range r.keys() {
 		if q := t.cases[key]; q != nil && q.own && !q.probing.IsZero() {
 			q.probes++
 			q.probing, q.published, q.changedAt = time.Time{}, false, now
 			q.probeAt = now.Add(hold(q.probes))
 		}
 	}
-	t.breaks = append(t.breaks, Break{
-		At: now, SentAt: now.Add(-after), Service: r.Service, Upstream: upstream, Prompt: r.own, Parts: r.parts, Fingerprints: r.fingerprints, Began: began,
-	})
+	b := Break{
+		At: now, SentAt: now.Add(-after), Service: r.Service, Upstream: upstream, Prompt: r.own, Parts: r.partIDs(), Fingerprints: r.fingerprints, Began: began,
+	}
+	t.sift(&b)
+	t.breaks = append(t.breaks, b)
 	t.newsAt, t.reports.isDue = now, true
+	t.boundParts()
 	if len(t.breaks) > maxBreaks {
 		t.breaks = slices.DeleteFunc(t.breaks, t.isExonerated)
 	}
@@ -258,6 +267,38 @@
 	}
 }
 
+// sift leaves out of a break with many parts those that were exonerated since.
+func (t *Tracker) sift(b *Break) {
+	if len(b.Parts) <= unsiftedParts {
+		return
+	}
+	kept := slices.DeleteFunc(b.Parts, func(id uint64) bool { return t.isSound(Key{Service: b.Service, ID: id}, b.At) })
+	b.Parts = slices.Clip(slices.Clone(kept))
+}
+
+// boundParts bounds the parts of the breaks that are kept. What answers have not exonerated goes with the oldest break.
+func (t *Tracker) boundParts() {
+	if countParts(t.breaks) <= maxBreakParts {
+		return
+	}
+	for i := range t.breaks {
+		t.sift(&t.breaks[i])
+	}
+	n := countParts(t.breaks)
+	oldest := 0
+	for ; n > maxBreakParts; oldest++ {
+		n -= len(t.breaks[oldest].Parts)
+	}
+	t.breaks = slices.Delete(t.breaks, 0, oldest)
+}
+
+func countParts(breaks []Break) (n int) {
+	for i := range breaks {
+		n += len(breaks[i].Parts)
+	}
+	return n
+}
+
 // Judge judges the evidence if that is due, and returns the keys that are in quarantine because of it.
 func (t *Tracker) Judge(now time.Time) []Key {
 	t.mu.Lock()
@@ -275,7 +316,7 @@
 }
 
 func (v view) crashesNeeded(key Key) int {
-	if v.hasSoundHistory(v.now, key) || v.isDoubted(v.now, key) {
+	if v.hasSoundHistory(v.now, key) || v.isDoubted(v.now, key) || v.sound.mayHaveForgotten(v.now, key) {
 		return minCrashesSound
 	}
 	return minCrashes
@@ -394,6 +435,9 @@
 		return now.Sub(b.At) > evidenceTime || t.alive[b.Upstream].Sub(b.At) > aliveMargin
 	}
 	t.breaks = slices.DeleteFunc(t.breaks, isVoid)
+	for i := range t.breaks {
+		t.sift(&t.breaks[i])
+	}
 	out := slices.Concat(t.breaks, t.reports.breaks(t.self, isVoid))
 	slices.SortFunc(out, compareBreaks)
 	ended := maps.Clone(t.crashed) // by upstream, when it crashed
@@ -426,7 +470,7 @@
 
 // lift ends the quarantine of a key that was answered.
 func (t *Tracker) lift(now time.Time, key Key) {
-	t.sound.set(key, soundness{at: now, settled: now})
+	*t.sound.use(now, key) = soundness{at: now, settled: now}
 	t.drop(key)
 }
 
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -13,7 +13,7 @@
 
 // Guards against sound parts that are blamed while all attempts of an entry break off because its machine fails.
 func TestFailingMachineBlamesNothing(t *testing.T) {
-	tr := New("a")
+	tr := New("a", 48)
 	now := start
 	for i := range 200 {
 		tr.Broke(now, fmt.Sprint("e", i%10), prompt(uint64(1000+i), 1, uint64(10+i%5), uint64(100+i)), tookTime)
@@ -34,7 +34,7 @@
 		want  bool          // withheld
 	}{{"at once", 100 * time.Millisecond, true}, {"much later", 2 * time.Second, false}} {
 		t.Run(test.name, func(t *testing.T) {
-			tr := New("a")
+			tr := New("a", 48)
 			now := start
 			for i := range uint64(3) {
 				engine := fmt.Sprint("e", i)
@@ -110,7 +110,7 @@
 
 // Guards against memory that grows with the number of different parts.
 func TestManyPartsKeepMemoryBounded(t *testing.T) {
-	tr := New("a")
+	tr := New("a", 48)
 	now := start
 	for i := range uint64(100_000) {
 		now = now.Add(time.Millisecond)
@@ -143,9 +143,9 @@
 	for i := range 2 * maxReporters {
 		tr.ApplyReports(now, []fighollow.Object{{Name: fmt.Sprint("entry", i), Version: 300_000 + uint64(i), Value: []byte(`[{"service":"models","upstream":"e"}]`)}}, false)
 	}
-	qt.Assert(t, len(tr.sound.requests) <= maxSound, qt.IsTrue, qt.Commentf("%d", len(tr.sound.requests)))
+	qt.Assert(t, tr.sound.requests.size() <= maxSound, qt.IsTrue, qt.Commentf("%d", tr.sound.requests.size()))
 	qt.Assert(t, len(tr.reports.byEntry) <= maxReporters, qt.IsTrue, qt.Commentf("%d", len(tr.reports.byEntry)))
-	qt.Assert(t, len(tr.sound.parts) <= maxSound, qt.IsTrue, qt.Commentf("%d", len(tr.sound.parts)))
+	qt.Assert(t, tr.sound.parts.size() <= minSoundParts, qt.IsTrue, qt.Commentf("%d", tr.sound.parts.size()))
 	qt.Assert(t, len(tr.breaks) <= maxBreaks, qt.IsTrue, qt.Commentf("%d", len(tr.breaks)))
 	qt.Assert(t, len(tr.cases) <= maxCases, qt.IsTrue, qt.Commentf("%d", len(tr.cases)))
 	qt.Assert(t, len(tr.lifts) <= 2*maxCases, qt.IsTrue, qt.Commentf("%d", len(tr.lifts)))
@@ -156,7 +156,7 @@
 func TestBreaksAtEnginesThatGoOnAreNoEvidence(t *testing.T) {
 	for _, goesOn := range []bool{false, true} {
 		start := time.Unix(1000, 0)
-		tr := New("e")
+		tr := New("e", 48)
 		for i := range 6 {
 			at := start.Add(time.Duration(i) * 400 * time.Millisecond)
 			upstream := string(rune('a' + i))
@@ -173,7 +173,7 @@
 
 // Guards against engines that are down and reset connections, so that each request that is sent to them seems to crash them.
 func TestBreaksAtEnginesThatAreDownAreNoEvidence(t *testing.T) {
-	tr := New("e")
+	tr := New("e", 48)
 	for i := range 3 {
 		upstream := string(rune('a' + i))
 		tr.Broke(start, upstream, &Request{Service: "s", fingerprints: []uint64{uint64(i)}}, tookTime)
@@ -186,7 +186,7 @@
 
 // Guards against a request in quarantine that comes only to entries that don't probe it, so that it stays there when it is sound again.
 func TestAnotherEntryTakesTheProbeOver(t *testing.T) {
-	tr := New("a")
+	tr := New("a", 48)
 	tr.Apply(start, []fighollow.Object{object(7, storedBad)}, false)
 	now := start.Add(minHold)
 	qt.Assert(t, tr.Admit(now, prompt(1, bad)).Withheld, qt.IsTrue)
@@ -199,7 +199,7 @@
 
 // Guards against what an entry knew of crashes being lost when it starts again.
 func TestRestartedEntryKeepsItsReports(t *testing.T) {
-	tr := New("a")
+	tr := New("a", 48)
 	tr.ApplyReports(start, []fighollow.Object{{
 		Name: "a", Version: 7, Value: []byte(`[{"service":"s","upstream":"x","fingerprints":[9],"ageMs":100},{"service":"s","upstream":"y","fingerprints":[9],"ageMs":50}]`),
 	}}, true)
@@ -214,7 +214,7 @@
 // Guards against a sound request that comes often being blamed for the crashes of engines that were running it.
 func TestRequestThatIsAnsweredOftenIsNotBlamed(t *testing.T) {
 	for _, ago := range []time.Duration{200 * time.Millisecond, 10 * time.Second} { // from its last answer to the first crash
-		tr := New("a")
+		tr := New("a", 48)
 		often := func() *Request {
 			return NewRequest("s", &fighollow.Call{Method: "GET", Host: "h", Target: "/home", Caller: "10.0.0.1:5000"})
 		}
@@ -252,7 +252,7 @@
 		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			tr := New("a")
+			tr := New("a", 48)
 			test.crash(tr, "x")
 			tr.Broke(start, "y", fromAddress("10.0.0.1"), tookTime)
 			tr.Broke(start, "z", fromAddress("10.0.0.1"), tookTime)
@@ -278,7 +278,7 @@
 		{"by a probe", minHold + 2*settleTimeRequest, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			tr := New("a")
+			tr := New("a", 48)
 			answer := func() { tr.Answered(start.Add(test.at), "w", fromAddress("10.0.0.2")) }
 			if test.at < 0 {
 				answer()
@@ -329,7 +329,7 @@
 		"irrevocable": {revokeTime, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			tr := New("e")
+			tr := New("e", 48)
 			for i := range 3 {
 				tr.Interrupted(start.Add(time.Duration(i)*time.Second), fmt.Sprint("e", i), prompt(uint64(i), bad), 3*time.Second, c.begun)
 			}
@@ -340,7 +340,7 @@
 
 // Guards against a part that is taken for sound because another engine that it crashes had just begun to answer.
 func TestEachAnswerIsRevokedByTheCrashOfItsEngine(t *testing.T) {
-	tr := New("e")
+	tr := New("e", 48)
 	for i := range 3 {
 		at, engine := start.Add(time.Duration(i)*400*time.Millisecond), fmt.Sprint("e", i)
 		tr.Answered(at, engine, prompt(uint64(i), bad))
@@ -355,7 +355,7 @@
 // Guards against most requests being withheld for a part that they share, while all engines are down and nothing shows that it is sound.
 func TestCommonPartIsNotBlamed(t *testing.T) {
 	const common = 5
-	tr := New("e")
+	tr := New("e", 48)
 	for i := range 10 {
 		tr.Answered(start.Add(-time.Duration(20-i)*time.Second), "x", prompt(uint64(100+i), common))
 	}
@@ -372,7 +372,7 @@
 		want int
 	}{"atOnce": {100 * time.Millisecond, 1}, "later": {revokeTime, 0}} {
 		t.Run(name, func(t *testing.T) {
-			tr := New("e")
+			tr := New("e", 48)
 			for i := range 3 {
 				tr.Broke(start.Add(time.Duration(i)*time.Second), fmt.Sprint("e", i), prompt(uint64(i), bad), tookTime)
 			}
--- a/internal/quarantine/writer_test.go
+++ b/internal/quarantine/writer_test.go
@@ -58,7 +58,7 @@
 		{}, {Kind: fighollow.KindCrashReports, Name: "a", Version: 5, Value: []byte(earlier)}, {Kind: fighollow.KindCrashReports, Name: "a", Version: 5, Value: []byte(`{`)},
 	} {
 		s := &reportStore{object: stored}
-		tr := New("a")
+		tr := New("a", 48)
 		w := NewWriter(tr, s, zerolog.Nop())
 		tr.Broke(start, "x", prompt(1, bad), tookTime)
 		step(w, start, 2*time.Second)
@@ -92,7 +92,7 @@
 	const entries, readTime = 100, 700 * time.Millisecond
 	var trackers []*Tracker
 	for i := range entries {
-		tr := New(fmt.Sprint("n", i))
+		tr := New(fmt.Sprint("n", i), 48)
 		tr.SetEntries(entries)
 		tr.Answered(start, "x", prompt(1, bad))
 		tr.Apply(start.Add(time.Second), []fighollow.Object{object(7, storedBad)}, false)
