roles: order several engines for a version at once only if streams wait

Seen by reading: one lost reading of the reports of a version's decode engines, without any crash, ordered two others at once, where one had been ordered before. A service of one version whose decode engines have all crashed waited for the pause after an earlier change, although entries reported streams that wait.

Change: all missing engines at once, without the pause, if an entry reports the version; otherwise one at a time, as before. Reports count for a service of one version too.

Why it works: an entry reports within milliseconds of the last failed attempt, so what is urgent is known to be.

--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -94,18 +94,14 @@
 
 // engineWait describes the stream to shortage.Decide.
 func (x *exchange) engineWait() shortage.Wait {
-	w := shortage.Wait{
-		Deadline: x.deadline, GivesUp: x.deadline, Patience: x.route.Patience, Begun: x.headerSent, RoleChange: x.traits.Engine.RoleSwitch,
+	patience := x.route.Patience
+	if patience == 0 {
+		patience = x.deadline.Sub(x.call.Arrived)
 	}
-	if w.Patience == 0 {
-		w.Patience = x.deadline.Sub(x.call.Arrived)
+	return shortage.Wait{
+		Deadline: x.deadline, GivesUp: later(x.call.Arrived, x.lastEvent).Add(patience), Patience: patience, Begun: x.headerSent,
+		RoleChange: x.traits.Engine.RoleSwitch,
 	}
-	from := x.call.Arrived
-	if x.lastEvent.After(from) {
-		from = x.lastEvent
-	}
-	w.GivesUp = from.Add(w.Patience)
-	return w
 }
 
 // holding counts the streams that wait for a decode engine. The zero value has none. It is safe for concurrent use.
--- a/internal/roles/version.go
+++ b/internal/roles/version.go
@@ -83,19 +83,12 @@
 	return n
 }
 
-// wanted returns how many decode engines a version must have: none if no stream may be taken up, and all but one of its engines at most unless
-// streams wait for one. Their prompts can be computed by engines of other versions.
+// wanted returns how many decode engines a version must have: none if no stream may be taken up, and all but one of its engines at most, but one
+// if streams wait for it. Their prompts can be computed by engines of other versions.
 func (s *versionState) wanted(now time.Time) int {
-	least := 0
-	if s.short {
-		least = min(1, s.engines)
-	}
-	return max(least, s.reserved(now))
-}
-
-// reserved returns how many decode engines a version must have whether streams wait or not.
-func (s *versionState) reserved(now time.Time) int {
 	switch {
+	case s.short:
+		return max(min(1, s.engines), min(reservedDecode, s.engines-1))
 	case s.decodedAt.IsZero() || now.Sub(s.decodedAt) > takeUpTime:
 		return 0
 	case s.engines < s.peak:
@@ -104,25 +97,28 @@
 	return min(1, s.engines-1)
 }
 
-// restore returns orders that give versions the decode engines that they want. A version that has some gets one at a time, and one that has
-// none all of them at once: streams wait, and an engine can fail to change its role.
+// restore returns orders that give versions the decode engines that they want. A version gets one at a time, unless it has none and streams wait:
+// then it gets all of them at once, as an engine can fail to change its role.
 func (p *Planner) restore(now time.Time, prefill, decode []Engine) []Order {
 	k := &p.versions
 	k.observe(now, prefill, decode)
 	k.setShort(p.short)
-	if k.serving() < 2 {
+	if k.serving() < 2 && len(p.short) == 0 {
 		return nil
 	}
 	var orders []Order
 	for _, version := range slices.Sorted(maps.Keys(k.versions)) {
 		s := k.versions[version]
 		missing := s.wanted(now) - s.decode
-		if s.decode > 0 {
-			missing = min(missing, 1)
-		}
-		if missing <= 0 || s.decode > 0 && now.Sub(s.orderedAt) < p.cooldown() {
+		if missing <= 0 {
 			continue
 		}
+		if !s.short || s.decode > 0 {
+			if now.Sub(s.orderedAt) < p.cooldown() {
+				continue
+			}
+			missing = 1
+		}
 		s.orderedAt = now
 		from := slices.DeleteFunc(slices.Clone(prefill), func(e Engine) bool { return e.Upstream.Version != version || !e.takesOrders() })
 		orders = append(orders, p.selectMoves(from, nil, missing, 0, fighollow.RoleDecode)...)
--- a/internal/roles/version_test.go
+++ b/internal/roles/version_test.go
@@ -103,6 +103,7 @@
 		}
 	}
 	crash()
+	f.planner.SetShort([]string{"v1"})
 	orders := f.round(busy)
 	qt.Assert(t, orders, qt.HasLen, reservedDecode)
 	for _, o := range orders {
@@ -126,6 +127,7 @@
 		e.Fresh = e.Report.Role == fighollow.RolePrefill || e.Upstream.Version == "v2"
 		e.Paused = i == 1
 	}
+	f.planner.SetShort([]string{"v1"})
 	orders := f.round(load(0, 0.3))
 	qt.Assert(t, orders, qt.HasLen, reservedDecode)
 	for _, o := range orders {
@@ -150,3 +152,33 @@
 	qt.Assert(t, orders, qt.HasLen, 1)
 	qt.Assert(t, orders[0].Engine.Upstream.ID, qt.Equals, f.engines[3].Upstream.ID)
 }
+
+// Guards against a service of one version that waits for the pause after an earlier change, although streams wait for a decode engine.
+func TestServiceWithoutDecodeEnginesGetsOthersAtOnceIfStreamsWait(t *testing.T) {
+	f := newTestFleet(8, 4)
+	for i := range f.engines {
+		f.engines[i].Upstream.Version = "v1"
+	}
+	f.round(load(0, 0.3))
+	f.planner.lastChange = f.now
+	for i := range f.engines {
+		f.engines[i].Fresh = f.engines[i].Report.Role == fighollow.RolePrefill
+	}
+	qt.Assert(t, f.round(load(0, 0)), qt.HasLen, 0)
+	f.planner.SetShort([]string{"v1"})
+	qt.Assert(t, f.round(load(0, 0)), qt.HasLen, reservedDecode)
+}
+
+// Guards against orders for several engines because the reports of a version's decode engines were lost once, while streams go on at them.
+func TestLostReportsOrderOneEngine(t *testing.T) {
+	f := newTestFleet(10, 8)
+	for i := range f.engines {
+		f.engines[i].Upstream.Version = fmt.Sprint("v", 1+i%2)
+	}
+	f.round(load(0, 0.3))
+	for i := range f.engines {
+		e := &f.engines[i]
+		e.Fresh = e.Upstream.Version != "v1" || e.Report.Role == fighollow.RolePrefill
+	}
+	qt.Assert(t, f.round(load(0, 0.3)), qt.HasLen, 1)
+}
