logging: bound the lines that wait in bytes

Cause: the ring of the log was bounded in lines. Ids of streams and of their last events were logged whole, each byte that is no UTF-8 as six.

Change: the lines that wait are bounded by a 48th of the memory of the process, in a queue of the project's own. Ids beyond 256 bytes are logged with their first 128, their length and a hash of the whole; logs explain finds them.

Why it works: what waits is counted when it is added and when it is written.

--- a/cmd/fighollow/gateway.go
+++ b/cmd/fighollow/gateway.go
@@ -83,7 +83,7 @@
 				return err
 			}
 			zerolog.TimeFieldFormat = logging.TimeFormat
-			sink := logging.New(os.Stdout, logging.Options{})
+			sink := logging.New(os.Stdout, logging.Options{MemoryMB: cfg.MemoryMB})
 			defer func() { _ = sink.Close() }() // a failure of the log's own output cannot be reported
 			log := zerolog.New(sink).Level(level).With().Timestamp().Str("process", cfg.Node).Logger()
 			flags := gatewayFlags{settingsFile: cmd.String("settings"), metricsPort: cmd.Int("metrics-port"), shareWork: cmd.Bool("share-work")}
--- a/internal/faults/crowd_test.go
+++ b/internal/faults/crowd_test.go
@@ -145,6 +145,26 @@
 	}
 }
 
+// longID is an id of a caller that leaves its header below the operator's limit. The log writes each of its bytes as six.
+var longID = strings.Repeat("\xff", callersHeaderBytes-2000)
+
+// longIDs sends requests one after the other that take up streams, with a long id of the stream, of its last event or of the request itself.
+func longIDs(p *entryPlay, c io.Writer) {
+	var err error
+	for n := 0; err == nil; n++ {
+		fields := standin.PromptLines("a:100")
+		switch n % 4 {
+		default:
+			fields += standin.TakeUpLines(longID, 1)
+		case 1:
+			fields += fmt.Sprintf("%s%s: %s\r\n", standin.TakeUpLines(p.nextID(), 1), standin.HeaderLastEvent, longID)
+		case 2:
+			fields += fmt.Sprintf("%s: %s\r\n", standin.HeaderRequest, longID)
+		}
+		_, err = io.WriteString(c, p.head(streamPath, fields+"\r\n"))
+	}
+}
+
 const (
 	plainPath   = "/once/plain/x"
 	streamPath  = "/stream/models/x"
@@ -202,6 +222,8 @@
 	{name: "ownKeysAt48MB", callers: 40, send: ownNames, memoryMB: 48, keyed: true},
 	{name: "ownRequestsAt48MB", callers: 40, send: ownParts(streamPath, 2, 100), memoryMB: 48},
 	{name: "ownNamesAt48MB", callers: 40, send: ownNames, memoryMB: 48},
+	{name: "longIDs", callers: 400, send: longIDs},
+	{name: "longIDsAt48MB", callers: 100, send: longIDs, memoryMB: 48},
 	{name: "slowHeader", callers: 600, descriptors: 512, send: func(p *entryPlay, c io.Writer) {
 		_, err := io.WriteString(c, p.head(plainPath, ""))
 		for err == nil {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/fighollow/fighollow/internal/answer"
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/heldbytes"
+	"github.com/fighollow/fighollow/internal/logging"
 	"github.com/fighollow/fighollow/internal/placement"
 	"github.com/fighollow/fighollow/internal/quarantine"
 	"github.com/fighollow/fighollow/internal/workspace"
@@ -143,7 +144,7 @@
 		line.Float64("limitShare", c.Share)
 	}
 	if x.resumeAfter != "" {
-		line.Str("begunBy", x.call.BegunBy).Str("after", x.resumeAfter)
+		line.Str("begunBy", logging.Short(x.call.BegunBy)).Str("after", logging.Short(x.resumeAfter))
 	}
 	if c.Trial {
 		line.Bool("trial", true)
@@ -331,7 +332,7 @@
 	line.Str("framing", string(a.reply.Framing)).Int64("bytes", a.body.Bytes()).Bool("insideEvent", a.body.InsideEvent())
 	a.x.g.metrics.count("answers." + string(a.reply.Framing))
 	if a.streaming {
-		line.Str("lastEvent", a.x.resumeAfter)
+		line.Str("lastEvent", logging.Short(a.x.resumeAfter))
 	}
 	if errors.Is(err, answer.ErrTruncated) {
 		a.x.g.metrics.count("answers.truncated")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/fighollow/fighollow/internal/event"
 	"github.com/fighollow/fighollow/internal/heldbytes"
+	"github.com/fighollow/fighollow/internal/logging"
 	"github.com/fighollow/fighollow/internal/placement"
 	"github.com/fighollow/fighollow/internal/quarantine"
 	"github.com/fighollow/fighollow/internal/shortage"
@@ -211,14 +212,10 @@
 
 func (g *Gateway) newExchange(call *fighollow.Call, out fighollow.Responder) *exchange {
 	x := &exchange{g: g, call: call, out: out, seed: maphash.String(g.seed, call.ID), bytes: len(call.Body)}
-	x.log = g.log.With().Str("request", call.ID[:min(len(call.ID), maxLoggedID)]).Logger()
+	x.log = g.log.With().Str("request", logging.Short(call.ID)).Logger()
 	return x
 }
 
-// maxLoggedID is the number of bytes of a request's id that are logged. A request without a key is refused, and logged, before the size of
-// its header is checked, which may be 1 MB.
-const maxLoggedID = 1 << 10
-
 // serve runs the request. The caller must send the refusal that it returns, if any.
 func (x *exchange) serve(ctx context.Context) *fighollow.Refusal {
 	t := x.g.table.Load()
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fighollow/fighollow/internal/event"
+	"github.com/fighollow/fighollow/internal/logging"
 	"github.com/fighollow/fighollow/internal/placement"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
@@ -33,7 +34,7 @@
 			return x.refusal(ctx, err)
 		}
 		if x.headerSent {
-			event.StreamResumed.Log(&x.log).Str("after", x.resumeAfter).Err(err).Send()
+			event.StreamResumed.Log(&x.log).Str("after", logging.Short(x.resumeAfter)).Err(err).Send()
 		}
 	}
 }
@@ -52,7 +53,7 @@
 	if x.permitWait += pause; x.permitWait > maxPermitWait {
 		return false
 	}
-	event.StreamWaits.Log(&x.log).Int64("waitMs", pause.Milliseconds()).Str("after", x.resumeAfter).Send()
+	event.StreamWaits.Log(&x.log).Int64("waitMs", pause.Milliseconds()).Str("after", logging.Short(x.resumeAfter)).Send()
 	wait(ctx, pause)
 	return ctx.Err() == nil
 }
--- a/internal/logging/explain.go
+++ b/internal/logging/explain.go
@@ -29,6 +29,7 @@
 // Explain reads the logs of all processes and writes the lines of one request, ordered by time. It returns the number of
 // these lines. It skips the text before the first brace of a line, and lines that are not JSON.
 func Explain(w io.Writer, logs io.Reader, request string) (int, error) {
+	request = Short(request)
 	var lines []line
 	s := bufio.NewScanner(logs)
 	s.Buffer(nil, maxLineBytes)
--- a/internal/streams/find.go
+++ b/internal/streams/find.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fighollow/fighollow/internal/event"
+	"github.com/fighollow/fighollow/internal/logging"
 	"github.com/fighollow/fighollow/pkg/fighollow"
 )
 
@@ -26,7 +27,7 @@
 // asks its peers, and the store if none of them does. It returns ErrUnknown, or the error of the store.
 func (j *Journal) Find(ctx context.Context, now time.Time, service, workspace, id string) (version string, err error) {
 	version, from, err := j.find(ctx, now, newKey(service, workspace, id))
-	event.StreamTakenUp.Log(&j.log).Str("service", service).Str("begunBy", id).Str("software", version).Str("source", string(from)).Err(err).Send()
+	event.StreamTakenUp.Log(&j.log).Str("service", service).Str("begunBy", logging.Short(id)).Str("software", version).Str("source", string(from)).Err(err).Send()
 	return version, err
 }
 
