roles: a planned stop does not cancel a renewal of the lease

After a planned stop of the holder, the next entry acts only when the lease has expired, up to 5.5 s later.

Cause: a stop that comes during a renewal cancels the call. Its outcome is unknown then, and the process holds no lease that it could release.

Change: the renewal is not cancelled; it ends by the time-out of a store call.

Evidence: TestStopDuringARenewalReleasesTheLease failed before.

Why it works: at the release the process knows whether it holds the lease.

--- a/internal/roles/runner.go
+++ b/internal/roles/runner.go
@@ -128,7 +128,8 @@
 			continue
 		}
 		interval = followerInterval
-		if r.acquireOrRenew(ctx) {
+		// A renewal that the stop of the process cancels would have an unknown outcome, so that the lease could not be released.
+		if r.acquireOrRenew(context.WithoutCancel(ctx)) {
 			interval = holderInterval
 			r.round(ctx)
 		}
--- a/internal/roles/runner_test.go
+++ b/internal/roles/runner_test.go
@@ -21,8 +21,9 @@
 	mu        sync.Mutex
 	version   uint64
 	value     json.RawMessage
-	loseReply bool             // the next write takes effect, but its reply is lost
-	inForce   fighollow.Object // the preset in force; version 0 if there is none
+	loseReply bool                            // the next write takes effect, but its reply is lost
+	inForce   fighollow.Object                // the preset in force; version 0 if there is none
+	onPut     func(ctx context.Context) error // called before each write, which is of unknown outcome if it fails; nil for none
 }
 
 func (s *fakeStore) Get(_ context.Context, kind fighollow.Kind, _ string) (fighollow.Object, error) {
@@ -40,7 +41,10 @@
 	return fighollow.Object{Version: s.version, Value: s.value}, nil
 }
 
-func (s *fakeStore) Put(_ context.Context, o fighollow.Object, expected uint64) (uint64, error) {
+func (s *fakeStore) Put(ctx context.Context, o fighollow.Object, expected uint64) (uint64, error) {
+	if s.onPut != nil && s.onPut(ctx) != nil {
+		return 0, fighollow.ErrUnknownOutcome
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if expected != s.version {
@@ -176,3 +180,22 @@
 	putInForce(6, `"?"`)
 	qt.Assert(t, r.policy.RoleChangeWeight, qt.Equals, 3.0)
 }
+
+// Guards against a planned stop that comes while the lease is renewed, and after which no other entry can act until the lease has expired.
+func TestStopDuringARenewalReleasesTheLease(t *testing.T) {
+	r, store, _ := newTestRunner(2)
+	r.opts.Release = true
+	ctx, stop := context.WithCancel(t.Context())
+	writes := 0
+	store.onPut = func(ctx context.Context) error {
+		if writes++; writes == 2 {
+			stop()
+			time.Sleep(20 * time.Millisecond) // the write is on its way
+		}
+		return ctx.Err()
+	}
+	r.Run(ctx)
+	var lease struct{ Released bool }
+	qt.Assert(t, json.Unmarshal(store.value, &lease), qt.IsNil)
+	qt.Assert(t, lease.Released, qt.IsTrue, qt.Commentf("%s", store.value))
+}
