--- a/internal/faults/crowd_test.go
+++ b/internal/faults/crowd_test.go
@@ -223,6 +223,7 @@
 	{name: "ownRequestsAt48MB", callers: 40, send: ownParts(streamPath, 2, 100), memoryMB: 48},
 	{name: "ownNamesAt48MB", callers: 40, send: ownNames, memoryMB: 48},
 	{name: "longIDs", callers: 400, send: longIDs},
+	{name: "manyLongIDsAt48MB", callers: 400, send: longIDs, memoryMB: 48},
 	{name: "longIDsAt48MB", callers: 100, send: longIDs, memoryMB: 48},
 	{name: "slowHeader", callers: 600, descriptors: 512, send: func(p *entryPlay, c io.Writer) {
 		_, err := io.WriteString(c, p.head(plainPath, ""))
